--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Targets for developers; `make demo` and `make test` are all a fresh machine needs.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+SOURCES := verbenadrum standins scenarios benchmarks
+
+.PHONY: env test format demo bench measure capacity
+
+env: $(BIN)/.installed
+
+$(BIN)/.installed: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --editable '.[dev]'
+	touch $@
+
+test: env
+	$(BIN)/python -m black --check --quiet $(SOURCES)
+	$(BIN)/python -m ruff check --quiet $(SOURCES)
+	$(BIN)/python -m pytest
+
+format: env
+	$(BIN)/python -m black --quiet $(SOURCES)
+	$(BIN)/python -m ruff check --fix $(SOURCES)
+
+demo: env
+	$(BIN)/python -m standins.demo
+
+bench: env
+	$(BIN)/python -m benchmarks.added_latency
+
+measure: env
+	$(BIN)/python -m benchmarks.measure
+
+capacity: env
+	$(BIN)/python -m benchmarks.capacity
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; nothing here is a test."""
--- /dev/null
+++ b/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios, each run against real processes."""
--- /dev/null
+++ b/verbenadrum/claims/local.py
@@ -0,0 +1,60 @@
+"""Baseline claims: a register on the entry host alone."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.claims import registry
+from verbenadrum.core import context, ports, system
+
+__all__ = ["LocalClaims"]
+
+
+class _Row(msgspec.Struct, kw_only=True):
+    request: ids.RequestId
+    ended: bool = False
+    answer: ports.StoredAnswer | None = None
+
+
+@registry.claim_systems.register("local")
+class LocalClaims(system.System):
+    """Remembers the keys claimed on this host, and nothing of the other hosts.
+
+    Kept for comparison: a resend through another host runs a second time.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: context.Context,
+        records: ports.RecordsPort,
+        membership: ports.MembershipPort,
+        epochs: ports.EpochPort,
+    ) -> None:
+        super().__init__(context=context)
+        self._rows: dict[tuple[ids.WorkspaceId, ids.IdempotencyKey], _Row] = {}
+
+    def claim(self, request: ports.ClaimRequest, done: Callable[[ports.Claim], None]) -> None:
+        """Claim a key at once."""
+        row = self._rows.get((request.workspace, request.key))
+        if row is None:
+            self._rows[request.workspace, request.key] = _Row(request=request.request)
+            done(ports.Claim(state=ports.ClaimState.WON, reason="first-claim"))
+        elif not row.ended:
+            done(ports.Claim(state=ports.ClaimState.IN_PROGRESS, reason="in-progress"))
+        elif row.answer is None:
+            done(ports.Claim(state=ports.ClaimState.UNKNOWN, reason="outcome-unknown"))
+        else:
+            state = ports.ClaimState.ANSWERED
+            done(ports.Claim(state=state, reason="answered", answer=row.answer))
+
+    def release(self, request: ports.ClaimRequest) -> None:
+        """Give a won claim back."""
+        self._rows.pop((request.workspace, request.key), None)
+
+    def finish(self, request: ports.ClaimRequest, answer: ports.StoredAnswer | None) -> None:
+        """Record the end of a won run."""
+        row = self._rows[request.workspace, request.key]
+        row.ended = True
+        row.answer = answer
--- /dev/null
+++ b/verbenadrum/core/__init__.py
@@ -0,0 +1,3 @@
+"""The sans-IO decision core: context, systems and the engine that runs them."""
+
+__all__ = ["context", "engine", "ports", "system"]
--- /dev/null
+++ b/verbenadrum/core/engine.py
@@ -0,0 +1,141 @@
+"""Builds the systems of one host and passes them messages, ticks, records and requests.
+
+This is the port that any shell drives: the daemon, a test that steps time by hand, or another
+program's bench. It never opens a socket, sleeps or reads the machine's clock.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.claims import registry as claim_registry
+from verbenadrum.core import context, ports, system
+from verbenadrum.entry import pipeline
+from verbenadrum.epochs import registry as epoch_registry
+from verbenadrum.limits import registry as limit_registry
+from verbenadrum.membership import table as host_table
+from verbenadrum.messages import base
+from verbenadrum.placement import registry as placement_registry
+from verbenadrum.records import table as record_table
+from verbenadrum.records import types
+
+__all__ = ["Choices", "Engine", "TICK_MS"]
+
+TICK_MS = 50.0
+
+
+class Choices(msgspec.Struct, frozen=True, kw_only=True):
+    """Names of the behaviours to run, each in its register."""
+
+    limits: str = "static_split"
+    claims: str = "local"
+    epochs: str = "listed"
+    placement: str = "power_of_two"
+    health: str = "consecutive"
+
+
+class Engine:
+    """Decision core of one host.
+
+    Parameters
+    ----------
+    context : Context
+        Identity, clock, random numbers, sending and decisions.
+    choices : Choices
+        Which behaviours to run.
+    """
+
+    def __init__(self, *, context: context.Context, choices: Choices) -> None:
+        self._context = context
+        self.records = record_table.RecordTable()
+        self.membership = host_table.HostTable()
+        self.epochs = epoch_registry.epoch_systems.get(choices.epochs)(
+            context=context, records=self.records, membership=self.membership
+        )
+        self.limiter = limit_registry.limiters.get(choices.limits)(
+            context=context,
+            records=self.records,
+            membership=self.membership,
+            epochs=self.epochs,
+        )
+        self.claims = claim_registry.claim_systems.get(choices.claims)(
+            context=context,
+            records=self.records,
+            membership=self.membership,
+            epochs=self.epochs,
+        )
+        self.placer = placement_registry.placers.get(choices.placement)(
+            context=context,
+            records=self.records,
+            membership=self.membership,
+            judge=choices.health,
+        )
+        self.entry = pipeline.EntryPipeline(
+            context=context,
+            records=self.records,
+            limiter=self.limiter,
+            claims=self.claims,
+            placer=self.placer,
+        )
+        self._systems: tuple[system.System, ...] = (
+            self.epochs,
+            self.limiter,
+            self.claims,
+            self.placer,
+            self.entry,
+        )
+        self._handlers = _collect_handlers(self._systems)
+
+    def on_message(self, sender: ids.HostId, message: base.Message) -> None:
+        """Pass a decoded message of another host, or of this one, to its handler."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(sender, message)
+
+    def on_tick(self) -> None:
+        """Run every system over its tables; due every `TICK_MS`, but safe when late."""
+        for each in self._systems:
+            each.on_tick()
+
+    def apply_records(self, records: list[types.Record]) -> int:
+        """Put records in force, and return how many were newer than those held."""
+        return sum(self.records.put(record) for record in records)
+
+    def apply_hosts(self, revision: int, rows: tuple[ports.HostRow, ...]) -> bool:
+        """Put a host list in force if it is newer, and return whether it was."""
+        return self.membership.replace(revision, rows)
+
+    def begin(self, head: ports.RequestHead, sink: ports.RequestSink) -> None:
+        """Start a caller's request."""
+        self.entry.begin(head, sink)
+
+    def commit(self, request: ids.RequestId, lease: ids.LeaseId) -> bool:
+        """Return whether this attempt's answer is the one to pass to the caller."""
+        return self.entry.commit(request, lease)
+
+    def outcome(
+        self,
+        request: ids.RequestId,
+        lease: ids.LeaseId,
+        outcome: ports.Outcome,
+        answer: ports.StoredAnswer | None = None,
+    ) -> None:
+        """Report how an attempt ended, with its whole answer if it is small and known."""
+        self.entry.outcome(request, lease, outcome, answer)
+
+    def abandon(self, request: ids.RequestId) -> None:
+        """Report that the caller left before its answer was complete."""
+        self.entry.abandon(request)
+
+
+def _collect_handlers(
+    systems: tuple[system.System, ...],
+) -> dict[type[base.Message], Callable[..., None]]:
+    handlers: dict[type[base.Message], Callable[..., None]] = {}
+    for each in systems:
+        for message_type, method in each.handlers():
+            if message_type in handlers:
+                raise ValueError(f"two systems handle {message_type.__name__}")
+            handlers[message_type] = method
+    return handlers
--- /dev/null
+++ b/verbenadrum/core/ports.py
@@ -0,0 +1,404 @@
+"""Interfaces between the systems of the core, and between the core and its shell.
+
+Each system is written against these, so that it can be tested with small fakes of the others.
+Operations that may need another host take a ``done`` callable: it is called exactly once, at
+once where the answer is known and later otherwise, always before or soon after the deadline.
+"""
+
+import enum
+import typing
+from collections.abc import Callable
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.records import types
+
+__all__ = [
+    "Admission",
+    "Claim",
+    "ClaimRequest",
+    "ClaimState",
+    "ClaimPort",
+    "DispatchOrder",
+    "Epoch",
+    "EpochPort",
+    "HostRow",
+    "HostState",
+    "Limiter",
+    "MembershipPort",
+    "NotRun",
+    "Outcome",
+    "OutcomeKind",
+    "Placement",
+    "PlacementRequest",
+    "Placer",
+    "RecordsPort",
+    "Refusal",
+    "RequestHead",
+    "RequestSink",
+    "StoredAnswer",
+]
+
+
+class RecordsPort(typing.Protocol):
+    """The records in force on this host."""
+
+    @property
+    def revision(self) -> int:
+        """Greatest revision seen; 0 before the first record."""
+
+    def route(self, host: str, path: str) -> tuple[str, types.RouteSpec] | None:
+        """Return name and spec of the longest matching route; a host name match goes first."""
+
+    def workspace(self, workspace: ids.WorkspaceId) -> types.WorkspaceSpec | None:
+        """Return a workspace's limits, or None if it is unknown."""
+
+    def workspaces(self) -> dict[ids.WorkspaceId, types.WorkspaceSpec]:
+        """Return every workspace; the caller must not change the mapping."""
+
+    def key_workspace(self, sha256: str) -> ids.WorkspaceId | None:
+        """Return the workspace that a key's hash opens, or None if the key is not in force."""
+
+    def pool(self, service: ids.ServiceId) -> types.PoolSpec | None:
+        """Return a service's pool, or None if it is unknown."""
+
+    def pools(self) -> dict[ids.ServiceId, types.PoolSpec]:
+        """Return every pool; the caller must not change the mapping."""
+
+    def fleet(self) -> types.FleetSpec | None:
+        """Return the fleet record, or None before it is known."""
+
+
+class HostState(enum.Enum):
+    """State of a host as the platform lists it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class HostRow(msgspec.Struct, frozen=True, kw_only=True):
+    """One host of the platform's list.
+
+    Attributes
+    ----------
+    host : HostId
+        Its identifier, unique among running hosts.
+    address : str
+        ``ip:port`` of its peer port.
+    data_centre, region : str
+        Where it stands.
+    state : HostState
+        Whether it may get new work.
+    """
+
+    host: ids.HostId
+    address: str
+    data_centre: ids.DataCentreId
+    region: ids.RegionId
+    state: HostState = HostState.LIVE
+
+
+class MembershipPort(typing.Protocol):
+    """What a host believes about the other hosts; views differ between hosts and lag."""
+
+    @property
+    def revision(self) -> int:
+        """Revision of the host list in force here; 0 before the first list."""
+
+    def hosts(
+        self, *, region: ids.RegionId | None = None, data_centre: ids.DataCentreId | None = None
+    ) -> tuple[HostRow, ...]:
+        """Return the listed hosts, leaving ones included, ordered by identifier."""
+
+    def row(self, host: ids.HostId) -> HostRow | None:
+        """Return a host's row, or None if it is not listed."""
+
+    def reachable(self, host: ids.HostId) -> bool:
+        """Return whether the host is believed reachable from here; a hint, never a proof."""
+
+    def homes(self, key: str, hosts: tuple[HostRow, ...], count: int) -> tuple[ids.HostId, ...]:
+        """Return up to ``count`` live hosts in rendezvous order, unreachable ones last."""
+
+
+class Epoch(msgspec.Struct, frozen=True, kw_only=True):
+    """A host list that is in force in one data centre under majority vouching.
+
+    Attributes
+    ----------
+    scope : EpochScope
+        The data centre's identifier.
+    generation : int
+        Published number that restarts the chain after a whole data centre was lost.
+    revision : int
+        Host list revision that the members come from.
+    members : tuple of HostId
+        The hosts of the epoch, sorted.
+    since_wall_ms : float
+        Wall time from which this host holds the epoch.
+    valid_until_ms : float
+        Monotonic time of this host until which its majority of vouches lasts.
+    """
+
+    scope: ids.EpochScope
+    generation: int
+    revision: int
+    members: tuple[ids.HostId, ...]
+    since_wall_ms: float
+    valid_until_ms: float
+
+
+class EpochPort(typing.Protocol):
+    """Gives the one host list of this host's data centre that may be acted on for safety.
+
+    In every schedule, at any instant, hosts that get an epoch for the same scope and generation
+    get the same revision, up to the bound that clocks run at the same rate.
+    """
+
+    def active(self) -> Epoch | None:
+        """Return the epoch in force for this host's own data centre, or None if unproven."""
+
+
+class Admission(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether a request is within its workspace's rate and burst.
+
+    ``retry_after_ms`` is meaningful for a refusal only.
+    """
+
+    granted: bool
+    reason: str
+    retry_after_ms: float = 0.0
+
+
+class Limiter(typing.Protocol):
+    """Admits requests against the rate and burst of their workspace."""
+
+    def admit(
+        self,
+        *,
+        workspace: ids.WorkspaceId,
+        request: ids.RequestId,
+        deadline_ms: float,
+        done: Callable[[Admission], None],
+    ) -> None:
+        """Decide on one request; ``done`` gets the verdict by ``deadline_ms`` (monotonic)."""
+
+
+class ClaimState(enum.Enum):
+    """Result of claiming an idempotency key."""
+
+    WON = "won"
+    IN_PROGRESS = "in-progress"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not-run"
+
+
+class ClaimRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """An idempotency key to be claimed for one request.
+
+    ``fingerprint`` is a hash of method, path and body length: the same key with another
+    fingerprint is a caller's mistake.
+    """
+
+    workspace: ids.WorkspaceId
+    key: ids.IdempotencyKey
+    request: ids.RequestId
+    fingerprint: str
+    deadline_ms: float
+
+
+class StoredAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole answer kept for resends: status, headers and body."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class Claim(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of a claim; ``answer`` is set for `ClaimState.ANSWERED` alone."""
+
+    state: ClaimState
+    reason: str
+    answer: StoredAnswer | None = None
+
+
+class ClaimPort(typing.Protocol):
+    """Write-once claims of idempotency keys: one winner, and nobody else ever runs the key."""
+
+    def claim(self, request: ClaimRequest, done: Callable[[Claim], None]) -> None:
+        """Claim a key. Only `ClaimState.WON` allows a byte to go to a backend server."""
+
+    def release(self, request: ClaimRequest) -> None:
+        """Give a won claim back; allowed only where certainly no byte was sent."""
+
+    def finish(self, request: ClaimRequest, answer: StoredAnswer | None) -> None:
+        """Record the end of a won run, with its whole answer if it is known and small."""
+
+
+class PlacementRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that needs a backend server.
+
+    Attributes
+    ----------
+    request : RequestId
+        The caller's request.
+    attempt : int
+        0 for the first attempt, then 1 for each retry or hedge.
+    workspace : WorkspaceId
+        Whose share it uses; empty for public routes.
+    service : ServiceId
+        Pool to choose from.
+    idempotent : bool
+        Whether a retry or hedge is allowed.
+    fingerprint : str
+        Hash of method, path and body length, to recognise a request that crashes servers.
+    deadline_ms : float
+        Monotonic time by which the answer must have begun.
+    excluded : tuple of ServerId
+        Servers that failed this request already.
+    """
+
+    request: ids.RequestId
+    attempt: int
+    workspace: ids.WorkspaceId
+    service: ids.ServiceId
+    idempotent: bool
+    fingerprint: str
+    deadline_ms: float
+    excluded: tuple[ids.ServerId, ...] = ()
+
+
+class Placement(msgspec.Struct, frozen=True, kw_only=True):
+    """A slot lease on one backend server, or a refusal where ``server`` is None.
+
+    ``hedge_after_ms`` is the delay after which an idempotent request may be hedged, or 0.
+    """
+
+    server: ids.ServerId | None
+    reason: str
+    lease: ids.LeaseId = ids.LeaseId("")
+    address: str = ""
+    until_ms: float = 0.0
+    hedge_after_ms: float = 0.0
+    retry_after_ms: float = 0.0
+
+
+class OutcomeKind(enum.Enum):
+    """How one attempt at a backend server ended, seen by the entry host."""
+
+    OK = "ok"
+    SERVER_ERROR = "server-error"
+    SHED = "shed"
+    CONNECT_FAILED = "connect-failed"
+    RESET = "reset"
+    TIMEOUT = "timeout"
+    TRUNCATED = "truncated"
+    CROSSED = "crossed"
+    CANCELLED = "cancelled"
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of one attempt.
+
+    Attributes
+    ----------
+    kind : OutcomeKind
+        How it ended. `OutcomeKind.SHED` is a 503 whose server states that nothing ran.
+    latency_ms : float
+        From the first byte sent to the head of the answer, or to the failure.
+    bytes_sent : bool
+        Whether a byte may have left for the server.
+    status : int
+        HTTP status, or 0.
+    """
+
+    kind: OutcomeKind
+    latency_ms: float
+    bytes_sent: bool
+    status: int = 0
+
+
+class Placer(typing.Protocol):
+    """Chooses backend servers and learns from the outcomes."""
+
+    def place(self, request: PlacementRequest, done: Callable[[Placement], None]) -> None:
+        """Choose a server; ``done`` gets the placement by the request's deadline."""
+
+    def complete(self, lease: ids.LeaseId, outcome: Outcome) -> None:
+        """Release a lease with the attempt's outcome; a second call is ignored."""
+
+    def may_retry(self, request: PlacementRequest) -> bool:
+        """Draw one retry or hedge of the service's budget; False if it is spent."""
+
+
+class NotRun(enum.Enum):
+    """Whether a refused request may have run at a backend server."""
+
+    TRUE = "true"
+    FALSE = "false"
+    UNKNOWN = "unknown"
+
+
+class RequestHead(msgspec.Struct, frozen=True, kw_only=True):
+    """What the entry pipeline needs to know of a caller's request.
+
+    ``key`` is the secret that came with it; it is never logged nor forwarded. ``deadline_ms``
+    is monotonic, infinite where the caller names none. ``body_length`` is -1 where the caller
+    streams without a length. ``replayable`` says whether the shell holds the whole body.
+    """
+
+    request: ids.RequestId
+    method: str
+    host: str
+    path: str
+    key: str
+    idempotency_key: ids.IdempotencyKey = ids.IdempotencyKey("")
+    deadline_ms: float = float("inf")
+    body_length: int = 0
+    replayable: bool = True
+
+
+class DispatchOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """Tells the shell to send the request to a backend server now.
+
+    The shell sends it once, and then calls ``Engine.outcome`` with ``lease``. ``service_route``
+    is the name of the route, for metrics.
+    """
+
+    request: ids.RequestId
+    attempt: int
+    lease: ids.LeaseId
+    server: ids.ServerId
+    address: str
+    workspace: ids.WorkspaceId
+    deadline_ms: float
+    service_route: str = ""
+
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of the fleet itself in place of a backend server's."""
+
+    request: ids.RequestId
+    status: int
+    code: str
+    detail: str
+    not_run: NotRun
+    retry_after_ms: float = 0.0
+
+
+class RequestSink(typing.Protocol):
+    """Receives what the core decides about one request."""
+
+    def dispatch(self, order: DispatchOrder) -> None:
+        """Send the request to a backend server."""
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Answer with a refusal."""
+
+    def replay(self, answer: StoredAnswer) -> None:
+        """Answer with the stored answer of the same idempotency key."""
+
+    def cancel(self, lease: ids.LeaseId) -> None:
+        """Abandon an attempt: another attempt of the request has answered, or time is up."""
--- /dev/null
+++ b/verbenadrum/entry/pipeline.py
@@ -0,0 +1,359 @@
+"""Takes each request from its head to its end, on the host that the caller reached."""
+
+import xxhash
+
+from verbenadrum import ids
+from verbenadrum.core import context, ports, system
+from verbenadrum.decisions import ring
+from verbenadrum.entry import keys, refusals, table
+
+__all__ = ["EntryPipeline"]
+
+_IDLE_STAGES = (table.RequestStage.COMMITTED, table.RequestStage.ENDED)
+
+
+class EntryPipeline(system.System):
+    """State machine of the requests in flight.
+
+    Every path through it ends in exactly one of: a committed answer, a refusal, a replayed
+    answer, or the caller's leaving.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: context.Context,
+        records: ports.RecordsPort,
+        limiter: ports.Limiter,
+        claims: ports.ClaimPort,
+        placer: ports.Placer,
+    ) -> None:
+        super().__init__(context=context)
+        self._records = records
+        self._limiter = limiter
+        self._claims = claims
+        self._placer = placer
+        self._rows: dict[ids.RequestId, table.RequestRow] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that have not ended."""
+        return len(self._rows)
+
+    def begin(self, head: ports.RequestHead, sink: ports.RequestSink) -> None:
+        """Start a request; the sink hears what becomes of it."""
+        found = self._records.route(head.host, head.path)
+        if found is None:
+            self._refuse_head(head, sink, refusals.no_route(head))
+            return
+        name, route = found
+        workspace = self._authenticate(head)
+        if workspace is None and not route.public:
+            self._refuse_head(head, sink, refusals.not_authenticated(head))
+            return
+        self._context.decide(
+            ring.DecisionKind.ROUTE,
+            route.service,
+            "longest-prefix",
+            subject=name,
+            request=head.request,
+            detail={"workspace": workspace or ""},
+        )
+        row = table.RequestRow(
+            head=head,
+            sink=sink,
+            route_name=name,
+            route=route,
+            workspace=workspace or ids.WorkspaceId(""),
+            idempotent=head.method in route.idempotent_methods,
+            fingerprint=_fingerprint(head),
+            deadline_ms=min(head.deadline_ms, self._context.now_ms() + route.timeout_ms),
+        )
+        self._rows[head.request] = row
+        self._admit(row)
+
+    def commit(self, request: ids.RequestId, lease: ids.LeaseId) -> bool:
+        """Choose an attempt's answer for the caller; True for the first attempt to ask."""
+        row = self._rows.get(request)
+        if row is None or row.stage is not table.RequestStage.DISPATCHED:
+            return False
+        row.stage = table.RequestStage.COMMITTED
+        for other in list(row.attempts):
+            if other != lease:
+                row.sink.cancel(other)
+        return True
+
+    def outcome(
+        self,
+        request: ids.RequestId,
+        lease: ids.LeaseId,
+        outcome: ports.Outcome,
+        answer: ports.StoredAnswer | None = None,
+    ) -> None:
+        """Record the end of an attempt, and retry or refuse where it failed unanswered."""
+        self._placer.complete(lease, outcome)
+        row = self._rows.get(request)
+        if row is None or lease not in row.attempts:
+            return
+        attempt = row.attempts.pop(lease)
+        row.byte_sent = row.byte_sent or outcome.bytes_sent
+        self._log_outcome(row, attempt, outcome)
+        if row.stage is table.RequestStage.COMMITTED:
+            if not row.attempts:
+                self._end(row, answer)
+            return
+        if row.stage is table.RequestStage.ENDED:
+            return
+        row.excluded.append(attempt.server)
+        if row.attempts or row.placing:
+            return
+        self._after_failure(row, outcome)
+
+    def abandon(self, request: ids.RequestId) -> None:
+        """Note that the caller left: every attempt is cancelled and nothing is retried."""
+        row = self._rows.get(request)
+        if row is None:
+            return
+        for lease in list(row.attempts):
+            row.sink.cancel(lease)
+        self._end(row, None)
+
+    def on_tick(self) -> None:
+        """Refuse requests past their deadline and start due hedges."""
+        now_ms = self._context.now_ms()
+        for row in list(self._rows.values()):
+            if row.stage in _IDLE_STAGES:
+                continue
+            if now_ms >= row.deadline_ms:
+                self._expire(row)
+            elif now_ms >= row.hedge_at_ms:
+                self._hedge(row)
+
+    def _authenticate(self, head: ports.RequestHead) -> ids.WorkspaceId | None:
+        if not head.key:
+            return None
+        return self._records.key_workspace(keys.hash_key(head.key))
+
+    def _admit(self, row: table.RequestRow) -> None:
+        if not row.workspace:
+            self._claim(row)
+            return
+
+        def admitted(admission: ports.Admission) -> None:
+            if row.stage is not table.RequestStage.ADMITTING:
+                return
+            if admission.granted:
+                self._claim(row)
+            else:
+                self._refuse(row, refusals.not_admitted(row.head, admission))
+
+        self._limiter.admit(
+            workspace=row.workspace,
+            request=row.head.request,
+            deadline_ms=row.deadline_ms,
+            done=admitted,
+        )
+
+    def _claim(self, row: table.RequestRow) -> None:
+        if row.idempotent or not row.head.idempotency_key:
+            self._place(row)
+            return
+        row.stage = table.RequestStage.CLAIMING
+        request = ports.ClaimRequest(
+            workspace=row.workspace,
+            key=row.head.idempotency_key,
+            request=row.head.request,
+            fingerprint=row.fingerprint,
+            deadline_ms=row.deadline_ms,
+        )
+
+        def claimed(claim: ports.Claim) -> None:
+            self._on_claim(row, request, claim)
+
+        self._claims.claim(request, claimed)
+
+    def _on_claim(
+        self, row: table.RequestRow, request: ports.ClaimRequest, claim: ports.Claim
+    ) -> None:
+        if row.stage is not table.RequestStage.CLAIMING:
+            # The request ended while its claim was on the way, so no byte was sent.
+            if claim.state is ports.ClaimState.WON:
+                self._claims.release(request)
+            return
+        if claim.state is ports.ClaimState.WON:
+            row.claim = request
+            self._place(row)
+        elif claim.state is ports.ClaimState.ANSWERED and claim.answer is not None:
+            self._drop(row)
+            row.sink.replay(claim.answer)
+        else:
+            self._refuse(row, refusals.claim_refused(row.head, claim))
+
+    def _place(self, row: table.RequestRow) -> None:
+        if row.stage is not table.RequestStage.DISPATCHED:
+            row.stage = table.RequestStage.PLACING
+        row.placing = True
+        request = self._placement_request(row)
+
+        def placed(placement: ports.Placement) -> None:
+            row.placing = False
+            self._on_placement(row, request, placement)
+
+        self._placer.place(request, placed)
+
+    def _placement_request(self, row: table.RequestRow) -> ports.PlacementRequest:
+        return ports.PlacementRequest(
+            request=row.head.request,
+            attempt=row.attempt_count,
+            workspace=row.workspace,
+            service=ids.ServiceId(row.route.service),
+            idempotent=row.idempotent,
+            fingerprint=row.fingerprint,
+            deadline_ms=row.deadline_ms,
+            excluded=tuple(row.excluded),
+        )
+
+    def _on_placement(
+        self,
+        row: table.RequestRow,
+        request: ports.PlacementRequest,
+        placement: ports.Placement,
+    ) -> None:
+        if row.stage not in (table.RequestStage.PLACING, table.RequestStage.DISPATCHED):
+            self._return_lease(placement)
+            return
+        if placement.server is None:
+            if not row.attempts:
+                refusal = refusals.not_placed(row.head, placement, row.byte_sent)
+                self._refuse(row, refusal)
+            return
+        self._dispatch(row, request, placement)
+
+    def _dispatch(
+        self,
+        row: table.RequestRow,
+        request: ports.PlacementRequest,
+        placement: ports.Placement,
+    ) -> None:
+        now_ms = self._context.now_ms()
+        row.stage = table.RequestStage.DISPATCHED
+        row.attempt_count += 1
+        row.attempts[placement.lease] = table.AttemptRow(
+            lease=placement.lease,
+            server=placement.server,
+            number=request.attempt,
+            started_ms=now_ms,
+        )
+        row.hedge_at_ms = float("inf")
+        if row.idempotent and row.head.replayable and placement.hedge_after_ms > 0:
+            row.hedge_at_ms = now_ms + placement.hedge_after_ms
+        row.sink.dispatch(
+            ports.DispatchOrder(
+                request=row.head.request,
+                attempt=request.attempt,
+                lease=placement.lease,
+                server=placement.server,
+                address=placement.address,
+                workspace=row.workspace,
+                deadline_ms=row.deadline_ms,
+                service_route=row.route_name,
+            )
+        )
+
+    def _after_failure(self, row: table.RequestRow, outcome: ports.Outcome) -> None:
+        if self._retry_allowed(row, outcome):
+            self._log_retry(row, "retry", outcome.kind.value)
+            self._place(row)
+            return
+        self._refuse(row, refusals.attempt_failed(row.head, outcome, row.byte_sent))
+
+    def _retry_allowed(self, row: table.RequestRow, outcome: ports.Outcome) -> bool:
+        safe = row.idempotent or not row.byte_sent
+        sendable = row.head.replayable or not row.byte_sent
+        if not (safe and sendable) or outcome.kind is ports.OutcomeKind.CANCELLED:
+            return False
+        if self._context.now_ms() >= row.deadline_ms:
+            return False
+        return self._placer.may_retry(self._placement_request(row))
+
+    def _hedge(self, row: table.RequestRow) -> None:
+        row.hedge_at_ms = float("inf")
+        if row.placing or not self._placer.may_retry(self._placement_request(row)):
+            return
+        self._log_retry(row, "hedge", "slower-than-expected")
+        current = [attempt.server for attempt in row.attempts.values()]
+        row.excluded.extend(current)
+        self._place(row)
+        for server in current:
+            row.excluded.remove(server)
+
+    def _expire(self, row: table.RequestRow) -> None:
+        may_have_run = row.byte_sent or bool(row.attempts)
+        for lease in list(row.attempts):
+            row.sink.cancel(lease)
+        row.byte_sent = may_have_run
+        self._refuse(row, refusals.deadline_passed(row.head, may_have_run))
+
+    def _refuse(self, row: table.RequestRow, refusal: ports.Refusal) -> None:
+        self._end(row, None)
+        self._refuse_head(row.head, row.sink, refusal)
+
+    def _refuse_head(
+        self, head: ports.RequestHead, sink: ports.RequestSink, refusal: ports.Refusal
+    ) -> None:
+        self._context.decide(
+            ring.DecisionKind.REFUSE,
+            "refused",
+            refusal.code,
+            request=head.request,
+            detail={"status": refusal.status, "not_run": refusal.not_run.value},
+        )
+        sink.refuse(refusal)
+
+    def _end(self, row: table.RequestRow, answer: ports.StoredAnswer | None) -> None:
+        if row.claim is not None:
+            if row.byte_sent or row.attempts:
+                self._claims.finish(row.claim, answer)
+            else:
+                self._claims.release(row.claim)
+            row.claim = None
+        self._drop(row)
+
+    def _drop(self, row: table.RequestRow) -> None:
+        row.stage = table.RequestStage.ENDED
+        self._rows.pop(row.head.request, None)
+
+    def _return_lease(self, placement: ports.Placement) -> None:
+        if placement.server is None:
+            return
+        unused = ports.Outcome(kind=ports.OutcomeKind.CANCELLED, latency_ms=0.0, bytes_sent=False)
+        self._placer.complete(placement.lease, unused)
+
+    def _log_outcome(
+        self, row: table.RequestRow, attempt: table.AttemptRow, outcome: ports.Outcome
+    ) -> None:
+        self._context.decide(
+            ring.DecisionKind.OUTCOME,
+            attempt.server,
+            outcome.kind.value,
+            request=row.head.request,
+            detail={
+                "attempt": attempt.number,
+                "latency_ms": round(outcome.latency_ms, 3),
+                "status": outcome.status,
+            },
+        )
+
+    def _log_retry(self, row: table.RequestRow, choice: str, reason: str) -> None:
+        self._context.decide(
+            ring.DecisionKind.RETRY,
+            choice,
+            reason,
+            request=row.head.request,
+            detail={"attempt": row.attempt_count},
+        )
+
+
+def _fingerprint(head: ports.RequestHead) -> str:
+    text = f"{head.method}\x00{head.host}\x00{head.path}\x00{head.body_length}"
+    return xxhash.xxh3_64_hexdigest(text)
--- /dev/null
+++ b/verbenadrum/entry/refusals.py
@@ -0,0 +1,113 @@
+"""Refusals that the pipeline answers with, one function for each cause."""
+
+from verbenadrum.core import ports
+
+__all__ = [
+    "attempt_failed",
+    "claim_refused",
+    "deadline_passed",
+    "no_route",
+    "not_admitted",
+    "not_authenticated",
+    "not_placed",
+]
+
+_CLAIM_STATUS = {
+    ports.ClaimState.IN_PROGRESS: 409,
+    ports.ClaimState.UNKNOWN: 409,
+    ports.ClaimState.NOT_RUN: 503,
+}
+KEY_REUSED = "key-reused"
+POISON_REQUEST = "poison-request"
+_OUTCOME_STATUS = {ports.OutcomeKind.TIMEOUT: 504, ports.OutcomeKind.CANCELLED: 504}
+
+
+def no_route(head: ports.RequestHead) -> ports.Refusal:
+    """Return the refusal of a path that no route covers."""
+    return ports.Refusal(
+        request=head.request,
+        status=404,
+        code="no-route",
+        detail="no route covers this host and path",
+        not_run=ports.NotRun.TRUE,
+    )
+
+
+def not_authenticated(head: ports.RequestHead) -> ports.Refusal:
+    """Return the refusal of a request with no key, or one that is not in force."""
+    code = "key-refused" if head.key else "key-missing"
+    return ports.Refusal(
+        request=head.request,
+        status=401,
+        code=code,
+        detail="this route needs a key that is in force",
+        not_run=ports.NotRun.TRUE,
+    )
+
+
+def not_admitted(head: ports.RequestHead, admission: ports.Admission) -> ports.Refusal:
+    """Return the refusal of a request over its workspace's rate."""
+    return ports.Refusal(
+        request=head.request,
+        status=429,
+        code=admission.reason,
+        detail="the workspace's rate and burst do not admit this request now",
+        not_run=ports.NotRun.TRUE,
+        retry_after_ms=admission.retry_after_ms,
+    )
+
+
+def claim_refused(head: ports.RequestHead, claim: ports.Claim) -> ports.Refusal:
+    """Return the refusal of an idempotency key that this request may not run."""
+    not_run = ports.NotRun.UNKNOWN
+    if claim.state is ports.ClaimState.NOT_RUN:
+        not_run = ports.NotRun.TRUE
+    status = 422 if claim.reason == KEY_REUSED else _CLAIM_STATUS[claim.state]
+    return ports.Refusal(
+        request=head.request,
+        status=status,
+        code=claim.reason,
+        detail=f"the idempotency key is {claim.state.value}",
+        not_run=not_run,
+    )
+
+
+def not_placed(
+    head: ports.RequestHead, placement: ports.Placement, byte_sent: bool
+) -> ports.Refusal:
+    """Return the refusal of a request that got no backend server."""
+    # A poison request's earlier copies have run, so its refusal never claims that nothing ran.
+    unsure = byte_sent or placement.reason == POISON_REQUEST
+    return ports.Refusal(
+        request=head.request,
+        status=502 if byte_sent else 503,
+        code=placement.reason,
+        detail="no backend server could take the request",
+        not_run=ports.NotRun.UNKNOWN if unsure else ports.NotRun.TRUE,
+        retry_after_ms=placement.retry_after_ms,
+    )
+
+
+def attempt_failed(
+    head: ports.RequestHead, outcome: ports.Outcome, byte_sent: bool
+) -> ports.Refusal:
+    """Return the refusal of a request whose last attempt failed."""
+    status = _OUTCOME_STATUS.get(outcome.kind, 502)
+    return ports.Refusal(
+        request=head.request,
+        status=status if byte_sent else 503,
+        code=outcome.kind.value,
+        detail="the backend server did not give a whole answer",
+        not_run=ports.NotRun.UNKNOWN if byte_sent else ports.NotRun.TRUE,
+    )
+
+
+def deadline_passed(head: ports.RequestHead, byte_sent: bool) -> ports.Refusal:
+    """Return the refusal of a request whose deadline passed before an answer began."""
+    return ports.Refusal(
+        request=head.request,
+        status=504 if byte_sent else 503,
+        code="deadline-passed",
+        detail="the request's deadline passed",
+        not_run=ports.NotRun.UNKNOWN if byte_sent else ports.NotRun.TRUE,
+    )
--- /dev/null
+++ b/verbenadrum/entry/table.py
@@ -0,0 +1,70 @@
+"""Rows of the requests that are in flight on this host."""
+
+import enum
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.core import ports
+from verbenadrum.records import types
+
+__all__ = ["AttemptRow", "RequestRow", "RequestStage"]
+
+
+class RequestStage(enum.Enum):
+    """How far a request has come."""
+
+    ADMITTING = "admitting"
+    CLAIMING = "claiming"
+    PLACING = "placing"
+    DISPATCHED = "dispatched"
+    COMMITTED = "committed"
+    ENDED = "ended"
+
+
+class AttemptRow(msgspec.Struct, kw_only=True):
+    """One attempt at a backend server that has not ended."""
+
+    lease: ids.LeaseId
+    server: ids.ServerId
+    number: int
+    started_ms: float
+
+
+class RequestRow(msgspec.Struct, kw_only=True):
+    """One request in flight.
+
+    Attributes
+    ----------
+    claim : ClaimRequest or None
+        The claim that this request has won, if it needed one.
+    byte_sent : bool
+        Whether any attempt may have sent a byte.
+    attempts : dict
+        Attempts that have not ended, by lease.
+    attempt_count : int
+        Attempts begun so far.
+    excluded : list of ServerId
+        Servers that failed this request.
+    hedge_at_ms : float
+        Monotonic time of the next hedge; infinite for none.
+    placing : bool
+        Whether an answer of the placer is awaited.
+    """
+
+    head: ports.RequestHead
+    sink: ports.RequestSink
+    route_name: str
+    route: types.RouteSpec
+    workspace: ids.WorkspaceId
+    idempotent: bool
+    fingerprint: str
+    deadline_ms: float
+    stage: RequestStage = RequestStage.ADMITTING
+    claim: ports.ClaimRequest | None = None
+    byte_sent: bool = False
+    attempts: dict[ids.LeaseId, AttemptRow] = msgspec.field(default_factory=dict)
+    attempt_count: int = 0
+    excluded: list[ids.ServerId] = msgspec.field(default_factory=list)
+    hedge_at_ms: float = float("inf")
+    placing: bool = False
--- /dev/null
+++ b/verbenadrum/epochs/listed.py
@@ -0,0 +1,46 @@
+"""Baseline epochs: the newest host list, taken on trust."""
+
+from verbenadrum import ids
+from verbenadrum.core import context, ports, system
+from verbenadrum.epochs import registry
+
+__all__ = ["ListedEpochs"]
+
+_VALID_MS = 5_000.0
+
+
+@registry.epoch_systems.register("listed")
+class ListedEpochs(system.System):
+    """Treats the newest list known here as the epoch in force.
+
+    Kept for comparison: hosts whose lists differ hold different epochs at the same time.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: context.Context,
+        records: ports.RecordsPort,
+        membership: ports.MembershipPort,
+    ) -> None:
+        super().__init__(context=context)
+        self._membership = membership
+        self._revision = 0
+        self._since_wall_ms = 0.0
+
+    def active(self) -> ports.Epoch | None:
+        """Return an epoch of the newest list, or None before the first list."""
+        rows = self._membership.hosts(data_centre=self._context.data_centre)
+        if not rows:
+            return None
+        if self._membership.revision != self._revision:
+            self._revision = self._membership.revision
+            self._since_wall_ms = self._context.clock.wall_ms()
+        return ports.Epoch(
+            scope=ids.EpochScope(self._context.data_centre),
+            generation=1,
+            revision=self._revision,
+            members=tuple(row.host for row in rows),
+            since_wall_ms=self._since_wall_ms,
+            valid_until_ms=self._context.now_ms() + _VALID_MS,
+        )
--- /dev/null
+++ b/verbenadrum/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Which hosts are listed, and which of them seem reachable from here."""
+
+__all__ = ["table"]
--- /dev/null
+++ b/verbenadrum/membership/table.py
@@ -0,0 +1,83 @@
+"""Table of the listed hosts as this host knows them."""
+
+from verbenadrum import ids
+from verbenadrum.core import ports
+from verbenadrum.utils import hashing
+
+__all__ = ["HostTable"]
+
+
+class HostTable:
+    """Rows of the newest host list, with hints on which hosts are unreachable."""
+
+    def __init__(self) -> None:
+        self._revision = 0
+        self._rows: dict[ids.HostId, ports.HostRow] = {}
+        self._by_data_centre: dict[str, tuple[ports.HostRow, ...]] = {}
+        self._by_region: dict[str, tuple[ports.HostRow, ...]] = {}
+        self._all: tuple[ports.HostRow, ...] = ()
+        self._suspected: set[ids.HostId] = set()
+
+    @property
+    def revision(self) -> int:
+        """Revision of the host list in force here; 0 before the first list."""
+        return self._revision
+
+    def replace(self, revision: int, rows: tuple[ports.HostRow, ...]) -> bool:
+        """Put a newer list in force; an older or equal one changes nothing.
+
+        Returns
+        -------
+        bool
+            Whether the list was taken.
+        """
+        if revision <= self._revision:
+            return False
+        self._revision = revision
+        self._all = tuple(sorted(rows, key=lambda row: row.host))
+        self._rows = {row.host: row for row in self._all}
+        self._by_data_centre = _group(self._all, "data_centre")
+        self._by_region = _group(self._all, "region")
+        self._suspected.intersection_update(self._rows)
+        return True
+
+    def hosts(
+        self, *, region: ids.RegionId | None = None, data_centre: ids.DataCentreId | None = None
+    ) -> tuple[ports.HostRow, ...]:
+        """Return the listed hosts, leaving ones included, ordered by identifier."""
+        if data_centre is not None:
+            return self._by_data_centre.get(data_centre, ())
+        if region is not None:
+            return self._by_region.get(region, ())
+        return self._all
+
+    def row(self, host: ids.HostId) -> ports.HostRow | None:
+        """Return a host's row, or None if it is not listed."""
+        return self._rows.get(host)
+
+    def reachable(self, host: ids.HostId) -> bool:
+        """Return whether the host is believed reachable from here; a hint, never a proof."""
+        return host not in self._suspected
+
+    def suspect(self, host: ids.HostId, suspected: bool) -> None:
+        """Set or clear the hint that a host is unreachable."""
+        if suspected and host in self._rows:
+            self._suspected.add(host)
+        else:
+            self._suspected.discard(host)
+
+    def homes(
+        self, key: str, hosts: tuple[ports.HostRow, ...], count: int
+    ) -> tuple[ids.HostId, ...]:
+        """Return up to ``count`` live hosts in rendezvous order, unreachable ones last."""
+        live = [row.host for row in hosts if row.state is ports.HostState.LIVE]
+        ranked = hashing.rank(key, live)
+        ranked.sort(key=lambda host: host in self._suspected)
+        return tuple(ranked[:count])
+
+
+def _group(rows: tuple[ports.HostRow, ...], field: str) -> dict[str, tuple[ports.HostRow, ...]]:
+    groups: dict[str, list[ports.HostRow]] = {}
+    for row in rows:
+        groups.setdefault(getattr(row, field), []).append(row)
+    return {name: tuple(group) for name, group in groups.items()}
--- /dev/null
+++ b/verbenadrum/messages/codec.py
@@ -0,0 +1,68 @@
+"""Encodes and decodes messages between hosts as msgpack."""
+
+import functools
+import typing
+
+import msgspec
+
+from verbenadrum.messages import base
+from verbenadrum.utils import errors
+
+__all__ = ["Envelope", "MalformedMessageError", "MAX_MESSAGE_BYTES", "decode", "encode"]
+
+MAX_MESSAGE_BYTES = 1_048_576
+
+
+class MalformedMessageError(errors.VerbenadrumError):
+    """Bytes from a peer are no message that this version knows."""
+
+    code = "malformed-message"
+
+
+class Envelope(typing.NamedTuple):
+    """A decoded message and the host that sent it."""
+
+    sender: str
+    message: base.Message
+
+
+@functools.cache
+def _encoder() -> msgspec.msgpack.Encoder:
+    return msgspec.msgpack.Encoder()
+
+
+@functools.cache
+def _decoder(types: tuple[type[base.Message], ...]) -> msgspec.msgpack.Decoder:
+    union = typing.Union[types]  # noqa: UP007 (built at run time)
+    return msgspec.msgpack.Decoder(tuple[str, union])
+
+
+def encode(sender: str, message: base.Message) -> bytes:
+    """Return the msgpack bytes of a message with its sender.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the encoded message exceeds `MAX_MESSAGE_BYTES`.
+    """
+    data = _encoder().encode((sender, message))
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise MalformedMessageError(f"{type(message).__name__} of {len(data)} bytes is too large")
+    return data
+
+
+def decode(data: bytes) -> Envelope:
+    """Return the envelope in ``data``.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the bytes are too many, no msgpack, or no registered message.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise MalformedMessageError(f"{len(data)} bytes are more than {MAX_MESSAGE_BYTES}")
+    try:
+        sender, message = _decoder(base.message_types()).decode(data)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise MalformedMessageError(str(error)) from error
+    return Envelope(sender, message)
--- /dev/null
+++ b/verbenadrum/records/table.py
@@ -0,0 +1,136 @@
+"""Table of the records in force on one host."""
+
+import collections
+
+from verbenadrum import ids
+from verbenadrum.records import types
+
+__all__ = ["RecordTable"]
+
+FLEET_RECORD_NAME = "fleet"
+
+
+class RecordTable:
+    """Accepted records, one row per kind and name, with the look-ups that requests need.
+
+    A row is replaced by a greater revision only, so an older answer of the platform or of a
+    peer changes nothing.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[types.RecordKind, str], types.Record] = {}
+        self._revision = 0
+        self._routes: dict[str, list[tuple[str, str, types.RouteSpec]]] = {}
+        self._workspaces: dict[ids.WorkspaceId, types.WorkspaceSpec] = {}
+        self._pools: dict[ids.ServiceId, types.PoolSpec] = {}
+        self._keys: dict[str, dict[str, ids.WorkspaceId]] = collections.defaultdict(dict)
+        self._fleet: types.FleetSpec | None = None
+
+    @property
+    def revision(self) -> int:
+        """Greatest revision seen; 0 before the first record."""
+        return self._revision
+
+    def put(self, record: types.Record) -> bool:
+        """Accept a record if it is newer than the row in force.
+
+        Returns
+        -------
+        bool
+            Whether the record was taken.
+        """
+        row = (record.kind, record.name)
+        current = self._rows.get(row)
+        if current is not None and current.revision >= record.revision:
+            return False
+        self._rows[row] = record
+        self._revision = max(self._revision, record.revision)
+        self._index(record, None if current is None else current.spec)
+        return True
+
+    def rows(self) -> list[types.Record]:
+        """Return every row, withdrawn ones included, in ascending revision."""
+        return sorted(self._rows.values(), key=lambda record: record.revision)
+
+    def row(self, kind: types.RecordKind, name: str) -> types.Record | None:
+        """Return one row, or None if there is none."""
+        return self._rows.get((kind, name))
+
+    def route(self, host: str, path: str) -> tuple[str, types.RouteSpec] | None:
+        """Return name and spec of the longest matching route; a host name match goes first."""
+        for routes in (self._routes.get(host), self._routes.get("")):
+            for prefix, name, spec in routes or ():
+                if _matches(path, prefix):
+                    return name, spec
+        return None
+
+    def workspace(self, workspace: ids.WorkspaceId) -> types.WorkspaceSpec | None:
+        """Return a workspace's limits, or None if it is unknown."""
+        return self._workspaces.get(workspace)
+
+    def workspaces(self) -> dict[ids.WorkspaceId, types.WorkspaceSpec]:
+        """Return every workspace; the caller must not change the mapping."""
+        return self._workspaces
+
+    def key_workspace(self, sha256: str) -> ids.WorkspaceId | None:
+        """Return the workspace that a key's hash opens, or None if the key is not in force."""
+        holders = self._keys.get(sha256)
+        if not holders:
+            return None
+        return holders[max(holders)]
+
+    def pool(self, service: ids.ServiceId) -> types.PoolSpec | None:
+        """Return a service's pool, or None if it is unknown."""
+        return self._pools.get(service)
+
+    def pools(self) -> dict[ids.ServiceId, types.PoolSpec]:
+        """Return every pool; the caller must not change the mapping."""
+        return self._pools
+
+    def fleet(self) -> types.FleetSpec | None:
+        """Return the fleet record, or None before it is known."""
+        return self._fleet
+
+    def _index(self, record: types.Record, previous: types.Spec | None) -> None:
+        if record.kind is types.RecordKind.ROUTE:
+            self._index_route(record.name, previous, record.spec)
+        elif record.kind is types.RecordKind.KEY:
+            self._index_key(record.name, previous, record.spec)
+        elif record.kind is types.RecordKind.WORKSPACE:
+            _replace(self._workspaces, ids.WorkspaceId(record.name), record.spec)
+        elif record.kind is types.RecordKind.POOL:
+            _replace(self._pools, ids.ServiceId(record.name), record.spec)
+        elif record.name == FLEET_RECORD_NAME and record.spec is not None:
+            self._fleet = record.spec
+
+    def _index_route(
+        self, name: str, previous: types.RouteSpec | None, spec: types.RouteSpec | None
+    ) -> None:
+        if previous is not None:
+            routes = self._routes[previous.host]
+            routes[:] = [route for route in routes if route[1] != name]
+        if spec is not None:
+            routes = self._routes.setdefault(spec.host, [])
+            routes.append((spec.path_prefix, name, spec))
+            routes.sort(key=lambda route: (-len(route[0]), route[1]))
+
+    def _index_key(
+        self, name: str, previous: types.KeySpec | None, spec: types.KeySpec | None
+    ) -> None:
+        if previous is not None:
+            self._keys[previous.sha256].pop(name, None)
+        if spec is not None:
+            self._keys[spec.sha256][name] = ids.WorkspaceId(spec.workspace)
+
+
+def _matches(path: str, prefix: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    return prefix.endswith("/") or len(path) == len(prefix) or path[len(prefix)] in "/?"
+
+
+def _replace(table: dict, name: str, spec: types.Spec | None) -> None:
+    if spec is None:
+        table.pop(name, None)
+    else:
+        table[name] = spec
--- /dev/null
+++ b/verbenadrum/records/types.py
@@ -0,0 +1,148 @@
+"""Typed records of the current schema version.
+
+Unknown fields are ignored, so that a newer record does not break an older daemon.
+"""
+
+import enum
+from typing import Annotated
+
+import msgspec
+
+__all__ = [
+    "DataCentreShare",
+    "FleetSpec",
+    "KeySpec",
+    "PoolSpec",
+    "Record",
+    "RecordKind",
+    "RouteSpec",
+    "SCHEMA_VERSION",
+    "ServerEntry",
+    "ServerState",
+    "Spec",
+    "WorkspaceSpec",
+]
+
+SCHEMA_VERSION = 2
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+
+class RecordKind(enum.Enum):
+    """What a record describes."""
+
+    ROUTE = "route"
+    WORKSPACE = "workspace"
+    KEY = "key"
+    POOL = "pool"
+    FLEET = "fleet"
+
+
+class ServerState(enum.Enum):
+    """Whether a backend server may get new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class RouteSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """Maps a host name and path prefix to a service.
+
+    ``public`` routes need no key. ``timeout_ms`` bounds the whole request. Methods in
+    ``idempotent_methods`` may be retried.
+    """
+
+    path_prefix: Name
+    service: Name
+    host: str = ""
+    public: bool = False
+    timeout_ms: Positive = 10_000.0
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS", "TRACE")
+
+
+class WorkspaceSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits of one workspace, summed over the whole fleet.
+
+    ``rate_per_s`` and ``burst`` count requests; ``weight`` is its share of a pool under load;
+    ``home_data_centre`` holds its claims, or empty to spread workspaces over the fleet.
+    """
+
+    rate_per_s: Positive
+    burst: Annotated[float, msgspec.Meta(ge=1)]
+    weight: Positive = 1.0
+    home_data_centre: str = ""
+
+
+class KeySpec(msgspec.Struct, frozen=True, kw_only=True):
+    """Hash of a caller's key and the workspace that it opens."""
+
+    workspace: Name
+    sha256: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+
+
+class ServerEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """One backend server of a pool."""
+
+    server: Name
+    address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
+    data_centre: str = ""
+    state: ServerState = ServerState.LIVE
+
+
+class PoolSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """The backend servers of one service; the record's name is the service.
+
+    ``floor`` is the fraction of live servers that ejection must leave in service. An answer
+    without the request's identifier counts as another request's if ``echoes_request_id``.
+    """
+
+    servers: tuple[ServerEntry, ...]
+    floor: Fraction = 0.5
+    slots: Annotated[int, msgspec.Meta(ge=1)] = 3
+    max_connections: Annotated[int, msgspec.Meta(ge=1)] = 300
+    probe_path: str = "/"
+    echoes_request_id: bool = True
+
+
+class DataCentreShare(msgspec.Struct, frozen=True, kw_only=True):
+    """Weight of one data centre in every workspace's rate and burst.
+
+    Raising ``generation`` states that every earlier host of the data centre is gone.
+    """
+
+    data_centre: Name
+    region: Name
+    weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    generation: Annotated[int, msgspec.Meta(ge=1)] = 1
+
+
+class FleetSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """Data centres of the fleet and their shares; there is one record, named ``fleet``."""
+
+    data_centres: tuple[DataCentreShare, ...]
+
+
+Spec = RouteSpec | WorkspaceSpec | KeySpec | PoolSpec | FleetSpec
+
+
+class Record(msgspec.Struct, frozen=True, kw_only=True):
+    """An accepted record.
+
+    Attributes
+    ----------
+    kind : RecordKind
+        What it describes.
+    name : str
+        Unique among the records of its kind.
+    revision : int
+        Grows with each change of any record of the platform.
+    spec : Spec or None
+        The content, or None for a record that was withdrawn.
+    """
+
+    kind: RecordKind
+    name: str
+    revision: int
+    spec: Spec | None
--- /dev/null
+++ b/verbenadrum/settings/load.py
@@ -0,0 +1,86 @@
+"""Reads and checks a settings file; every fault is reported in one error."""
+
+import pathlib
+import tomllib
+from collections.abc import Iterator
+
+import jsonschema
+import msgspec
+
+from verbenadrum.settings import types
+from verbenadrum.utils import errors
+
+__all__ = ["SettingsError", "load_settings", "parse_settings"]
+
+
+class SettingsError(errors.VerbenadrumError):
+    """A settings file that cannot be used."""
+
+    code = "bad-settings"
+
+
+def load_settings(path: pathlib.Path) -> types.Settings:
+    """Return the settings in a TOML file.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read, or with every fault found in it.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return parse_settings(text, source=str(path))
+
+
+def parse_settings(text: str, *, source: str) -> types.Settings:
+    """Return the settings in a TOML text.
+
+    Parameters
+    ----------
+    text : str
+        The TOML document.
+    source : str
+        Where it came from, for error messages.
+
+    Raises
+    ------
+    SettingsError
+        With one line for each fault: source, key path and what is allowed.
+
+    Examples
+    --------
+    >>> parse_settings("[host]", source="example.toml")
+    Traceback (most recent call last):
+        ...
+    verbenadrum.settings.load.SettingsError: bad-settings: example.toml: ...
+    """
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{source}: {error}") from error
+    faults = list(_faults(document))
+    if faults:
+        raise SettingsError("\n".join(f"{source}: {fault}" for fault in faults))
+    return msgspec.convert(document, types.Settings)
+
+
+def _faults(document: dict) -> Iterator[str]:
+    validator = jsonschema.Draft202012Validator(msgspec.json.schema(types.Settings))
+    found = sorted(validator.iter_errors(document), key=lambda error: list(map(str, error.path)))
+    for error in found:
+        yield f"{_key_path(error)}: {_allowed(error)}"
+
+
+def _key_path(error: jsonschema.ValidationError) -> str:
+    return ".".join(map(str, error.absolute_path)) or "(top level)"
+
+
+def _allowed(error: jsonschema.ValidationError) -> str:
+    if error.validator == "additionalProperties":
+        known = ", ".join(sorted(error.schema.get("properties", {})))
+        return f"{error.message}; allowed: {known}"
+    if error.validator == "pattern" and "description" in error.schema:
+        return f"{error.instance!r} is not of the form {error.schema['description']}"
+    return error.message
