--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -134,29 +134,43 @@
         Host list revision that the members come from.
     members : tuple of HostId
         The hosts of the epoch, sorted.
+    next_members : tuple of HostId
+        Members of the newest later list that this host has promised to move to; the same as
+        ``members`` where none is under way.
+    share : float
+        Fraction of the data centre's capacity that this host owns now, 0 to 1. Summed over all
+        hosts of the data centre it never exceeds 1.
     since_wall_ms : float
         Wall time from which this host holds the epoch.
     valid_until_ms : float
-        Monotonic time of this host until which its majority of vouches lasts.
+        Monotonic time of this host until which epoch and share last.
     """
 
     scope: ids.EpochScope
     generation: int
     revision: int
     members: tuple[ids.HostId, ...]
+    next_members: tuple[ids.HostId, ...]
+    share: float
     since_wall_ms: float
     valid_until_ms: float
 
+    @property
+    def settled(self) -> bool:
+        """Whether no move to a later list is under way."""
+        return self.members == self.next_members
+
 
 class EpochPort(typing.Protocol):
-    """Gives the one host list of this host's data centre that may be acted on for safety.
+    """Gives the one host list of this host's data centre that hard rules may rest on.
 
-    In every schedule, at any instant, hosts that get an epoch for the same scope and generation
-    get the same revision, up to the bound that clocks run at the same rate.
+    In every schedule, settled and valid epochs of one scope and generation have the same
+    revision at any instant, and the valid shares sum to at most 1, as far as the clocks of hosts
+    run at the same rate.
     """
 
     def active(self) -> Epoch | None:
-        """Return the epoch in force for this host's own data centre, or None if unproven."""
+        """Return the valid epoch of this host's own data centre, or None if unproven."""
 
 
 class Admission(msgspec.Struct, frozen=True, kw_only=True):
--- a/verbenadrum/epochs/listed.py
+++ b/verbenadrum/epochs/listed.py
@@ -36,11 +36,14 @@
         if self._membership.revision != self._revision:
             self._revision = self._membership.revision
             self._since_wall_ms = self._context.clock.wall_ms()
+        members = tuple(row.host for row in rows)
         return ports.Epoch(
             scope=ids.EpochScope(self._context.data_centre),
             generation=1,
             revision=self._revision,
-            members=tuple(row.host for row in rows),
+            members=members,
+            next_members=members,
+            share=1.0 / len(members) if self._context.host in members else 0.0,
             since_wall_ms=self._since_wall_ms,
             valid_until_ms=self._context.now_ms() + _VALID_MS,
         )
--- a/verbenadrum/records/types.py
+++ b/verbenadrum/records/types.py
@@ -109,13 +109,16 @@
 class DataCentreShare(msgspec.Struct, frozen=True, kw_only=True):
     """Weight of one data centre in every workspace's rate and burst.
 
-    Raising ``generation`` states that every earlier host of the data centre is gone.
+    Raising ``generation`` states that every earlier host of the data centre is gone. Hosts with
+    no memory of an epoch may start the generation's first one until ``start_until_wall_ms``, in
+    milliseconds since the Unix epoch, and only then.
     """
 
     data_centre: Name
     region: Name
     weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
     generation: Annotated[int, msgspec.Meta(ge=1)] = 1
+    start_until_wall_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class FleetSpec(msgspec.Struct, frozen=True, kw_only=True):
