--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -360,7 +360,8 @@
 
     ``key`` is the secret that came with it; it is never logged nor forwarded. ``deadline_ms``
     is monotonic, infinite where the caller names none. ``body_length`` is -1 where the caller
-    streams without a length. ``replayable`` says whether the shell holds the whole body.
+    streams without a length. ``replayable`` says whether the shell holds the whole body. ``path``
+    is decoded; ``query`` is as the caller sent it, without the key.
     """
 
     request: ids.RequestId
@@ -368,6 +369,7 @@
     host: str
     path: str
     key: str
+    query: str = ""
     idempotency_key: ids.IdempotencyKey = ids.IdempotencyKey("")
     deadline_ms: float = float("inf")
     body_length: int = 0
@@ -377,8 +379,16 @@
 class DispatchOrder(msgspec.Struct, frozen=True, kw_only=True):
     """Tells the shell to send the request to a backend server now.
 
-    The shell sends it once, and then calls ``Engine.outcome`` with ``lease``. ``service_route``
-    is the name of the route, for metrics.
+    The shell sends it once, and then calls ``Engine.outcome`` with ``lease``.
+
+    Attributes
+    ----------
+    route : str
+        Name of the route, for metrics.
+    pass_errors : bool
+        Whether a server's own error goes to the caller, since the request is never sent again.
+    echo_required : bool
+        Whether an answer must repeat the request's identifier to count as this request's.
     """
 
     request: ids.RequestId
@@ -388,7 +398,9 @@
     address: str
     workspace: ids.WorkspaceId
     deadline_ms: float
-    service_route: str = ""
+    route: str = ""
+    pass_errors: bool = False
+    echo_required: bool = True
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -66,7 +66,7 @@
             route=route,
             workspace=workspace or ids.WorkspaceId(""),
             idempotent=head.method in route.idempotent_methods,
-            fingerprint=_fingerprint(head),
+            fingerprint=_fingerprint(head, workspace),
             deadline_ms=min(head.deadline_ms, self._context.now_ms() + route.timeout_ms),
         )
         self._rows[head.request] = row
@@ -256,10 +256,16 @@
                 address=placement.address,
                 workspace=row.workspace,
                 deadline_ms=row.deadline_ms,
-                service_route=row.route_name,
+                route=row.route_name,
+                pass_errors=not row.idempotent,
+                echo_required=self._echo_required(row),
             )
         )
 
+    def _echo_required(self, row: table.RequestRow) -> bool:
+        pool = self._records.pool(ids.ServiceId(row.route.service))
+        return pool is None or pool.echoes_request_id
+
     def _after_failure(self, row: table.RequestRow, outcome: ports.Outcome) -> None:
         if self._retry_allowed(row, outcome):
             self._log_retry(row, "retry", outcome.kind.value)
@@ -354,6 +360,6 @@
         )
 
 
-def _fingerprint(head: ports.RequestHead) -> str:
-    text = f"{head.method}\x00{head.host}\x00{head.path}\x00{head.body_length}"
-    return xxhash.xxh3_64_hexdigest(text)
+def _fingerprint(head: ports.RequestHead, workspace: str | None) -> str:
+    parts = (workspace or "", head.method, head.host, head.path, head.query, str(head.body_length))
+    return xxhash.xxh3_64_hexdigest("\x00".join(parts))
