Daemon: callers', operators' and peer ports around the decision core

Callers' requests go through bottle on gevent's WSGI server with strict framing, stream both ways and stop without cutting what is in flight; attempts use urllib3's connections directly, so that it is known whether a byte may have left.

--- /dev/null
+++ b/verbenadrum/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon as ``python -m verbenadrum.daemon``."""
+
+from verbenadrum.daemon import main
+
+main.run()
--- /dev/null
+++ b/verbenadrum/daemon/callers.py
@@ -0,0 +1,299 @@
+"""The callers' port: turns HTTP requests into requests of the core, and verdicts into answers."""
+
+import http.client
+import json
+import math
+import socket
+import uuid
+from collections.abc import Iterator
+
+import bottle
+import gevent
+
+from verbenadrum import ids
+from verbenadrum.core import engine, ports
+from verbenadrum.daemon import exchange, http_server, metrics, sockets, targets, upstream
+from verbenadrum.utils import clock
+
+__all__ = ["CallersPort"]
+
+MAX_REPLAYABLE_BYTES = 65_536
+_PIECE_BYTES = 65_536
+_MS_PER_S = 1000.0
+_WATCH_AFTER_S = 0.05
+_WATCH_INTERVAL_S = 0.1
+_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+
+
+class CallersPort:
+    """WSGI application of the callers' port.
+
+    Parameters
+    ----------
+    engine : Engine
+        Decision core.
+    pools : ConnectionPools
+        Connections to backend servers.
+    clock : Clock
+        Source of time.
+    meters : RequestMeters
+        Counts of requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: engine.Engine,
+        pools: upstream.ConnectionPools,
+        clock: clock.Clock,
+        meters: metrics.RequestMeters,
+    ) -> None:
+        self._engine = engine
+        self._pools = pools
+        self._clock = clock
+        self._meters = meters
+        self._in_flight = 0
+        self.application = bottle.Bottle(catchall=False)
+        self.application.route("<path:re:.*>", method="ANY", callback=self._answer)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests whose answer has not been passed on completely."""
+        return self._in_flight
+
+    def _answer(self, path: str) -> object:
+        environ = bottle.request.environ
+        request = ids.RequestId(uuid.uuid4().hex)
+        started_ms = self._clock.now_ms()
+        try:
+            head, sent = self._read_head(environ, request)
+        except targets.BadRequestError as error:
+            return self._problem(_bad_request(request, error))
+        if head.method not in _METHODS:
+            return self._problem(_method_refusal(request))
+        joined = exchange.Exchange(
+            engine=self._engine, pools=self._pools, clock=self._clock, sent=sent
+        )
+        self._in_flight += 1
+        try:
+            self._engine.begin(head, joined)
+            verdict = self._wait(joined, head, environ)
+        except BaseException:
+            self._in_flight -= 1
+            self._engine.abandon(request)
+            raise
+        if isinstance(verdict, exchange.Passed) and not verdict.answer.whole:
+            return self._stream(joined, head, verdict, started_ms)
+        self._in_flight -= 1
+        self._meters.ended(started_ms)
+        if isinstance(verdict, ports.Refusal):
+            return self._problem(verdict)
+        if isinstance(verdict, ports.StoredAnswer):
+            return _whole(
+                verdict.status, list(verdict.headers), verdict.body, request, replayed=True
+            )
+        answer = verdict.answer
+        return _whole(answer.status, answer.headers(), answer.prefetched, request)
+
+    def _read_head(
+        self, environ: dict, request: ids.RequestId
+    ) -> tuple[ports.RequestHead, upstream.SentRequest]:
+        target = targets.parse_target(environ[http_server.TARGET_KEY])
+        key = targets.find_key(environ, target)
+        length, body = self._read_body(environ, request)
+        method = environ["REQUEST_METHOD"]
+        headers = list(targets.clean_headers(environ, key))
+        if length >= 0 and not isinstance(body, bytes) and body is not None:
+            headers.append(("Content-Length", str(length)))
+        head = ports.RequestHead(
+            request=request,
+            method=method,
+            host=environ.get("HTTP_HOST", "").rsplit(":", 1)[0].lower(),
+            path=target.path,
+            query=target.query,
+            key=key,
+            idempotency_key=ids.IdempotencyKey(environ.get("HTTP_IDEMPOTENCY_KEY", "").strip()),
+            deadline_ms=self._deadline_ms(environ),
+            body_length=length,
+            replayable=body is None or isinstance(body, bytes),
+        )
+        headers.append(("Host", environ.get("HTTP_HOST", "")))
+        sent = upstream.SentRequest(
+            method=method, target=target.forward, headers=tuple(headers), body=body
+        )
+        return head, sent
+
+    def _read_body(
+        self, environ: dict, request: ids.RequestId
+    ) -> tuple[int, bytes | Iterator[bytes] | None]:
+        """Return the body's length and the body: whole where it is small, else in pieces."""
+        if "HTTP_TRANSFER_ENCODING" in environ:
+            return -1, self._pieces(environ, request)
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length == 0:
+            has_length = "CONTENT_LENGTH" in environ
+            return 0, b"" if has_length else None
+        if length > MAX_REPLAYABLE_BYTES:
+            return length, self._pieces(environ, request)
+        body = environ["wsgi.input"].read(length)
+        if len(body) < length:
+            raise targets.BadRequestError("the body is shorter than its Content-Length")
+        return length, body
+
+    def _pieces(self, environ: dict, request: ids.RequestId) -> Iterator[bytes]:
+        remaining = int(environ.get("CONTENT_LENGTH") or -1)
+        while remaining != 0:
+            try:
+                piece = environ["wsgi.input"].read(_PIECE_BYTES)
+            except OSError:
+                self._engine.abandon(request)
+                raise
+            if not piece:
+                if remaining > 0:
+                    self._engine.abandon(request)
+                    raise OSError("the caller left before its body was complete")
+                return
+            remaining -= len(piece) if remaining > 0 else 0
+            yield piece
+
+    def _deadline_ms(self, environ: dict) -> float:
+        text = environ.get("HTTP_X_DEADLINE_MS")
+        if text is None:
+            return math.inf
+        try:
+            allowed_ms = float(text)
+        except ValueError as error:
+            raise targets.BadRequestError("X-Deadline-Ms is no number") from error
+        if not allowed_ms > 0:
+            raise targets.BadRequestError("X-Deadline-Ms must be greater than 0")
+        return self._clock.now_ms() + allowed_ms
+
+    def _wait(
+        self, joined: exchange.Exchange, head: ports.RequestHead, environ: dict
+    ) -> exchange.Verdict:
+        """Wait for the verdict, and give the request up if the caller leaves meanwhile."""
+        timeout_s = _WATCH_AFTER_S
+        watched = head.replayable
+        while True:
+            try:
+                return joined.wait(timeout_s if watched else None)
+            except gevent.Timeout:
+                timeout_s = _WATCH_INTERVAL_S
+            if _caller_left(environ[http_server.SOCKET_KEY]):
+                raise http_server.AbortAnswer("the caller left")
+
+    def _stream(
+        self,
+        joined: exchange.Exchange,
+        head: ports.RequestHead,
+        passed: exchange.Passed,
+        started_ms: float,
+    ) -> Iterator[bytes]:
+        _set_head(passed.answer.status, passed.answer.headers(), head.request)
+        return self._pieces_of_answer(joined, head, passed, started_ms)
+
+    def _pieces_of_answer(
+        self,
+        joined: exchange.Exchange,
+        head: ports.RequestHead,
+        passed: exchange.Passed,
+        started_ms: float,
+    ) -> Iterator[bytes]:
+        answer = passed.answer
+        kind = ports.OutcomeKind.CANCELLED
+        try:
+            if answer.prefetched:
+                yield answer.prefetched
+            yield from answer.rest()
+            kind = upstream.outcome_kind(answer.status, answer.headers_by_name)
+        except upstream.AttemptError as error:
+            kind = error.outcome.kind
+            raise http_server.AbortAnswer(error.message) from error
+        finally:
+            if kind is ports.OutcomeKind.CANCELLED:
+                answer.discard()
+            joined.end_streamed(head.request, passed, kind)
+            self._in_flight -= 1
+            self._meters.ended(started_ms)
+
+    def _problem(self, refusal: ports.Refusal) -> bytes:
+        self._meters.refused(refusal.code)
+        body = {
+            "type": "about:blank",
+            "title": http.client.responses.get(refusal.status, "Refused"),
+            "status": refusal.status,
+            "code": refusal.code,
+            "detail": refusal.detail,
+            "not_run": refusal.not_run.value,
+            "request_id": refusal.request,
+        }
+        headers = [("Content-Type", "application/problem+json")]
+        if refusal.status == 401:
+            headers.append(("WWW-Authenticate", "Bearer"))
+        if refusal.retry_after_ms > 0 and math.isfinite(refusal.retry_after_ms):
+            seconds = math.ceil(refusal.retry_after_ms / _MS_PER_S)
+            headers.append(("Retry-After", str(seconds)))
+        return _whole(refusal.status, headers, json.dumps(body).encode(), refusal.request)
+
+
+def _whole(
+    status: int,
+    headers: list[tuple[str, str]],
+    body: bytes,
+    request: ids.RequestId,
+    *,
+    replayed: bool = False,
+) -> bytes:
+    _set_head(status, headers, request)
+    response = bottle.response
+    if replayed:
+        response.set_header("Idempotent-Replayed", "true")
+    bodiless = bottle.request.environ["REQUEST_METHOD"] == "HEAD" or status in (204, 304)
+    if not bodiless:
+        response.set_header("Content-Length", str(len(body)))
+    return body
+
+
+def _set_head(status: int, headers: list[tuple[str, str]], request: ids.RequestId) -> None:
+    response = bottle.response
+    response.status = f"{status} {http.client.responses.get(status, 'Unknown')}"
+    for name, value in headers:
+        response.add_header(name, value)
+    response.set_header("X-Request-Id", request)
+    if "Content-Type" not in response.headers:
+        # Bottle would add one that the backend server did not send.
+        response.content_type = "application/octet-stream"
+
+
+def _bad_request(request: ids.RequestId, error: targets.BadRequestError) -> ports.Refusal:
+    return ports.Refusal(
+        request=request,
+        status=400,
+        code=error.code,
+        detail=error.message,
+        not_run=ports.NotRun.TRUE,
+    )
+
+
+def _method_refusal(request: ids.RequestId) -> ports.Refusal:
+    return ports.Refusal(
+        request=request,
+        status=405,
+        code="method-not-served",
+        detail=f"served methods: {', '.join(sorted(_METHODS))}",
+        not_run=ports.NotRun.TRUE,
+    )
+
+
+def _caller_left(sock: socket.socket) -> bool:
+    timeout_s = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        return sock.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except (OSError, ValueError):
+        # A TLS socket cannot peek; its end shows when the answer is written.
+        return not sockets.is_tls(sock)
+    finally:
+        sock.settimeout(timeout_s)
--- /dev/null
+++ b/verbenadrum/daemon/exchange.py
@@ -0,0 +1,139 @@
+"""Joins one caller's request to the decisions of the core and the attempts that they order."""
+
+import gevent
+import msgspec
+from gevent import event
+
+from verbenadrum import ids
+from verbenadrum.core import engine, ports
+from verbenadrum.daemon import upstream
+from verbenadrum.utils import clock
+
+__all__ = ["Exchange", "Passed"]
+
+MAX_STORED_BYTES = 65_536
+_MS_PER_S = 1000.0
+# Ends a read that the core's own deadline has not cancelled.
+_EXTRA_TIMEOUT_MS = 1_000.0
+
+
+class Passed(msgspec.Struct, frozen=True, kw_only=True):
+    """The attempt whose answer goes to the caller."""
+
+    lease: ids.LeaseId
+    answer: upstream.Answer
+
+
+Verdict = Passed | ports.Refusal | ports.StoredAnswer
+
+
+class Exchange:
+    """Sink of one request: runs the attempts that the core orders.
+
+    Parameters
+    ----------
+    engine : Engine
+        Decision core.
+    pools : ConnectionPools
+        Connections to backend servers.
+    clock : Clock
+        Source of time.
+    sent : SentRequest
+        The request as backend servers see it, without deadline and identity headers.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: engine.Engine,
+        pools: upstream.ConnectionPools,
+        clock: clock.Clock,
+        sent: upstream.SentRequest,
+    ) -> None:
+        self._engine = engine
+        self._pools = pools
+        self._clock = clock
+        self._sent = sent
+        self._attempts: dict[ids.LeaseId, upstream.Attempt] = {}
+        self._verdict: event.AsyncResult = event.AsyncResult()
+
+    def wait(self, timeout_s: float | None = None) -> Verdict:
+        """Return what the caller gets, once it is known.
+
+        Raises
+        ------
+        gevent.Timeout
+            If it is not known in time.
+        """
+        return self._verdict.get(timeout=timeout_s)
+
+    def dispatch(self, order: ports.DispatchOrder) -> None:
+        """Start an attempt."""
+        remaining_ms = max(1.0, order.deadline_ms - self._clock.now_ms())
+        headers = [
+            *self._sent.headers,
+            ("X-Request-Id", order.request),
+            ("X-Deadline-Ms", str(int(remaining_ms))),
+        ]
+        if order.workspace:
+            headers.append(("X-Workspace", order.workspace))
+        attempt = upstream.Attempt(
+            pools=self._pools,
+            order=order,
+            sent=msgspec.structs.replace(self._sent, headers=tuple(headers)),
+            timeout_s=(remaining_ms + _EXTRA_TIMEOUT_MS) / _MS_PER_S,
+        )
+        self._attempts[order.lease] = attempt
+        gevent.spawn(self._run, order, attempt)
+
+    def refuse(self, refusal: ports.Refusal) -> None:
+        """Answer with a refusal."""
+        self._verdict.set(refusal)
+
+    def replay(self, answer: ports.StoredAnswer) -> None:
+        """Answer with the stored answer of the same idempotency key."""
+        self._verdict.set(answer)
+
+    def cancel(self, lease: ids.LeaseId) -> None:
+        """Close the connection of an attempt."""
+        attempt = self._attempts.get(lease)
+        if attempt is not None:
+            attempt.cancel()
+
+    def _run(self, order: ports.DispatchOrder, attempt: upstream.Attempt) -> None:
+        try:
+            answer = attempt.run()
+        except upstream.AttemptError as error:
+            self._end(order, error.outcome)
+            return
+        if not self._engine.commit(order.request, order.lease):
+            answer.discard()
+            self._end(order, answer.outcome(ports.OutcomeKind.CANCELLED))
+            return
+        if answer.whole:
+            # The answer is known whole, so its end need not wait for the caller to read it.
+            kind = upstream.outcome_kind(answer.status, answer.headers_by_name)
+            self._end(order, answer.outcome(kind), _stored(answer))
+        self._verdict.set(Passed(lease=order.lease, answer=answer))
+
+    def end_streamed(self, request: ids.RequestId, passed: Passed, kind: ports.OutcomeKind) -> None:
+        """Report how an answer ended whose body was passed on piece by piece."""
+        self._attempts.pop(passed.lease, None)
+        self._engine.outcome(request, passed.lease, passed.answer.outcome(kind))
+
+    def _end(
+        self,
+        order: ports.DispatchOrder,
+        outcome: ports.Outcome,
+        answer: ports.StoredAnswer | None = None,
+    ) -> None:
+        self._attempts.pop(order.lease, None)
+        self._engine.outcome(order.request, order.lease, outcome, answer)
+
+
+def _stored(answer: upstream.Answer) -> ports.StoredAnswer | None:
+    if len(answer.prefetched) > MAX_STORED_BYTES:
+        return None
+    return ports.StoredAnswer(
+        status=answer.status, headers=tuple(answer.headers()), body=answer.prefetched
+    )
--- /dev/null
+++ b/verbenadrum/daemon/host.py
@@ -0,0 +1,212 @@
+"""Assembles one host: the decision core and the ports around it."""
+
+import logging
+import random
+import secrets
+
+import gevent
+from gevent import event
+
+from verbenadrum import ids
+from verbenadrum.core import behaviours, context, engine
+from verbenadrum.daemon import (
+    callers,
+    http_server,
+    logs,
+    metrics,
+    operators,
+    peers,
+    sockets,
+    upstream,
+)
+from verbenadrum.decisions import ring
+from verbenadrum.messages import base, codec
+from verbenadrum.settings import types
+from verbenadrum.utils import clock
+
+__all__ = ["Host"]
+
+assert behaviours  # Imported for the behaviours that it registers.
+
+_MS_PER_S = 1000.0
+_LINGER_S = 0.5
+_SHUTDOWN_POLL_S = 0.02
+_MAX_IDLE_CONNECTIONS = 8
+_INCARNATION_BITS = 62
+
+_log = logging.getLogger(__name__)
+
+
+class Host:
+    """One host process.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+
+    Raises
+    ------
+    OSError
+        If a port cannot be bound or a certificate cannot be read.
+    """
+
+    def __init__(self, *, settings: types.Settings) -> None:
+        self._settings = settings
+        self._clock = clock.SystemClock()
+        self._stopped = event.Event()
+        self._stopping = False
+        self._greenlets: list[gevent.Greenlet] = []
+        self._log = logs.DecisionLog(host=settings.host.id)
+        self._decisions = ring.DecisionRing(
+            wall_ms=self._clock.wall_ms,
+            size=settings.decisions.ring_size,
+            listener=self._log.add,
+        )
+        self._engine = self._make_engine()
+        self._peers = self._make_peers()
+        self._setup = metrics.MeterSetup(host=settings.host.id, settings=settings.metrics)
+        self._pools = upstream.ConnectionPools(max_idle=_MAX_IDLE_CONNECTIONS)
+        self._callers = callers.CallersPort(
+            engine=self._engine,
+            pools=self._pools,
+            clock=self._clock,
+            meters=metrics.RequestMeters(setup=self._setup, clock=self._clock),
+        )
+        self._caller_server = self._make_caller_server()
+        self._operator_server = self._make_operator_server()
+        self._observe()
+
+    def start(self) -> None:
+        """Open the ports and start the background work."""
+        self._peers.start()
+        self._caller_server.start()
+        self._operator_server.start()
+        self._greenlets.append(gevent.spawn(self._run_ticks))
+        self._greenlets.append(gevent.spawn(self._log.run))
+        _log.info("started", extra={"host": self._settings.host.id})
+
+    def wait(self) -> None:
+        """Return once the host has shut down."""
+        self._stopped.wait()
+
+    def begin_shutdown(self) -> None:
+        """Stop accepting, finish what is in flight, and end; a second call changes nothing."""
+        if not self._stopping:
+            self._stopping = True
+            gevent.spawn(self._shut_down)
+
+    def _shut_down(self) -> None:
+        _log.info("shutting down", extra={"in_flight": self._callers.in_flight})
+        self._caller_server.drain()
+        # Requests that callers sent on open connections before they saw the end still arrive.
+        gevent.sleep(_LINGER_S)
+        while self._callers.in_flight:
+            gevent.sleep(_SHUTDOWN_POLL_S)
+        self._caller_server.close_connections()
+        self._operator_server.stop(timeout=0)
+        gevent.killall(self._greenlets)
+        self._peers.stop()
+        self._setup.stop()
+        self._log.flush()
+        _log.info("stopped", extra={"host": self._settings.host.id})
+        self._stopped.set()
+
+    def _make_engine(self) -> engine.Engine:
+        host = self._settings.host
+        seed = self._settings.decisions.seed or secrets.randbits(_INCARNATION_BITS)
+        made = context.Context(
+            host=ids.HostId(host.id),
+            data_centre=ids.DataCentreId(host.data_centre),
+            region=ids.RegionId(host.region),
+            incarnation=secrets.randbits(_INCARNATION_BITS),
+            clock=self._clock,
+            rng=random.Random(seed),
+            send=self._send,
+            decisions=self._decisions,
+        )
+        return engine.Engine(context=made, choices=self._settings.decisions)
+
+    def _make_peers(self) -> peers.PeerStreams:
+        table = self._settings.peers
+        return peers.PeerStreams(
+            host=ids.HostId(self._settings.host.id),
+            listener=sockets.listen(table.listen),
+            server_tls=sockets.peer_server_context(table),
+            client_tls=sockets.peer_client_context(table),
+            find_address=self._find_address,
+            deliver=self._deliver,
+        )
+
+    def _make_caller_server(self) -> http_server.HttpServer:
+        table = self._settings.callers
+        return http_server.HttpServer(
+            listener=sockets.listen(table.listen),
+            application=self._callers.application,
+            tls=sockets.server_context(table.tls_cert, table.tls_key),
+        )
+
+    def _make_operator_server(self) -> http_server.HttpServer:
+        port = operators.OperatorsPort(
+            decisions=self._decisions,
+            ready=self._is_ready,
+            status=self._status,
+        )
+        return http_server.HttpServer(
+            listener=sockets.listen(self._settings.operators.listen),
+            application=port.application,
+        )
+
+    def _send(self, to: ids.HostId, message: base.Message) -> None:
+        self._peers.send(to, message)
+
+    def _deliver(self, envelope: codec.Envelope) -> None:
+        self._engine.on_message(ids.HostId(envelope.sender), envelope.message)
+
+    def _find_address(self, host: ids.HostId) -> str | None:
+        row = self._engine.membership.row(host)
+        return None if row is None else row.address
+
+    def _run_ticks(self) -> None:
+        while True:
+            gevent.sleep(engine.TICK_MS / _MS_PER_S)
+            try:
+                self._engine.on_tick()
+            except Exception:
+                # A fault in one tick must not end every later one.
+                _log.exception("a tick failed")
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._stopping
+            and self._engine.records.revision > 0
+            and self._engine.membership.revision > 0
+        )
+
+    def _status(self) -> dict:
+        host = self._settings.host
+        return {
+            "host": host.id,
+            "data_centre": host.data_centre,
+            "region": host.region,
+            "ready": self._is_ready(),
+            "stopping": self._stopping,
+            "in_flight": self._callers.in_flight,
+            "record_revision": self._engine.records.revision,
+            "host_list_revision": self._engine.membership.revision,
+            "hosts": [row.host for row in self._engine.membership.hosts()],
+            "epoch": self._engine.epochs.active(),
+            "peers": self._peers.counters,
+        }
+
+    def _observe(self) -> None:
+        counters = self._peers.counters
+        figures = (
+            ("verbenadrum.requests.in_flight", "", "Requests.", lambda: self._callers.in_flight),
+            ("verbenadrum.records.revision", "", "Records.", lambda: self._engine.records.revision),
+            ("verbenadrum.peers.bytes_sent", "By", "To peers.", lambda: counters.bytes_sent),
+            ("verbenadrum.peers.messages_sent", "", "To peers.", lambda: counters.messages_sent),
+            ("verbenadrum.peers.dropped", "", "To peers.", lambda: counters.messages_dropped),
+        )
+        for name, unit, describe, read in figures:
+            self._setup.observe(name, unit, describe, read)
--- /dev/null
+++ b/verbenadrum/daemon/http_server.py
@@ -0,0 +1,166 @@
+"""gevent's WSGI server with strict framing of requests, for the callers' and operators' ports."""
+
+import http.client
+import logging
+import re
+import socket
+import ssl
+
+from gevent import pywsgi
+
+from verbenadrum.daemon import sockets
+from verbenadrum.utils import errors
+
+__all__ = ["AbortAnswer", "HttpServer", "SOCKET_KEY", "TARGET_KEY"]
+
+# Keys of the WSGI environment that the handler adds.
+SOCKET_KEY = "verbenadrum.socket"
+TARGET_KEY = "verbenadrum.target"
+
+_TOKEN = re.compile(r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+$")
+_DIGITS = re.compile(r"^[0-9]{1,18}$")
+_VERSIONS = ("HTTP/1.0", "HTTP/1.1")
+_CLOSED_LINE = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+_HEAD_TIMEOUT_S = 30.0
+_IDLE_TIMEOUT_S = 75.0
+
+_log = logging.getLogger(__name__)
+
+
+class AbortAnswer(errors.VerbenadrumError):
+    """A started answer cannot be completed: its connection is closed without a clean end."""
+
+    code = "answer-aborted"
+
+
+class _FramingError(ValueError):
+    """A request whose extent is not certain."""
+
+
+class _Handler(pywsgi.WSGIHandler):
+    """Reads requests of one connection."""
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the head and refuse every request whose framing is in doubt."""
+        if not super().read_request(raw_requestline):
+            return False
+        _check_head(self.request_version, self.headers)
+        return True
+
+    def read_requestline(self) -> str:
+        """Wait a bounded time for the next request on the connection."""
+        self.socket.settimeout(_IDLE_TIMEOUT_S)
+        line = super().read_requestline()
+        self.socket.settimeout(_HEAD_TIMEOUT_S)
+        return line
+
+    def get_environ(self) -> dict:
+        """Add the raw target and the socket to the WSGI environment."""
+        environ = super().get_environ()
+        environ[TARGET_KEY] = self.path
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+    def finalize_headers(self) -> None:
+        """Tell the caller to close where the server is stopping."""
+        if self.server.stopping and not self.close_connection:
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
+        super().finalize_headers()
+
+    def _write_with_headers(self, data: bytes) -> None:
+        # One write for head and first piece: two writes would cost a second packet.
+        self.headers_sent = True
+        self.finalize_headers()
+        lines = [b"HTTP/1.1 " + self.status]
+        lines.extend(name + b": " + value for name, value in self.response_headers)
+        head = b"\r\n".join(lines) + b"\r\n\r\n"
+        if not data:
+            self._sendall(head)
+        elif self.response_use_chunked:
+            self._sendall(b"%s%x\r\n%s\r\n" % (head, len(data), data))
+        else:
+            self._sendall(head + data)
+
+    def handle_error(self, kind: type, error: BaseException, trace: object) -> None:
+        """Close the connection of an aborted answer, and report anything else."""
+        if isinstance(error, AbortAnswer):
+            self.close_connection = True
+            return
+        super().handle_error(kind, error, trace)
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        status = "400 Bad Request"
+        if isinstance(ex, http.client.HTTPException):
+            status = "431 Request Header Fields Too Large"
+        _log.info("request refused", extra={"status": status, "fault": str(ex)})
+        return status.split()[0], _CLOSED_LINE % status.encode()
+
+    def log_request(self) -> None:
+        """Write nothing: decisions carry what operators need, and paths may hold secrets."""
+
+
+class HttpServer(pywsgi.WSGIServer):
+    """WSGI server that refuses doubtful framing and stops without cutting requests.
+
+    Parameters
+    ----------
+    listener : socket
+        Listening socket.
+    application : callable
+        WSGI application.
+    tls : ssl.SSLContext or None
+        TLS towards clients.
+    """
+
+    handler_class = _Handler
+
+    def __init__(
+        self, *, listener: socket.socket, application: object, tls: ssl.SSLContext | None = None
+    ) -> None:
+        options = {} if tls is None else {"ssl_context": tls}
+        super().__init__(listener, application, log=None, error_log=_log, **options)
+        self.stopping = False
+        self._open: set[socket.socket] = set()
+
+    def handle(self, sock: socket.socket, address: tuple) -> None:
+        """Serve one connection."""
+        sockets.disable_nagle(sock)
+        self._open.add(sock)
+        try:
+            super().handle(sock, address)
+        finally:
+            self._open.discard(sock)
+
+    def drain(self) -> None:
+        """Close the listener; requests on open connections are served and then closed."""
+        self.stopping = True
+        self.close()
+
+    def close_connections(self) -> None:
+        """Close every connection that is still open."""
+        for sock in list(self._open):
+            sock.close()
+
+
+def _check_head(version: str, headers: http.client.HTTPMessage) -> None:
+    if version not in _VERSIONS:
+        raise _FramingError(f"{version!r} is not served")
+    for name, value in headers.items():
+        if not _TOKEN.match(name):
+            raise _FramingError("a header name has forbidden characters")
+        if "\n" in value or "\r" in value or "\x00" in value:
+            raise _FramingError(f"header {name} is folded or has control characters")
+    if headers.defects:
+        raise _FramingError("the head is malformed")
+    lengths = headers.get_all("Content-Length", [])
+    codings = headers.get_all("Transfer-Encoding", [])
+    if len(lengths) > 1 or (lengths and not _DIGITS.match(lengths[0].strip())):
+        raise _FramingError("Content-Length is duplicated or no number")
+    if codings and (lengths or version == "HTTP/1.0"):
+        raise _FramingError("Transfer-Encoding conflicts with the rest of the head")
+    if codings and [coding.strip().lower() for coding in codings] != ["chunked"]:
+        raise _FramingError("the only Transfer-Encoding served is chunked")
+    hosts = headers.get_all("Host", [])
+    if len(hosts) > 1 or (version == "HTTP/1.1" and not hosts):
+        raise _FramingError("one Host header is needed")
--- /dev/null
+++ b/verbenadrum/daemon/sockets.py
@@ -0,0 +1,104 @@
+"""Socket helpers shared by the daemon's ports."""
+
+import socket
+import ssl
+
+from verbenadrum.settings import types
+
+__all__ = [
+    "disable_nagle",
+    "ended",
+    "is_tls",
+    "listen",
+    "peer_client_context",
+    "peer_server_context",
+    "server_context",
+    "split_address",
+]
+
+_BACKLOG = 1024
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP and port of an ``ip:port`` address.
+
+    Examples
+    --------
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
+
+
+def disable_nagle(sock: socket.socket) -> None:
+    """Send small writes at once; without this a response waits for a delayed acknowledgement."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def is_tls(sock: socket.socket) -> bool:
+    """Return whether a socket is encrypted."""
+    return isinstance(sock, ssl.SSLSocket)
+
+
+def listen(address: str) -> socket.socket:
+    """Return a listening TCP socket on ``ip:port``.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be bound.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind(split_address(address))
+    except OSError:
+        sock.close()
+        raise
+    sock.listen(_BACKLOG)
+    return sock
+
+
+def ended(sock: socket.socket) -> bool:
+    """Return whether an idle socket was closed by the other side or holds unexpected bytes."""
+    timeout_s = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        sock.recv(1)
+    except (BlockingIOError, ssl.SSLWantReadError):
+        sock.settimeout(timeout_s)
+        return False
+    except OSError:
+        return True
+    return True
+
+
+def server_context(cert: str, key: str) -> ssl.SSLContext | None:
+    """Return a TLS context that shows a certificate, or None where none is set."""
+    if not cert:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(cert, key or None)
+    return context
+
+
+def peer_server_context(peers: types.PeersTable) -> ssl.SSLContext | None:
+    """Return the TLS context of the peer port: callers must show a certificate of the CA."""
+    context = server_context(peers.tls_cert, peers.tls_key)
+    if context is not None:
+        context.load_verify_locations(peers.tls_ca)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def peer_client_context(peers: types.PeersTable) -> ssl.SSLContext | None:
+    """Return the TLS context for connections to peers, whose names are their certificates'."""
+    if not peers.tls_cert:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    # Hosts are known by their identifiers, not by names that a resolver could answer for.
+    context.check_hostname = False
+    context.load_cert_chain(peers.tls_cert, peers.tls_key or None)
+    context.load_verify_locations(peers.tls_ca)
+    return context
--- /dev/null
+++ b/verbenadrum/daemon/upstream.py
@@ -0,0 +1,379 @@
+"""One attempt at a backend server: sends the request once and reads the answer's head."""
+
+import collections
+import contextlib
+import http.client
+import socket
+import time
+from collections.abc import Callable, Iterator
+
+import msgspec
+import urllib3
+from urllib3 import connection, exceptions
+
+from verbenadrum.core import ports
+from verbenadrum.daemon import sockets
+from verbenadrum.utils import errors
+
+__all__ = ["Answer", "Attempt", "AttemptError", "ConnectionPools", "SentRequest", "outcome_kind"]
+
+PREFETCH_BYTES = 65_536
+_CHUNK_BYTES = 65_536
+_CONNECT_TIMEOUT_S = 1.0
+_MS_PER_S = 1000.0
+_NOT_FORWARDED = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_BODILESS_STATUSES = (204, 304)
+
+
+class AttemptError(errors.VerbenadrumError):
+    """An attempt that gave no whole answer.
+
+    Attributes
+    ----------
+    outcome : Outcome
+        How the attempt ended.
+    """
+
+    code = "attempt-failed"
+
+    def __init__(self, message: str, outcome: ports.Outcome) -> None:
+        super().__init__(message)
+        self.outcome = outcome
+
+
+class SentRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """What is sent to a backend server.
+
+    ``body`` is the whole body, or an iterator of its pieces where it is streamed.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | Iterator[bytes] | None
+
+
+class Answer:
+    """Answer of a backend server whose head has been checked.
+
+    Parameters
+    ----------
+    response : urllib3.HTTPResponse
+        The answer.
+    release : callable
+        Called with whether the connection can carry another request.
+    prefetched : bytes
+        The first bytes of the body.
+    whole : bool
+        Whether ``prefetched`` is the whole body.
+    latency_ms : float
+        From sending to the head.
+    """
+
+    def __init__(
+        self,
+        *,
+        response: urllib3.BaseHTTPResponse,
+        release: Callable[[bool], None],
+        prefetched: bytes,
+        whole: bool,
+        latency_ms: float,
+    ) -> None:
+        self._response = response
+        self._release = release
+        self.prefetched = prefetched
+        self.whole = whole
+        self.latency_ms = latency_ms
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self._response.status
+
+    @property
+    def reason(self) -> str:
+        """HTTP reason phrase."""
+        return self._response.reason or "Unknown"
+
+    @property
+    def headers_by_name(self) -> urllib3.HTTPHeaderDict:
+        """Headers as the server sent them."""
+        return self._response.headers
+
+    @property
+    def draining(self) -> bool:
+        """Whether the server says that it wants no new work."""
+        return self._response.headers.get("X-Draining", "").lower() == "true"
+
+    def headers(self) -> list[tuple[str, str]]:
+        """Return the headers that go to the caller."""
+        return [
+            (name, value)
+            for name, value in self._response.headers.items()
+            if name.lower() not in _NOT_FORWARDED
+        ]
+
+    def rest(self) -> Iterator[bytes]:
+        """Yield the body after ``prefetched``.
+
+        Raises
+        ------
+        AttemptError
+            If the body ends early.
+        """
+        if self.whole:
+            return
+        try:
+            yield from self._response.stream(_CHUNK_BYTES, decode_content=False)
+        except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
+            self.discard()
+            raise AttemptError(
+                f"the answer's body ended early: {type(error).__name__}",
+                self.outcome(ports.OutcomeKind.TRUNCATED),
+            ) from error
+        self._release(True)
+
+    def outcome(self, kind: ports.OutcomeKind) -> ports.Outcome:
+        """Return an outcome of this answer."""
+        return ports.Outcome(
+            kind=kind, latency_ms=self.latency_ms, bytes_sent=True, status=self.status
+        )
+
+    def discard(self) -> None:
+        """Close the connection, so that nothing late on it reaches another request."""
+        self._release(False)
+
+
+class ConnectionPools:
+    """Connections to backend servers, kept warm by server.
+
+    Parameters
+    ----------
+    max_idle : int
+        Most idle connections kept for each server.
+    """
+
+    def __init__(self, *, max_idle: int) -> None:
+        self._max_idle = max_idle
+        self._idle: dict[str, collections.deque[connection.HTTPConnection]] = {}
+
+    def take(self, address: str, *, timeout_s: float) -> connection.HTTPConnection:
+        """Return a connection to a server, connecting where no idle one is usable.
+
+        Raises
+        ------
+        OSError, urllib3.exceptions.HTTPError
+            If the server cannot be reached; then no byte was sent.
+        """
+        idle = self._idle.get(address)
+        while idle:
+            warm = idle.pop()
+            if not sockets.ended(warm.sock):
+                warm.sock.settimeout(timeout_s)
+                return warm
+            warm.close()
+        ip, port = sockets.split_address(address)
+        fresh = connection.HTTPConnection(ip, port, timeout=min(_CONNECT_TIMEOUT_S, timeout_s))
+        fresh.connect()
+        fresh.timeout = timeout_s
+        fresh.sock.settimeout(timeout_s)
+        return fresh
+
+    def put(self, address: str, used: connection.HTTPConnection) -> None:
+        """Keep a connection whose last answer was read whole, or close it if too many wait."""
+        idle = self._idle.setdefault(address, collections.deque())
+        if used.sock is None or len(idle) >= self._max_idle:
+            used.close()
+        else:
+            idle.append(used)
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close idle connections to servers that are in no pool any more."""
+        for address in [known for known in self._idle if known not in addresses]:
+            for unused in self._idle.pop(address):
+                unused.close()
+
+
+class Attempt:
+    """One sending of a request to one backend server."""
+
+    def __init__(
+        self,
+        *,
+        pools: ConnectionPools,
+        order: ports.DispatchOrder,
+        sent: SentRequest,
+        timeout_s: float,
+    ) -> None:
+        self._pools = pools
+        self._order = order
+        self._sent = sent
+        self._timeout_s = timeout_s
+        self._connection: connection.HTTPConnection | None = None
+        self._cancelled = False
+        self._started_s = time.monotonic()
+        self._bytes_sent = False
+
+    def cancel(self) -> None:
+        """Close the connection at once, which the backend server sees as a cancellation."""
+        self._cancelled = True
+        sock = self._connection.sock if self._connection is not None else None
+        if sock is not None:
+            with contextlib.suppress(OSError):  # The connection may have ended already.
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def run(self) -> Answer:
+        """Send the request and return its checked answer.
+
+        Raises
+        ------
+        AttemptError
+            If there is no whole answer of this request.
+        """
+        response = self._exchange()
+        latency_ms = self._elapsed_ms()
+        try:
+            self._check_identity(response)
+            prefetched, whole = self._prefetch(response)
+        except AttemptError:
+            self._release(False)
+            raise
+        answer = Answer(
+            response=response,
+            release=self._release,
+            prefetched=prefetched,
+            whole=whole,
+            latency_ms=latency_ms,
+        )
+        self._check_status(answer, response)
+        return answer
+
+    def _exchange(self) -> urllib3.BaseHTTPResponse:
+        try:
+            self._connection = self._pools.take(self._order.address, timeout_s=self._timeout_s)
+            if self._cancelled:
+                raise OSError("the attempt was cancelled")
+            self._bytes_sent = True
+            self._connection.request(
+                self._sent.method,
+                self._sent.target,
+                body=self._sent.body,
+                headers=urllib3.HTTPHeaderDict(self._sent.headers),
+                preload_content=False,
+                decode_content=False,
+            )
+            return self._connection.getresponse()
+        except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
+            self._release(False)
+            raise self._failed(error) from error
+
+    def _release(self, reusable: bool) -> None:
+        used, self._connection = self._connection, None
+        if used is None:
+            return
+        if reusable and not self._cancelled:
+            self._pools.put(self._order.address, used)
+        else:
+            used.close()
+
+    def _failed(self, error: Exception) -> AttemptError:
+        if self._cancelled:
+            kind = ports.OutcomeKind.CANCELLED
+        elif not self._bytes_sent:
+            kind = ports.OutcomeKind.CONNECT_FAILED
+        elif isinstance(error, (exceptions.TimeoutError, TimeoutError)):
+            kind = ports.OutcomeKind.TIMEOUT
+        else:
+            kind = ports.OutcomeKind.RESET
+        return AttemptError(f"{kind.value}: {type(error).__name__}", self._outcome(kind))
+
+    def _outcome(self, kind: ports.OutcomeKind, status: int = 0) -> ports.Outcome:
+        return ports.Outcome(
+            kind=kind,
+            latency_ms=self._elapsed_ms(),
+            bytes_sent=self._bytes_sent,
+            status=status,
+        )
+
+    def _elapsed_ms(self) -> float:
+        return (time.monotonic() - self._started_s) * _MS_PER_S
+
+    def _check_identity(self, response: urllib3.BaseHTTPResponse) -> None:
+        echoed = response.headers.get("X-Request-Id")
+        if echoed == self._order.request or (echoed is None and not self._order.echo_required):
+            return
+        raise AttemptError(
+            f"the answer is of request {echoed!r}",
+            self._outcome(ports.OutcomeKind.CROSSED, response.status),
+        )
+
+    def _prefetch(self, response: urllib3.BaseHTTPResponse) -> tuple[bytes, bool]:
+        """Read the start of the body, so that a small answer is known whole before it passes."""
+        if self._sent.method == "HEAD" or response.status in _BODILESS_STATUSES:
+            response.read(decode_content=False)
+            self._release(True)
+            return b"", True
+        length = response.headers.get("Content-Length")
+        chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+        if not chunked and (length is None or not length.isdigit()):
+            # Without a length, an answer that was cut off looks like a whole one.
+            raise AttemptError(
+                "the answer has no length",
+                self._outcome(ports.OutcomeKind.TRUNCATED, response.status),
+            )
+        try:
+            return self._read_start(response, chunked, length)
+        except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
+            kind = ports.OutcomeKind.TRUNCATED
+            if self._cancelled:
+                kind = ports.OutcomeKind.CANCELLED
+            elif isinstance(error, exceptions.TimeoutError):
+                kind = ports.OutcomeKind.TIMEOUT
+            raise AttemptError(
+                f"the answer's body ended early: {type(error).__name__}",
+                self._outcome(kind, response.status),
+            ) from error
+
+    def _read_start(
+        self, response: urllib3.BaseHTTPResponse, chunked: bool, length: str | None
+    ) -> tuple[bytes, bool]:
+        if not chunked:
+            if int(length) > PREFETCH_BYTES:
+                return b"", False
+            data = response.read(decode_content=False)
+            self._release(True)
+            return data, True
+        data = bytearray()
+        for piece in response.stream(_CHUNK_BYTES, decode_content=False):
+            data += piece
+            if len(data) >= PREFETCH_BYTES:
+                return bytes(data), False
+        self._release(True)
+        return bytes(data), True
+
+    def _check_status(self, answer: Answer, response: urllib3.BaseHTTPResponse) -> None:
+        if self._order.pass_errors or answer.status < 500:
+            return
+        kind = outcome_kind(answer.status, response.headers)
+        if not answer.whole:
+            answer.discard()
+        raise AttemptError(f"status {answer.status}", answer.outcome(kind))
+
+
+def outcome_kind(status: int, headers: urllib3.HTTPHeaderDict) -> ports.OutcomeKind:
+    """Return how a whole answer counts as evidence about its server."""
+    if status == 503 and headers.get("X-Not-Run", "").lower() == "true":
+        return ports.OutcomeKind.SHED
+    if status >= 500:
+        return ports.OutcomeKind.SERVER_ERROR
+    return ports.OutcomeKind.OK
