--- /dev/null
+++ b/verbenadrum/records/checks.py
@@ -0,0 +1,123 @@
+"""Checks of a record's content that its schema cannot state.
+
+Each check yields every fault it finds as ``key path: what is wrong``. A check looks at one record
+alone: hosts that hold different sets of records must still judge each record alike.
+"""
+
+import collections
+import math
+import re
+from collections.abc import Callable, Iterable, Iterator
+
+from verbenadrum.records import types
+
+__all__ = ["FLEET_RECORD_NAME", "faults", "register"]
+
+FLEET_RECORD_NAME = "fleet"
+
+_MAX_TIMEOUT_MS = 3_600_000.0
+_MAX_RATE_PER_S = 10_000_000.0
+_MAX_SLOTS = 10_000
+_MAX_PORT = 65_535
+_MAX_OCTET = 255
+
+_METHOD = re.compile(r"[A-Z]+")
+_PATH = re.compile(r"/[^\s?#]*")
+_HOST_NAME = re.compile(r"[a-z0-9.-]*")
+
+Check = Callable[[str, types.Spec], Iterator[str]]
+
+_checks: dict[types.RecordKind, Check] = {}
+
+
+def register(kind: types.RecordKind) -> Callable[[Check], Check]:
+    """Return a decorator that files the check of one kind."""
+
+    def decorate(check: Check) -> Check:
+        _checks[kind] = check
+        return check
+
+    return decorate
+
+
+def faults(kind: types.RecordKind, name: str, spec: types.Spec) -> Iterator[str]:
+    """Yield the faults of a spec that matches its schema.
+
+    Examples
+    --------
+    >>> list(faults(types.RecordKind.ROUTE, "all", types.RouteSpec(path_prefix="x", service="s")))
+    ["spec.path_prefix: 'x' is not a path that begins with '/'"]
+    """
+    check = _checks.get(kind)
+    if check is not None:
+        yield from check(name, spec)
+
+
+@register(types.RecordKind.ROUTE)
+def _check_route(name: str, spec: types.RouteSpec) -> Iterator[str]:
+    yield from _check_path("spec.path_prefix", spec.path_prefix)
+    if not _HOST_NAME.fullmatch(spec.host):
+        yield f"spec.host: {spec.host!r} is not a host name in lower case without a port"
+    yield from _check_range("spec.timeout_ms", spec.timeout_ms, _MAX_TIMEOUT_MS)
+    for index, method in enumerate(spec.idempotent_methods):
+        if not _METHOD.fullmatch(method):
+            yield f"spec.idempotent_methods.{index}: {method!r} is not a method in upper case"
+
+
+@register(types.RecordKind.WORKSPACE)
+def _check_workspace(name: str, spec: types.WorkspaceSpec) -> Iterator[str]:
+    yield from _check_range("spec.rate_per_s", spec.rate_per_s, _MAX_RATE_PER_S)
+    yield from _check_range("spec.burst", spec.burst, _MAX_RATE_PER_S)
+    yield from _check_range("spec.weight", spec.weight, _MAX_RATE_PER_S)
+
+
+@register(types.RecordKind.POOL)
+def _check_pool(name: str, spec: types.PoolSpec) -> Iterator[str]:
+    yield from _check_unique("spec.servers", "server", (entry.server for entry in spec.servers))
+    yield from _check_unique("spec.servers", "address", (entry.address for entry in spec.servers))
+    for index, entry in enumerate(spec.servers):
+        if not _is_address(entry.address):
+            yield f"spec.servers.{index}.address: {entry.address!r} is not of the form ip:port"
+    yield from _check_path("spec.probe_path", spec.probe_path.partition("?")[0])
+    if spec.slots > _MAX_SLOTS:
+        yield f"spec.slots: {spec.slots} is more than {_MAX_SLOTS}"
+    if spec.max_connections < spec.slots:
+        yield f"spec.max_connections: {spec.max_connections} is less than slots ({spec.slots})"
+
+
+@register(types.RecordKind.FLEET)
+def _check_fleet(name: str, spec: types.FleetSpec) -> Iterator[str]:
+    if name != FLEET_RECORD_NAME:
+        yield f"name: a fleet record is named {FLEET_RECORD_NAME!r}, not {name!r}"
+    names = [entry.data_centre for entry in spec.data_centres]
+    yield from _check_unique("spec.data_centres", "data_centre", names)
+    if not all(math.isfinite(entry.weight) for entry in spec.data_centres):
+        yield "spec.data_centres: a weight is not finite"
+    if not sum(entry.weight for entry in spec.data_centres) > 0:
+        yield "spec.data_centres: the weights add up to 0"
+
+
+def _check_path(where: str, path: str) -> Iterator[str]:
+    if not path.startswith("/"):
+        yield f"{where}: {path!r} is not a path that begins with '/'"
+    elif not _PATH.fullmatch(path):
+        yield f"{where}: {path!r} holds a space, '?' or '#'"
+
+
+def _check_range(where: str, value: float, most: float) -> Iterator[str]:
+    if not value <= most:
+        yield f"{where}: {value} is more than {most:.0f}"
+
+
+def _check_unique(where: str, field: str, values: Iterable[str]) -> Iterator[str]:
+    for value, count in collections.Counter(values).items():
+        if count > 1:
+            yield f"{where}: {field} {value!r} is listed {count} times"
+
+
+def _is_address(address: str) -> bool:
+    octets, _, port = address.rpartition(":")
+    parts = octets.split(".")
+    if len(parts) != 4 or not all(part.isdigit() for part in parts):
+        return False
+    return all(int(part) <= _MAX_OCTET for part in parts) and 0 < int(port) <= _MAX_PORT
--- /dev/null
+++ b/verbenadrum/records/envelope.py
@@ -0,0 +1,170 @@
+"""Reads envelopes, the form in which the platform and peers hand records on."""
+
+import msgspec
+
+from verbenadrum.records import checks, types, upgrades
+from verbenadrum.utils import errors, schema
+
+__all__ = [
+    "BadRecordError",
+    "EnvelopeHeader",
+    "MAX_ENVELOPE_BYTES",
+    "UnreadableEnvelopeError",
+    "parse",
+    "read_header",
+]
+
+MAX_ENVELOPE_BYTES = 1_000_000
+
+_MAX_FAULTS = 20
+_MAX_FAULT_CHARS = 300
+
+_SPEC_TYPES: dict[types.RecordKind, type[types.Spec]] = {
+    types.RecordKind.ROUTE: types.RouteSpec,
+    types.RecordKind.WORKSPACE: types.WorkspaceSpec,
+    types.RecordKind.KEY: types.KeySpec,
+    types.RecordKind.POOL: types.PoolSpec,
+    types.RecordKind.FLEET: types.FleetSpec,
+}
+
+
+class UnreadableEnvelopeError(errors.VerbenadrumError):
+    """Bytes that do not even say which record they are a revision of."""
+
+    code = "unreadable-envelope"
+
+
+class BadRecordError(errors.VerbenadrumError):
+    """A record that cannot be put in force.
+
+    Attributes
+    ----------
+    faults : tuple of str
+        Every fault found, each with its key path.
+    """
+
+    code = "bad-record"
+
+    def __init__(self, header: "EnvelopeHeader", faults: tuple[str, ...]) -> None:
+        super().__init__(f"{header.kind} {header.name!r}: " + "; ".join(faults))
+        self.faults = faults
+
+
+class EnvelopeHeader(msgspec.Struct, frozen=True, kw_only=True):
+    """The part of an envelope that every version can read.
+
+    ``kind`` is kept as text: a newer version may know kinds that this one does not.
+    """
+
+    kind: str
+    name: types.Name
+    revision: int
+
+    def __post_init__(self) -> None:
+        if self.revision < 1:
+            raise ValueError("revision must be at least 1")
+
+
+class _Body(msgspec.Struct, frozen=True, kw_only=True):
+    """The part of an envelope that `EnvelopeHeader` leaves out."""
+
+    schema: int = types.SCHEMA_VERSION
+    spec: dict | None = None
+
+
+_header_decoder = msgspec.json.Decoder(EnvelopeHeader)
+_body_decoder = msgspec.json.Decoder(_Body)
+
+
+def read_header(raw: bytes) -> EnvelopeHeader:
+    """Return which record and revision an envelope is, without looking at its content.
+
+    Raises
+    ------
+    UnreadableEnvelopeError
+        If it does not say so.
+
+    Examples
+    --------
+    >>> read_header(b'{"kind": "key", "name": "k", "revision": 3, "spec": null}').revision
+    3
+    """
+    try:
+        return _header_decoder.decode(raw)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise UnreadableEnvelopeError(str(error)) from error
+
+
+def parse(raw: bytes) -> types.Record:
+    """Return the record of the current schema version in an envelope.
+
+    Raises
+    ------
+    UnreadableEnvelopeError
+        If kind, name or revision is missing.
+    BadRecordError
+        With every fault found in the rest.
+
+    Examples
+    --------
+    >>> record = parse(b'{"kind": "workspace", "name": "w", "revision": 3, "schema": 1,'
+    ...                b' "spec": {"rate": 2, "burst_size": 4}}')
+    >>> record.spec.rate_per_s
+    2.0
+    """
+    header = read_header(raw)
+    kind = _read_kind(header)
+    body = _read_body(header, raw)
+    if body.spec is None:
+        _check_withdrawal(header, kind)
+        spec = None
+    else:
+        spec = _read_spec(header, kind, body)
+    return types.Record(kind=kind, name=header.name, revision=header.revision, spec=spec)
+
+
+def _read_kind(header: EnvelopeHeader) -> types.RecordKind:
+    try:
+        return types.RecordKind(header.kind)
+    except ValueError:
+        known = ", ".join(kind.value for kind in types.RecordKind)
+        raise _bad(header, [f"kind: {header.kind!r} is not one of: {known}"]) from None
+
+
+def _read_body(header: EnvelopeHeader, raw: bytes) -> _Body:
+    if len(raw) > MAX_ENVELOPE_BYTES:
+        raise _bad(header, [f"the envelope has {len(raw)} bytes; allowed: {MAX_ENVELOPE_BYTES}"])
+    try:
+        body = _body_decoder.decode(raw)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise _bad(header, [str(error)]) from error
+    if body.schema < upgrades.OLDEST_SCHEMA_VERSION:
+        oldest = upgrades.OLDEST_SCHEMA_VERSION
+        raise _bad(header, [f"schema: {body.schema} is older than the oldest known, {oldest}"])
+    return body
+
+
+def _check_withdrawal(header: EnvelopeHeader, kind: types.RecordKind) -> None:
+    if kind is types.RecordKind.FLEET:
+        raise _bad(header, ["spec: the fleet record cannot be withdrawn, only changed"])
+
+
+def _read_spec(header: EnvelopeHeader, kind: types.RecordKind, body: _Body) -> types.Spec:
+    expected = _SPEC_TYPES[kind]
+    lifted = upgrades.lift(kind, body.schema, body.spec)
+    try:
+        spec = msgspec.convert(lifted, expected)
+    except msgspec.ValidationError as error:
+        found = [f"spec.{fault}" for fault in schema.faults(lifted, expected)]
+        raise _bad(header, found or [str(error)]) from error
+    found = list(checks.faults(kind, header.name, spec))
+    if found:
+        raise _bad(header, found)
+    return spec
+
+
+def _bad(header: EnvelopeHeader, faults: list[str]) -> BadRecordError:
+    kept = [fault[:_MAX_FAULT_CHARS] for fault in faults[:_MAX_FAULTS]]
+    if len(faults) > _MAX_FAULTS:
+        kept.append(f"and {len(faults) - _MAX_FAULTS} more")
+    return BadRecordError(header, tuple(kept))
--- a/verbenadrum/records/table.py
+++ b/verbenadrum/records/table.py
@@ -3,12 +3,10 @@
 import collections
 
 from verbenadrum import ids
-from verbenadrum.records import types
+from verbenadrum.records import checks, types
 
 __all__ = ["RecordTable"]
 
-FLEET_RECORD_NAME = "fleet"
-
 
 class RecordTable:
     """Accepted records, one row per kind and name, with the look-ups that requests need.
@@ -100,7 +98,7 @@
             _replace(self._workspaces, ids.WorkspaceId(record.name), record.spec)
         elif record.kind is types.RecordKind.POOL:
             _replace(self._pools, ids.ServiceId(record.name), record.spec)
-        elif record.name == FLEET_RECORD_NAME and record.spec is not None:
+        elif record.name == checks.FLEET_RECORD_NAME and record.spec is not None:
             self._fleet = record.spec
 
     def _index_route(
--- a/verbenadrum/settings/load.py
+++ b/verbenadrum/settings/load.py
@@ -2,13 +2,11 @@
 
 import pathlib
 import tomllib
-from collections.abc import Iterator
 
-import jsonschema
 import msgspec
 
 from verbenadrum.settings import types
-from verbenadrum.utils import errors
+from verbenadrum.utils import errors, schema
 
 __all__ = ["SettingsError", "load_settings", "parse_settings"]
 
@@ -60,27 +58,7 @@
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"{source}: {error}") from error
-    faults = list(_faults(document))
+    faults = list(schema.faults(document, types.Settings))
     if faults:
         raise SettingsError("\n".join(f"{source}: {fault}" for fault in faults))
     return msgspec.convert(document, types.Settings)
-
-
-def _faults(document: dict) -> Iterator[str]:
-    validator = jsonschema.Draft202012Validator(msgspec.json.schema(types.Settings))
-    found = sorted(validator.iter_errors(document), key=lambda error: list(map(str, error.path)))
-    for error in found:
-        yield f"{_key_path(error)}: {_allowed(error)}"
-
-
-def _key_path(error: jsonschema.ValidationError) -> str:
-    return ".".join(map(str, error.absolute_path)) or "(top level)"
-
-
-def _allowed(error: jsonschema.ValidationError) -> str:
-    if error.validator == "additionalProperties":
-        known = ", ".join(sorted(error.schema.get("properties", {})))
-        return f"{error.message}; allowed: {known}"
-    if error.validator == "pattern" and "description" in error.schema:
-        return f"{error.instance!r} is not of the form {error.schema['description']}"
-    return error.message
--- /dev/null
+++ b/verbenadrum/utils/schema.py
@@ -0,0 +1,50 @@
+"""Finds every fault of a document against a msgspec type, where msgspec names only the first."""
+
+import functools
+from collections.abc import Iterator
+
+import jsonschema
+import msgspec
+
+__all__ = ["faults"]
+
+
+def faults(document: object, expected: type) -> Iterator[str]:
+    """Yield one line for each fault: key path and what is allowed.
+
+    Parameters
+    ----------
+    document : object
+        Decoded JSON or TOML.
+    expected : type
+        The msgspec type that the document should convert to.
+
+    Examples
+    --------
+    >>> class Point(msgspec.Struct):
+    ...     x: int
+    ...     y: int
+    >>> list(faults({"x": "one"}, Point))
+    ["(top level): 'y' is a required property", "x: 'one' is not of type 'integer'"]
+    """
+    errors = _validator(expected).iter_errors(document)
+    for error in sorted(errors, key=lambda error: list(map(str, error.path))):
+        yield f"{_key_path(error)}: {_allowed(error)}"
+
+
+@functools.cache
+def _validator(expected: type) -> jsonschema.Draft202012Validator:
+    return jsonschema.Draft202012Validator(msgspec.json.schema(expected))
+
+
+def _key_path(error: jsonschema.ValidationError) -> str:
+    return ".".join(map(str, error.absolute_path)) or "(top level)"
+
+
+def _allowed(error: jsonschema.ValidationError) -> str:
+    if error.validator == "additionalProperties":
+        known = ", ".join(sorted(error.schema.get("properties", {})))
+        return f"{error.message}; allowed: {known}"
+    if error.validator == "pattern" and "description" in error.schema:
+        return f"{error.instance!r} is not of the form {error.schema['description']}"
+    return error.message
