Dissemination: platform readers, eager push, digests and pulls for records and host lists

Hosts had no way to learn records but from their shell. Three readers of each region, by rendezvous over the live hosts, long-poll the platform; news goes at once to a few random peers, and digests every 500 ms find what was missed. A digest carries the changes of the last seconds where they are small, so a host that can only hear learns them too. Completeness is tracked apart from the single records held: only a final part of an answer moves it. Host lists spread as changes from the last.

--- /dev/null
+++ b/standins/spreading.py
@@ -0,0 +1,326 @@
+"""Hosts that spread records in stepped time, with a platform that can be stale or unreachable.
+
+Only what spreads records and host lists runs here: the engine of each host, without requests.
+"""
+
+import random
+
+import msgspec
+
+from standins import channel
+from verbenadrum import ids
+from verbenadrum.core import behaviours, context, engine, ports
+from verbenadrum.decisions import ring
+from verbenadrum.dissemination import duty
+from verbenadrum.records import types
+from verbenadrum.utils import clock
+
+__all__ = ["Fleet", "SteppedPlatform", "SteppedHost", "envelope_of"]
+
+assert behaviours
+
+STEP_MS = 5.0
+
+_PLATFORM_NEAR_MS = 5.0
+_PLATFORM_FAR_MS = 60.0
+_POLL_MARGIN_MS = 2_000.0
+_MAX_ANSWER_BYTES = 1_000_000
+
+_CHOICES = engine.Choices(
+    limits="static_split",
+    claims="local",
+    epochs="listed",
+    placement="power_of_two",
+    health="consecutive",
+)
+
+
+def envelope_of(kind: str, name: str, revision: int, spec: object) -> bytes:
+    """Return the JSON envelope of a record."""
+    document = {
+        "kind": kind,
+        "name": name,
+        "revision": revision,
+        "schema": types.SCHEMA_VERSION,
+        "spec": spec,
+    }
+    return msgspec.json.encode(document)
+
+
+class SteppedPlatform:
+    """Published records and host list; readers may be unreachable or see an old state."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.hosts_revision = 0
+        self.rows: tuple[ports.HostRow, ...] = ()
+        self.down = False
+        self.unreachable: set[str] = set()
+        self.stale: dict[str, tuple[int, int]] = {}
+        self.calls = 0
+        self._records: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self._sorted: list[tuple[int, bytes]] | None = None
+
+    def publish(self, kind: str, name: str, spec: object) -> int:
+        """Publish a revision of a record and return its number."""
+        self.revision += 1
+        data = envelope_of(kind, name, self.revision, spec)
+        self._records[kind, name] = (self.revision, data)
+        self._sorted = None
+        return self.revision
+
+    def list_hosts(self, rows: tuple[ports.HostRow, ...]) -> None:
+        """Publish a host list."""
+        self.hosts_revision += 1
+        self.rows = rows
+
+    def freeze(self, host: str) -> None:
+        """Show a reader the present state from now on, whatever comes."""
+        self.stale[host] = (self.revision, self.hosts_revision)
+
+    def answers(self, host: str) -> bool:
+        """Return whether the platform answers a host at all."""
+        return not self.down and host not in self.unreachable
+
+    def records_after(self, host: str, after: int) -> duty.RecordsAnswer | None:
+        """Return what a host would get now, or None if it would wait."""
+        visible, _ = self.stale.get(host, (self.revision, 0))
+        if self._sorted is None:
+            self._sorted = sorted(self._records.values())
+        found = [entry for entry in self._sorted if after < entry[0] <= visible]
+        if visible == after:
+            return None
+        size = 0
+        chosen = []
+        for _, data in found:
+            size += len(data)
+            if size > _MAX_ANSWER_BYTES and chosen:
+                break
+            chosen.append(data)
+        return duty.RecordsAnswer(
+            after=after,
+            revision=visible,
+            complete=len(chosen) == len(found),
+            envelopes=tuple(chosen),
+        )
+
+    def hosts_after(self, host: str, after: int) -> duty.HostsAnswer | None:
+        """Return what a host would get now, or None if it would wait."""
+        _, visible = self.stale.get(host, (0, self.hosts_revision))
+        if visible == after:
+            return None
+        rows = self.rows if visible == self.hosts_revision else ()
+        return duty.HostsAnswer(after=after, revision=visible, rows=rows)
+
+
+class _Poll(msgspec.Struct):
+    """A call that waits at the platform."""
+
+    after: int
+    arrives_ms: float
+    until_ms: float
+    latency_ms: float
+    answer: duty.RecordsAnswer | duty.HostsAnswer | None = None
+    answer_ms: float = 0.0
+
+
+class SteppedHost:
+    """One host: its engine and the calls that it has open at the platform."""
+
+    def __init__(
+        self,
+        *,
+        row: ports.HostRow,
+        fleet: "Fleet",
+        incarnation: int,
+        platform_latency_ms: float,
+    ) -> None:
+        self.row = row
+        self.paused = False
+        self._fleet = fleet
+        self._latency_ms = platform_latency_ms
+        self.decisions = ring.DecisionRing(wall_ms=fleet.time.wall_ms, size=512)
+        self.engine = engine.Engine(
+            context=context.Context(
+                host=row.host,
+                data_centre=row.data_centre,
+                region=row.region,
+                incarnation=incarnation,
+                clock=fleet.time,
+                rng=random.Random(fleet.rng.random()),
+                send=self._send,
+                decisions=self.decisions,
+            ),
+            choices=_CHOICES,
+        )
+        self._polls: dict[duty.Stream, _Poll] = {}
+        self._next_tick_ms = fleet.time.now_ms() + fleet.rng.random() * engine.TICK_MS
+        self._inbox: list[tuple[str, object]] = []
+        self._next_seed_ms = 0.0
+
+    def receive(self, sender: str, message: object) -> None:
+        """Take a message, or keep it until a pause ends."""
+        if self.paused:
+            self._inbox.append((sender, message))
+        else:
+            self.engine.on_message(ids.HostId(sender), message)
+
+    def step(self) -> None:
+        """Run what is due: messages held back, polls and the tick."""
+        if self.paused:
+            return
+        inbox, self._inbox = self._inbox, []
+        for sender, message in inbox:
+            self.engine.on_message(ids.HostId(sender), message)
+        now_ms = self._fleet.time.now_ms()
+        self._step_polls(now_ms)
+        if now_ms >= self._next_tick_ms:
+            self._next_tick_ms = now_ms + engine.TICK_MS
+            self.engine.on_tick()
+            self._begin_polls(now_ms)
+
+    def _send(self, receiver: str, message: object) -> None:
+        self._fleet.channel.send(self.row.host, receiver, message)
+
+    def _begin_polls(self, now_ms: float) -> None:
+        current = self.engine.reader_duty()
+        for stream, order in (
+            (duty.Stream.RECORDS, current.records),
+            (duty.Stream.HOSTS, current.hosts),
+        ):
+            if order is None or stream in self._polls or order.delay_ms > 0:
+                continue
+            self._fleet.platform.calls += 1
+            self._polls[stream] = _Poll(
+                after=order.after,
+                arrives_ms=now_ms + self._latency_ms / 2,
+                until_ms=now_ms + order.wait_ms,
+                latency_ms=self._latency_ms,
+            )
+        if current.ask_seeds and self._fleet.seeds and now_ms >= self._next_seed_ms:
+            self._next_seed_ms = now_ms + 1_000.0
+            self._send(self._fleet.rng.choice(self._fleet.seeds), self.engine.seed_request())
+
+    def _step_polls(self, now_ms: float) -> None:
+        for stream, poll in list(self._polls.items()):
+            if poll.answer is not None:
+                if now_ms >= poll.answer_ms:
+                    del self._polls[stream]
+                    self._take(poll.answer)
+            elif not self._fleet.platform.answers(self.row.host):
+                if now_ms >= min(poll.arrives_ms + poll.latency_ms, poll.until_ms):
+                    del self._polls[stream]
+                    self.engine.on_platform_failure(stream)
+            elif now_ms >= poll.arrives_ms:
+                self._ask(stream, poll, now_ms)
+
+    def _ask(self, stream: duty.Stream, poll: _Poll, now_ms: float) -> None:
+        platform = self._fleet.platform
+        if stream is duty.Stream.RECORDS:
+            answer = platform.records_after(self.row.host, poll.after)
+            empty = duty.RecordsAnswer(
+                after=poll.after, revision=poll.after, complete=True, envelopes=()
+            )
+        else:
+            answer = platform.hosts_after(self.row.host, poll.after)
+            empty = duty.HostsAnswer(after=poll.after, revision=poll.after, rows=())
+        if answer is None and now_ms >= poll.until_ms:
+            answer = empty
+        if answer is not None:
+            poll.answer = answer
+            poll.answer_ms = now_ms + poll.latency_ms / 2
+
+    def _take(self, answer: duty.RecordsAnswer | duty.HostsAnswer) -> None:
+        if isinstance(answer, duty.RecordsAnswer):
+            self.engine.on_platform_records(answer)
+        else:
+            self.engine.on_platform_hosts(answer)
+
+
+class Fleet:
+    """Hosts in regions and data centres, their channel and the platform.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of every random number.
+    regions, data_centres, hosts : int
+        Regions, data centres of each region and hosts of each data centre.
+    """
+
+    def __init__(
+        self, *, seed: int, regions: int = 2, data_centres: int = 2, hosts: int = 10
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.time = clock.SteppedClock()
+        self.platform = SteppedPlatform()
+        self.seeds: list[str] = []
+        self.channel = channel.PeerChannel(
+            time=self.time, rng=random.Random(self.rng.random()), region_of=self._region_of
+        )
+        rows = [
+            ports.HostRow(
+                host=ids.HostId(f"h{region}{centre}{index:02}"),
+                address=f"10.{region}.{centre}.{index}:1",
+                data_centre=ids.DataCentreId(f"dc{region}{centre}"),
+                region=ids.RegionId(f"r{region}"),
+            )
+            for region in range(regions)
+            for centre in range(data_centres)
+            for index in range(hosts)
+        ]
+        self._rows = {row.host: row for row in rows}
+        self.platform.list_hosts(tuple(rows))
+        self.hosts: dict[str, SteppedHost] = {}
+        for row in rows:
+            self.start(row.host)
+
+    def start(self, host: str) -> SteppedHost:
+        """Start a host, or start it again with nothing in memory."""
+        row = self._rows[host]
+        latency_ms = _PLATFORM_NEAR_MS if row.region == "r0" else _PLATFORM_FAR_MS
+        started = SteppedHost(
+            row=row,
+            fleet=self,
+            incarnation=self.rng.getrandbits(40),
+            platform_latency_ms=latency_ms,
+        )
+        self.hosts[host] = started
+        self.channel.join(host, started.receive)
+        return started
+
+    def stop(self, host: str) -> None:
+        """Stop a host without a word."""
+        self.channel.join(host, None)
+        del self.hosts[host]
+
+    def run(self, duration_ms: float) -> None:
+        """Let time pass."""
+        end_ms = self.time.now_ms() + duration_ms
+        while self.time.now_ms() < end_ms:
+            self.step()
+
+    def step(self) -> None:
+        """Let one step pass."""
+        self.time.advance(STEP_MS)
+        self.channel.deliver()
+        for host in list(self.hosts.values()):
+            host.step()
+
+    def run_until(self, condition, limit_ms: float) -> float:
+        """Let time pass until a condition holds; return the time taken, infinite for never."""
+        start_ms = self.time.now_ms()
+        while not condition():
+            if self.time.now_ms() - start_ms >= limit_ms:
+                return float("inf")
+            self.step()
+        return self.time.now_ms() - start_ms
+
+    def all_have(self, revision: int) -> bool:
+        """Return whether every host holds every record up to a revision."""
+        return all(
+            host.engine.record_spread.complete_to >= revision for host in self.hosts.values()
+        )
+
+    def _region_of(self, host: str) -> str:
+        return self._rows[ids.HostId(host)].region
--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -11,12 +11,17 @@
 from verbenadrum import ids
 from verbenadrum.claims import registry as claim_registry
 from verbenadrum.core import context, ports, system
+from verbenadrum.dissemination import duty as platform_duty
+from verbenadrum.dissemination import host_lists, sampler
+from verbenadrum.dissemination import messages as spread_messages
+from verbenadrum.dissemination import records as record_spread
 from verbenadrum.entry import pipeline
 from verbenadrum.epochs import registry as epoch_registry
 from verbenadrum.limits import registry as limit_registry
 from verbenadrum.membership import table as host_table
 from verbenadrum.messages import base
 from verbenadrum.placement import registry as placement_registry
+from verbenadrum.records import store as record_store
 from verbenadrum.records import table as record_table
 from verbenadrum.records import types
 
@@ -50,6 +55,24 @@
         self._context = context
         self.records = record_table.RecordTable()
         self.membership = host_table.HostTable()
+        self.store = record_store.RecordStore(context=context, records=self.records)
+        peers = sampler.PeerSampler(context=context, membership=self.membership)
+        self.host_spread = host_lists.HostListSpread(
+            context=context, membership=self.membership, peers=peers
+        )
+        self.record_spread = record_spread.RecordSpread(
+            context=context,
+            membership=self.membership,
+            records=self.store,
+            peers=peers,
+            hosts=self.host_spread,
+        )
+        self.duty = platform_duty.ReaderDuty(
+            context=context,
+            membership=self.membership,
+            records=self.record_spread,
+            hosts=self.host_spread,
+        )
         self.epochs = epoch_registry.epoch_systems.get(choices.epochs)(
             context=context, records=self.records, membership=self.membership
         )
@@ -79,6 +102,9 @@
             placer=self.placer,
         )
         self._systems: tuple[system.System, ...] = (
+            self.host_spread,
+            self.record_spread,
+            self.duty,
             self.epochs,
             self.limiter,
             self.claims,
@@ -98,6 +124,31 @@
         for each in self._systems:
             each.on_tick()
 
+    @property
+    def ready(self) -> bool:
+        """Whether a host list and a first whole set of records are in force here."""
+        return self.membership.revision > 0 and self.record_spread.complete_to > 0
+
+    def reader_duty(self) -> platform_duty.Duty:
+        """Return what the shell should read from the platform now; ask before each call."""
+        return self.duty.duty()
+
+    def on_platform_records(self, answer: platform_duty.RecordsAnswer) -> bool:
+        """Take an answer of the platform, and return False if it is stale."""
+        return self.duty.on_records(answer)
+
+    def on_platform_hosts(self, answer: platform_duty.HostsAnswer) -> bool:
+        """Take a host list of the platform, and return False if it is stale."""
+        return self.duty.on_hosts(answer)
+
+    def on_platform_failure(self, stream: platform_duty.Stream) -> None:
+        """Note that a call to the platform failed or timed out."""
+        self.duty.on_failure(stream)
+
+    def seed_request(self) -> base.Message:
+        """Return the message to send to a seed peer while `Duty.ask_seeds` is set."""
+        return spread_messages.HostsPull(0)
+
     def apply_records(self, records: list[types.Record]) -> int:
         """Put records in force, and return how many were newer than those held."""
         return sum(self.records.put(record) for record in records)
--- a/verbenadrum/membership/table.py
+++ b/verbenadrum/membership/table.py
@@ -51,6 +51,14 @@
             return self._by_region.get(region, ())
         return self._all
 
+    def listed(self) -> tuple[ports.HostRow, ...]:
+        """Return the rows as the platform lists them, without the hints of peers."""
+        return self._all
+
+    def regions(self) -> tuple[ids.RegionId, ...]:
+        """Return the regions that have listed hosts."""
+        return tuple(self._by_region)
+
     def row(self, host: ids.HostId) -> ports.HostRow | None:
         """Return a host's row, or None if it is not listed."""
         return self._rows.get(host)
--- a/verbenadrum/records/envelope.py
+++ b/verbenadrum/records/envelope.py
@@ -12,6 +12,7 @@
     "UnreadableEnvelopeError",
     "parse",
     "read_header",
+    "revision_of",
 ]
 
 MAX_ENVELOPE_BYTES = 1_000_000
@@ -95,6 +96,14 @@
         raise UnreadableEnvelopeError(str(error)) from error
 
 
+def revision_of(raw: bytes) -> int:
+    """Return the revision of an envelope, or 0 if it cannot be read."""
+    try:
+        return read_header(raw).revision
+    except UnreadableEnvelopeError:
+        return 0
+
+
 def parse(raw: bytes) -> types.Record:
     """Return the record of the current schema version in an envelope.
 
