--- /dev/null
+++ b/standins/stepped_fleet.py
@@ -0,0 +1,473 @@
+"""Entry hosts with real pipelines and placers on stepped time, for tests and measurements.
+
+The peer channel delays, drops and cuts; a backend server answers, stalls, errs or crashes; a
+caller sends at random times. Nothing here opens a socket or sleeps.
+"""
+
+import collections
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.claims import local
+from verbenadrum.core import context, engine, ports
+from verbenadrum.decisions import ring
+from verbenadrum.entry import keys, pipeline
+from verbenadrum.membership import table as host_table
+from verbenadrum.placement import registry
+from verbenadrum.records import table as record_table
+from verbenadrum.records import types
+from verbenadrum.utils import clock
+
+__all__ = ["Fleet", "FleetHost", "RequestLog", "StubServer", "two_regions"]
+
+NEAR_MS = 0.5
+FAR_MS = 30.0
+SERVICE = "svc"
+
+
+class StubServer:
+    """Backend server with slots that takes a random time for each request.
+
+    Attributes
+    ----------
+    stall_fraction : float
+        Fraction of its answers that never come.
+    error_fraction : float
+        Fraction of its answers that are 500.
+    down : bool
+        Whether it refuses connections.
+    draining : bool
+        Whether its answers say that it wants no new work.
+    crashes_on : str
+        Path that crashes it; it comes back after ``restart_ms``.
+    """
+
+    def __init__(self, *, name: str, median_ms: float, sigma: float, rng: random.Random) -> None:
+        self.name = name
+        self.stall_fraction = 0.0
+        self.error_fraction = 0.0
+        self.down = False
+        self.draining = False
+        self.crashes_on = ""
+        self.restart_ms = 2_000.0
+        self.median_ms = median_ms
+        self.sigma = sigma
+        self.crashes = 0
+        self.busy = 0
+        self.most_busy = 0
+        self.connections: dict[str, int] = collections.defaultdict(int)
+        self._rng = rng
+
+    def service_ms(self) -> float:
+        """Return the time of one answer; infinite for one that never comes."""
+        if self._rng.random() < self.stall_fraction:
+            return math.inf
+        return self.median_ms * math.exp(self._rng.gauss(0.0, self.sigma))
+
+    def errs(self) -> bool:
+        """Return whether the next answer is an error."""
+        return self._rng.random() < self.error_fraction
+
+
+class RequestLog(msgspec.Struct, kw_only=True):
+    """What became of one caller's request."""
+
+    workspace: str
+    path: str
+    host: str
+    sent_ms: float
+    ended_ms: float = math.inf
+    ok: bool = False
+    refusal: str = ""
+    attempts: list[str] = []
+
+
+class _AdmitAll:
+    def admit(self, *, workspace, request, deadline_ms, done):
+        done(ports.Admission(granted=True, reason="within-rate"))
+
+
+class _Flight(msgspec.Struct, kw_only=True):
+    order: ports.DispatchOrder
+    server: StubServer
+    started_ms: float
+    ended: bool = False
+
+
+class FleetHost:
+    """One host: a pipeline, a placer and its tables."""
+
+    def __init__(self, *, fleet: "Fleet", row: ports.HostRow, placement: str, health: str) -> None:
+        self.row = row
+        self.alive = True
+        self.paused_until_ms = 0.0
+        self.records = record_table.RecordTable()
+        self.membership = host_table.HostTable()
+        self.decisions = ring.DecisionRing(wall_ms=fleet.clock.wall_ms, size=2_000)
+        self.context = context.Context(
+            host=row.host,
+            data_centre=row.data_centre,
+            region=row.region,
+            incarnation=1,
+            clock=fleet.clock,
+            rng=random.Random(fleet.rng.random()),
+            send=lambda to, message: fleet.send(row.host, to, message),
+            decisions=self.decisions,
+        )
+        self.placer = registry.placers.get(placement)(
+            context=self.context, records=self.records, membership=self.membership, judge=health
+        )
+        claims = local.LocalClaims(
+            context=self.context, records=self.records, membership=self.membership, epochs=None
+        )
+        self.pipeline = pipeline.EntryPipeline(
+            context=self.context,
+            records=self.records,
+            limiter=_AdmitAll(),
+            claims=claims,
+            placer=self.placer,
+        )
+        self.handlers = dict(self.placer.handlers())
+
+    def ejected(self, region: str | None = None) -> set[str]:
+        """Return the servers that this host, as a home, gives no work."""
+        if hasattr(self.placer, "homes"):
+            return {
+                server
+                for (_, home_region), home in self.placer.homes.items()
+                if region is None or home_region == region
+                for server in home.ejector.ejected
+            }
+        return set(self.placer.ejected(ids.ServiceId(SERVICE)))
+
+
+class _Sink:
+    def __init__(self, fleet: "Fleet", host: FleetHost, log: RequestLog) -> None:
+        self.fleet = fleet
+        self.host = host
+        self.log = log
+        self.flights: dict[str, _Flight] = {}
+
+    def dispatch(self, order):
+        self.log.attempts.append(order.server)
+        self.fleet.dispatch(self, order)
+
+    def refuse(self, refusal):
+        self.log.refusal = refusal.code
+        self.log.ended_ms = self.fleet.clock.now_ms()
+
+    def replay(self, answer):
+        self.log.ok = True
+
+    def cancel(self, lease):
+        flight = self.flights.get(lease)
+        if flight is not None:
+            self.fleet.end(self, flight, ports.OutcomeKind.CANCELLED)
+
+
+class Fleet:
+    """Hosts, servers, callers and the channels between them, moved by `run`.
+
+    Parameters
+    ----------
+    hosts : tuple of HostRow
+        The listed hosts.
+    servers : dict of str to str
+        Data centre of each backend server, by name.
+    placement, health : str
+        Registered behaviours.
+    seed : int
+        Seed of every random choice.
+    """
+
+    def __init__(
+        self,
+        *,
+        hosts: tuple[ports.HostRow, ...],
+        servers: dict[str, str],
+        placement: str = "pool_home",
+        health: str = "sequential",
+        seed: int = 1,
+        floor: float = 0.5,
+        median_ms: float = 40.0,
+        sigma: float = 0.5,
+        weights: dict[str, float] | None = None,
+        tick_ms: float = engine.TICK_MS,
+        timeout_ms: float = 10_000.0,
+    ) -> None:
+        self.clock = clock.SteppedClock()
+        self.rng = random.Random(seed)
+        self.logs: list[RequestLog] = []
+        self.keep_logs = True
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.wasted_ms = 0.0
+        self.used_ms = 0.0
+        self.cut: set[tuple[str, str]] = set()
+        self.drop = 0.0
+        self.extra_ms: Callable[[str, str], float] = lambda sender, to: 0.0
+        self.sent_bytes = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._rows = {row.host: row for row in hosts}
+        self._numbers = itertools.count()
+        self.revision = 0
+        self._tick_ms = tick_ms
+        self._timeout_ms = timeout_ms
+        self.workspaces = weights or {"w": 1.0}
+        self.servers = {
+            name: StubServer(
+                name=name,
+                median_ms=median_ms,
+                sigma=sigma,
+                rng=random.Random(self.rng.random()),
+            )
+            for name in servers
+        }
+        self.hosts: dict[str, FleetHost] = {}
+        for row in hosts:
+            self.hosts[row.host] = FleetHost(
+                fleet=self, row=row, placement=placement, health=health
+            )
+        self.entries = tuple(
+            types.ServerEntry(server=name, address=f"127.0.0.1:{number}", data_centre=place)
+            for number, (name, place) in enumerate(sorted(servers.items()), start=1)
+        )
+        self.floor = floor
+        self.publish(self.entries)
+        self.list_hosts(tuple(self._rows))
+        for host in self.hosts.values():
+            self.at(self.rng.random() * tick_ms, lambda host=host: self._tick(host))
+
+    def publish(self, entries: tuple[types.ServerEntry, ...]) -> None:
+        """Put a pool in force on every host at once."""
+        self.entries = entries
+        specs = [
+            (types.RecordKind.ROUTE, "all", self._route()),
+            (types.RecordKind.POOL, SERVICE, types.PoolSpec(servers=entries, floor=self.floor)),
+        ]
+        for name, weight in self.workspaces.items():
+            spec = types.WorkspaceSpec(rate_per_s=1e6, burst=1e6, weight=weight)
+            specs.append((types.RecordKind.WORKSPACE, name, spec))
+            key = types.KeySpec(workspace=name, sha256=keys.hash_key(name))
+            specs.append((types.RecordKind.KEY, name, key))
+        self.revision += 1
+        for host in self.hosts.values():
+            for kind, name, spec in specs:
+                record = types.Record(kind=kind, name=name, revision=self.revision, spec=spec)
+                host.records.put(record)
+
+    def list_hosts(self, names: tuple[str, ...], views: tuple[str, ...] = ()) -> None:
+        """Give the hosts in ``views`` (all by default) a list of ``names``."""
+        self.revision += 1
+        rows = tuple(self._rows[name] for name in names)
+        for name in views or tuple(self.hosts):
+            self.hosts[name].membership.replace(self.revision, rows)
+
+    def at(self, at_ms: float, action: Callable[[], None]) -> None:
+        """Run an action at a time."""
+        heapq.heappush(self._events, (at_ms, next(self._order), action))
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Run an action after a delay."""
+        self.at(self.clock.now_ms() + delay_ms, action)
+
+    def run(self, duration_ms: float) -> None:
+        """Move time forward."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self._events and self._events[0][0] <= end_ms:
+            at_ms, _, action = heapq.heappop(self._events)
+            self.clock.advance(max(0.0, at_ms - self.clock.now_ms()))
+            action()
+        self.clock.advance(end_ms - self.clock.now_ms())
+
+    def send(self, sender: str, to: str, message: object) -> None:
+        """Carry a message, unless it is cut or lost."""
+        if (sender, to) in self.cut or self.rng.random() < self.drop:
+            return
+        delay_ms = self._distance_ms(sender, to) + self.extra_ms(sender, to)
+        self.after(delay_ms, lambda: self._deliver(sender, to, message))
+
+    def load(
+        self,
+        *,
+        workspace: str,
+        per_s: float,
+        path: Callable[[], str] = lambda: "/x",
+        hosts: tuple[str, ...] = (),
+        until_ms: float = math.inf,
+        method: str = "GET",
+    ) -> None:
+        """Let a caller send at random times."""
+        names = hosts or tuple(self.hosts)
+
+        def arrive() -> None:
+            if self.clock.now_ms() >= until_ms:
+                return
+            alive = [name for name in names if self.hosts[name].alive]
+            self.request(self.rng.choice(alive), workspace=workspace, path=path(), method=method)
+            self.after(self.rng.expovariate(per_s) * 1000.0, arrive)
+
+        self.after(self.rng.expovariate(per_s) * 1000.0, arrive)
+
+    def request(
+        self, host: str, *, workspace: str = "w", path: str = "/x", method: str = "GET"
+    ) -> RequestLog:
+        """Send one request to a host, and return the row that tells what becomes of it."""
+        now_ms = self.clock.now_ms()
+        log = RequestLog(workspace=workspace, path=path, host=host, sent_ms=now_ms, attempts=[])
+        if self.keep_logs:
+            self.logs.append(log)
+        head = ports.RequestHead(
+            request=ids.RequestId(f"q{next(self._numbers)}"),
+            method=method,
+            host="any",
+            path=path,
+            key=workspace,
+        )
+        self.counts["requests"] += 1
+        self.hosts[host].pipeline.begin(head, _Sink(self, self.hosts[host], log))
+        return log
+
+    def dispatch(self, sink: _Sink, order: ports.DispatchOrder) -> None:
+        """Send an attempt to its server."""
+        self.counts["attempts"] += 1
+        server = self.servers[order.server]
+        flight = _Flight(order=order, server=server, started_ms=self.clock.now_ms())
+        sink.flights[order.lease] = flight
+        distance_ms = self._server_distance_ms(sink.host, order.server)
+        if server.down:
+            self.after(
+                distance_ms, lambda: self.end(sink, flight, ports.OutcomeKind.CONNECT_FAILED)
+            )
+            return
+        server.busy += 1
+        server.most_busy = max(server.most_busy, server.busy)
+        if server.crashes_on and sink.log.path == server.crashes_on:
+            self.after(10.0, lambda: self.crash(server))
+        self._flights(server).append((sink, flight))
+        service_ms = server.service_ms()
+        if service_ms < math.inf:
+            kind = ports.OutcomeKind.SERVER_ERROR if server.errs() else ports.OutcomeKind.OK
+            self.after(2 * distance_ms + service_ms, lambda: self.end(sink, flight, kind))
+
+    def crash(self, server: StubServer) -> None:
+        """Break every connection of a server, and bring it back later."""
+        if server.down:
+            return
+        server.down = True
+        server.crashes += 1
+        for sink, flight in self._flights(server):
+            if not flight.ended:
+                self.end(sink, flight, ports.OutcomeKind.RESET)
+        self._flights(server).clear()
+        self.after(server.restart_ms, lambda: setattr(server, "down", False))
+
+    def end(self, sink: _Sink, flight: _Flight, kind: ports.OutcomeKind) -> None:
+        """Tell the entry host how an attempt ended."""
+        if flight.ended:
+            return
+        flight.ended = True
+        sink.flights.pop(flight.order.lease, None)
+        now_ms = self.clock.now_ms()
+        held_ms = now_ms - flight.started_ms
+        self.used_ms += held_ms
+        sent = kind is not ports.OutcomeKind.CONNECT_FAILED
+        if sent:
+            flight.server.busy -= 1
+        request, lease = flight.order.request, flight.order.lease
+        good = kind in (ports.OutcomeKind.OK, ports.OutcomeKind.SERVER_ERROR)
+        chosen = good and sink.host.pipeline.commit(request, lease)
+        if chosen:
+            sink.log.ok = kind is ports.OutcomeKind.OK
+            sink.log.ended_ms = now_ms
+        else:
+            self.wasted_ms += held_ms
+        outcome = ports.Outcome(
+            kind=kind,
+            latency_ms=held_ms,
+            bytes_sent=sent,
+            draining=flight.server.draining,
+        )
+        sink.host.pipeline.outcome(request, lease, outcome)
+
+    def ejected(self) -> set[str]:
+        """Return the servers that any live host gives no work."""
+        live = [host for host in self.hosts.values() if host.alive]
+        return set().union(*(host.ejected() for host in live))
+
+    def fail_host(self, name: str) -> None:
+        """Stop a host for good."""
+        self.hosts[name].alive = False
+
+    def _flights(self, server: StubServer) -> list[tuple[_Sink, _Flight]]:
+        rows = server.__dict__.setdefault("flights", [])
+        if len(rows) > 50:
+            rows[:] = [row for row in rows if not row[1].ended]
+        return rows
+
+    def _tick(self, host: FleetHost) -> None:
+        if not host.alive:
+            return
+        if self.clock.now_ms() >= host.paused_until_ms:
+            host.placer.on_tick()
+            host.pipeline.on_tick()
+            for order in host.placer.take_probes():
+                self._probe(host, order)
+        self.after(self._tick_ms, lambda: self._tick(host))
+
+    def _probe(self, host: FleetHost, order: ports.ProbeOrder) -> None:
+        self.counts["probes"] += 1
+        server = self.servers[order.server]
+        delay_ms, kind = server.service_ms(), ports.OutcomeKind.OK
+        if server.down:
+            delay_ms, kind = 1.0, ports.OutcomeKind.CONNECT_FAILED
+        elif delay_ms > order.timeout_ms:
+            delay_ms, kind = order.timeout_ms, ports.OutcomeKind.TIMEOUT
+        outcome = ports.Outcome(
+            kind=kind, latency_ms=delay_ms, bytes_sent=True, draining=server.draining
+        )
+        self.after(delay_ms, lambda: host.alive and host.placer.probed(order, outcome))
+
+    def _deliver(self, sender: str, to: str, message: object) -> None:
+        host = self.hosts[to]
+        if not host.alive:
+            return
+        if self.clock.now_ms() < host.paused_until_ms:
+            self.at(host.paused_until_ms, lambda: self._deliver(sender, to, message))
+            return
+        host.handlers[type(message)](sender, message)
+
+    def _distance_ms(self, sender: str, to: str) -> float:
+        if self._rows[sender].region == self._rows[to].region:
+            return NEAR_MS
+        return FAR_MS
+
+    def _server_distance_ms(self, host: FleetHost, server: str) -> float:
+        place = next(entry.data_centre for entry in self.entries if entry.server == server)
+        regions = {row.data_centre: row.region for row in self._rows.values()}
+        same = regions.get(place, host.row.region) == host.row.region
+        link = f"region:{regions.get(place, host.row.region)}"
+        return (NEAR_MS if same else FAR_MS) + self.extra_ms(host.row.host, link)
+
+    def _route(self) -> types.RouteSpec:
+        return types.RouteSpec(path_prefix="/", service=SERVICE, timeout_ms=self._timeout_ms)
+
+
+def two_regions(hosts_per_centre: int) -> tuple[ports.HostRow, ...]:
+    """Return the rows of two regions with two data centres each."""
+    return tuple(
+        ports.HostRow(
+            host=ids.HostId(f"{centre}-h{number}"),
+            address="127.0.0.1:1",
+            data_centre=ids.DataCentreId(centre),
+            region=ids.RegionId(centre[:2]),
+        )
+        for centre in ("r1a", "r1b", "r2a", "r2b")
+        for number in range(hosts_per_centre)
+    )
--- a/verbenadrum/core/behaviours.py
+++ b/verbenadrum/core/behaviours.py
@@ -2,7 +2,16 @@
 
 from verbenadrum.claims import local
 from verbenadrum.epochs import listed
+from verbenadrum.health import consecutive, sequential
 from verbenadrum.limits import static_split
-from verbenadrum.placement import power_of_two
+from verbenadrum.placement import pool_home, power_of_two
 
-__all__ = ["local", "listed", "power_of_two", "static_split"]
+__all__ = [
+    "consecutive",
+    "listed",
+    "local",
+    "pool_home",
+    "power_of_two",
+    "sequential",
+    "static_split",
+]
--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -128,6 +128,14 @@
         """Report that the caller left before its answer was complete."""
         self.entry.abandon(request)
 
+    def take_probes(self) -> list[ports.ProbeOrder]:
+        """Return the probes of backend servers to send now; due after each tick."""
+        return self.placer.take_probes()
+
+    def probed(self, order: ports.ProbeOrder, outcome: ports.Outcome) -> None:
+        """Report how a probe ended."""
+        self.placer.probed(order, outcome)
+
 
 def _collect_handlers(
     systems: tuple[system.System, ...],
--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -33,6 +33,7 @@
     "Placement",
     "PlacementRequest",
     "Placer",
+    "ProbeOrder",
     "RecordsPort",
     "Refusal",
     "RequestHead",
@@ -267,7 +268,8 @@
     idempotent : bool
         Whether a retry or hedge is allowed.
     fingerprint : str
-        Hash of method, path and body length, to recognise a request that crashes servers.
+        Hash of workspace, method, host, path and body, to recognise a request that crashes
+        servers; empty for none.
     deadline_ms : float
         Monotonic time by which the answer must have begun.
     excluded : tuple of ServerId
@@ -326,12 +328,26 @@
         Whether a byte may have left for the server.
     status : int
         HTTP status, or 0.
+    draining : bool
+        Whether the server said that it wants no new work.
     """
 
     kind: OutcomeKind
     latency_ms: float
     bytes_sent: bool
     status: int = 0
+    draining: bool = False
+
+
+class ProbeOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """Tells the shell to ask a backend server for ``path`` once, and to report the outcome."""
+
+    lease: ids.LeaseId
+    service: ids.ServiceId
+    server: ids.ServerId
+    address: str
+    path: str
+    timeout_ms: float
 
 
 class Placer(typing.Protocol):
@@ -343,9 +359,18 @@
     def complete(self, lease: ids.LeaseId, outcome: Outcome) -> None:
         """Release a lease with the attempt's outcome; a second call is ignored."""
 
-    def may_retry(self, request: PlacementRequest) -> bool:
+    def may_retry(self, request: PlacementRequest, *, hedge: bool = False) -> bool:
         """Draw one retry or hedge of the service's budget; False if it is spent."""
 
+    def answered(self, lease: ids.LeaseId) -> None:
+        """Note that the head of an attempt's answer has come."""
+
+    def take_probes(self) -> list[ProbeOrder]:
+        """Return the probes to send now; each is returned once."""
+
+    def probed(self, order: ProbeOrder, outcome: Outcome) -> None:
+        """Report how a probe ended."""
+
 
 class NotRun(enum.Enum):
     """Whether a refused request may have run at a backend server."""
@@ -360,8 +385,9 @@
 
     ``key`` is the secret that came with it; it is never logged nor forwarded. ``deadline_ms``
     is monotonic, infinite where the caller names none. ``body_length`` is -1 where the caller
-    streams without a length. ``replayable`` says whether the shell holds the whole body. ``path``
-    is decoded; ``query`` is as the caller sent it, without the key.
+    streams without a length. ``replayable`` says whether the shell holds the whole body, and
+    ``body_digest`` is a hash of it where it does. ``path`` is decoded; ``query`` is as the caller
+    sent it, without the key.
     """
 
     request: ids.RequestId
@@ -374,6 +400,7 @@
     deadline_ms: float = float("inf")
     body_length: int = 0
     replayable: bool = True
+    body_digest: str = ""
 
 
 class DispatchOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -74,6 +74,7 @@
 
     def commit(self, request: ids.RequestId, lease: ids.LeaseId) -> bool:
         """Choose an attempt's answer for the caller; True for the first attempt to ask."""
+        self._placer.answered(lease)
         row = self._rows.get(request)
         if row is None or row.stage is not table.RequestStage.DISPATCHED:
             return False
@@ -208,7 +209,7 @@
             workspace=row.workspace,
             service=ids.ServiceId(row.route.service),
             idempotent=row.idempotent,
-            fingerprint=row.fingerprint,
+            fingerprint=_placement_fingerprint(row),
             deadline_ms=row.deadline_ms,
             excluded=tuple(row.excluded),
         )
@@ -284,7 +285,7 @@
 
     def _hedge(self, row: table.RequestRow) -> None:
         row.hedge_at_ms = float("inf")
-        if row.placing or not self._placer.may_retry(self._placement_request(row)):
+        if row.placing or not self._placer.may_retry(self._placement_request(row), hedge=True):
             return
         self._log_retry(row, "hedge", "slower-than-expected")
         current = [attempt.server for attempt in row.attempts.values()]
@@ -363,3 +364,9 @@
 def _fingerprint(head: ports.RequestHead, workspace: str | None) -> str:
     parts = (workspace or "", head.method, head.host, head.path, head.query, str(head.body_length))
     return xxhash.xxh3_64_hexdigest("\x00".join(parts))
+
+
+def _placement_fingerprint(row: table.RequestRow) -> str:
+    if not row.head.body_digest:
+        return row.fingerprint
+    return xxhash.xxh3_64_hexdigest(f"{row.fingerprint}\x00{row.head.body_digest}")
--- /dev/null
+++ b/verbenadrum/health/sequential.py
@@ -0,0 +1,249 @@
+"""Sequential judge: a cumulative log-likelihood ratio against the pool's own behaviour."""
+
+import collections
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.core import ports
+from verbenadrum.health import evidence, latency, registry
+
+__all__ = ["SequentialJudge"]
+
+# Scores are natural logarithms of likelihood ratios.
+_SICK_SCORE = 15.0
+_MAX_ATTEMPT_SCORE = 7.6
+_SICK_RATE = 0.25
+_MIN_FAILURE_RATE = 0.002
+_MIN_ERROR_RATE = 0.01
+_SHED_SCORE = 1.0
+_GOOD_SCORE = math.log((1.0 - _SICK_RATE) / (1.0 - _MIN_FAILURE_RATE))
+
+_SLOW_FRACTION = 0.01
+_TAIL_EXPONENT = 3.0
+_MIN_SLOW_MS = 150.0
+_MIN_STALL_MS = 400.0
+_UNKNOWN_SLOW_MS = 400.0
+_MIN_SAMPLES = 200
+
+_WINDOW_MS = 10_000.0
+_WINDOW_EVENTS = 64
+_SHARED_FRACTION = 0.34
+_RATE_DECAY = 0.999
+
+_FAILURES = (
+    ports.OutcomeKind.CONNECT_FAILED,
+    ports.OutcomeKind.RESET,
+    ports.OutcomeKind.TRUNCATED,
+    ports.OutcomeKind.CROSSED,
+)
+_BREAKS = (ports.OutcomeKind.RESET, ports.OutcomeKind.TRUNCATED)
+_NOBODY = ids.HostId("")
+_SAME_CRASH_MS = 100.0
+_SAME_CRASH_WEIGHT = 0.25
+
+
+class _Event(msgspec.Struct, frozen=True):
+    at_ms: float
+    observer: ids.HostId
+    group: ids.DataCentreId
+    score: float
+
+
+class _ServerRow(msgspec.Struct):
+    score: float = 0.0
+    broken_ms: float = -math.inf
+    events: collections.deque[_Event] = msgspec.field(
+        default_factory=lambda: collections.deque(maxlen=_WINDOW_EVENTS)
+    )
+
+
+@registry.judges.register("sequential")
+class SequentialJudge:
+    """Adds up evidence until it outweighs chance, and then asks who else is failing.
+
+    A failure, a slow answer or a wait beyond the pool's own tail adds to a server's score, a
+    good answer takes from it, and the score never falls below zero (Page's CUSUM over Wald's
+    likelihood ratios). A score above the limit makes a suspect. The suspect is sick only if
+    the evidence of observers that can still use the other servers is enough, and more than one
+    of them gave it.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[ids.ServerId, _ServerRow] = collections.defaultdict(_ServerRow)
+        self._latencies: dict[ids.DataCentreId, latency.LatencyHistogram] = collections.defaultdict(
+            latency.LatencyHistogram
+        )
+        self._slow_ms: dict[ids.DataCentreId, float] = {}
+        self._failure_rate = 0.0
+        self._reviews = 0
+
+    def ended(self, evidence: evidence.Evidence) -> None:
+        """Take in the end of an attempt."""
+        failed = evidence.kind in _FAILURES
+        self._failure_rate = self._failure_rate * _RATE_DECAY + failed * (1.0 - _RATE_DECAY)
+        if evidence.kind is ports.OutcomeKind.OK:
+            self._latencies[evidence.group].add(evidence.latency_ms)
+        score = self._score(evidence)
+        if score == 0.0:
+            return
+        row = self._rows[evidence.server]
+        if evidence.kind in _BREAKS:
+            # One crash breaks every connection of a server, so the breaks that follow count less.
+            if evidence.at_ms - row.broken_ms < _SAME_CRASH_MS:
+                score *= _SAME_CRASH_WEIGHT
+            else:
+                row.broken_ms = evidence.at_ms
+        row.score = max(0.0, row.score + score)
+        row.events.append(_Event(evidence.at_ms, evidence.observer, evidence.group, score))
+
+    def review(
+        self, *, now_ms: float, flights: Iterable[evidence.Flight]
+    ) -> list[evidence.Verdict]:
+        """Return the suspected servers, worst first."""
+        self._reviews += 1
+        if self._reviews % 20 == 1:
+            self._slow_ms.clear()
+        waiting = self._waiting(now_ms, flights)
+        suspects = [
+            server
+            for server, row in self._rows.items()
+            if row.score + sum(event.score for event in waiting[server]) >= _SICK_SCORE
+        ]
+        suspects += [
+            server
+            for server, events in list(waiting.items())
+            if server not in self._rows and _total(events) >= _SICK_SCORE
+        ]
+        if not suspects:
+            return []
+        view = _View(self._events(now_ms, waiting))
+        verdicts = [view.verdict(server) for server in suspects]
+        found = [verdict for verdict in verdicts if verdict is not None]
+        return sorted(found, key=lambda verdict: -verdict.score)
+
+    def forget(self, server: ids.ServerId) -> None:
+        """Drop all evidence about a server."""
+        self._rows.pop(server, None)
+
+    def _score(self, evidence: evidence.Evidence) -> float:
+        if evidence.kind in _FAILURES:
+            return _ratio(max(_MIN_FAILURE_RATE, self._failure_rate))
+        if evidence.kind is ports.OutcomeKind.SERVER_ERROR:
+            return _ratio(max(_MIN_ERROR_RATE, self._failure_rate))
+        if evidence.kind is ports.OutcomeKind.SHED:
+            return _SHED_SCORE
+        slow = self._wait_score(evidence.group, evidence.latency_ms)
+        if slow > 0.0:
+            return slow
+        if evidence.kind is ports.OutcomeKind.OK:
+            return _GOOD_SCORE
+        return 0.0
+
+    def _wait_score(self, group: ids.DataCentreId, waited_ms: float) -> float:
+        slow_ms = self._slow_limit(group)
+        if waited_ms < max(slow_ms, _MIN_STALL_MS):
+            return 0.0
+        chance = _SLOW_FRACTION * (slow_ms / waited_ms) ** _TAIL_EXPONENT
+        return _ratio(chance)
+
+    def _slow_limit(self, group: ids.DataCentreId) -> float:
+        cached = self._slow_ms.get(group)
+        if cached is not None:
+            return cached
+        histogram = self._latencies[group]
+        limit = _UNKNOWN_SLOW_MS
+        if histogram.total >= _MIN_SAMPLES:
+            limit = max(_MIN_SLOW_MS, histogram.quantile(1.0 - _SLOW_FRACTION))
+        self._slow_ms[group] = limit
+        return limit
+
+    def _waiting(
+        self, now_ms: float, flights: Iterable[evidence.Flight]
+    ) -> dict[ids.ServerId, list[_Event]]:
+        waiting: dict[ids.ServerId, list[_Event]] = collections.defaultdict(list)
+        for flight in flights:
+            score = self._wait_score(flight.group, flight.waited_ms)
+            if score > 0.0:
+                event = _Event(now_ms, flight.observer, flight.group, score)
+                waiting[flight.server].append(event)
+        return waiting
+
+    def _events(
+        self, now_ms: float, waiting: dict[ids.ServerId, list[_Event]]
+    ) -> dict[ids.ServerId, list[_Event]]:
+        events: dict[ids.ServerId, list[_Event]] = {}
+        for server in {*self._rows, *waiting}:
+            row = self._rows.get(server)
+            recent = [] if row is None else row.events
+            kept = [event for event in recent if now_ms - event.at_ms <= _WINDOW_MS]
+            events[server] = kept + waiting.get(server, [])
+        return events
+
+
+class _View:
+    """Recent events of a whole pool, to tell a server's fault from its observers'."""
+
+    def __init__(self, events: dict[ids.ServerId, list[_Event]]) -> None:
+        self._events = events
+        self._observers = {event.observer for each in events.values() for event in each}
+
+    def verdict(self, server: ids.ServerId) -> evidence.Verdict | None:
+        """Return what is at fault, or None if the recent evidence is too weak."""
+        events = self._events[server]
+        score = _cumulated(events)
+        if score < _SICK_SCORE:
+            return None
+        trusted = [event for event in events if not self._failing_elsewhere(server, event)]
+        if _cumulated(trusted) < _SICK_SCORE:
+            return _verdict(evidence.VerdictKind.SHARED, server, "fault-shared", score)
+        accusers = {event.observer for event in trusted if event.score > 0.0}
+        if len(accusers) == 1 and len(self._observers) > 1:
+            (observer,) = accusers
+            return _verdict(evidence.VerdictKind.PATH, server, "one-observer-only", score, observer)
+        return _verdict(evidence.VerdictKind.SICK, server, "worse-than-its-pool", score)
+
+    def _failing_elsewhere(self, server: ids.ServerId, event: _Event) -> bool:
+        return event.score > 0.0 and (
+            self._fails_widely(server, "observer", event.observer)
+            or self._fails_widely(server, "group", event.group)
+        )
+
+    def _fails_widely(self, server: ids.ServerId, field: str, name: str) -> bool:
+        judged = failing = 0
+        for other, events in self._events.items():
+            if other == server:
+                continue
+            own = [event for event in events if getattr(event, field) == name]
+            judged += bool(own)
+            failing += _cumulated(own) >= _SICK_SCORE / 3.0
+        return judged > 0 and failing / judged >= _SHARED_FRACTION
+
+
+def _verdict(
+    kind: evidence.VerdictKind,
+    server: ids.ServerId,
+    reason: str,
+    score: float,
+    observer: ids.HostId = _NOBODY,
+) -> evidence.Verdict:
+    return evidence.Verdict(
+        kind=kind, server=server, reason=reason, score=round(score, 2), observer=observer
+    )
+
+
+def _ratio(chance: float) -> float:
+    return min(_MAX_ATTEMPT_SCORE, math.log(_SICK_RATE / chance)) if chance < _SICK_RATE else 0.0
+
+
+def _total(events: Iterable[_Event]) -> float:
+    return sum(event.score for event in events)
+
+
+def _cumulated(events: Iterable[_Event]) -> float:
+    score = 0.0
+    for event in events:
+        score = max(0.0, score + event.score)
+    return score
--- a/verbenadrum/placement/__init__.py
+++ b/verbenadrum/placement/__init__.py
@@ -1,3 +1,15 @@
 """Choice of a backend server for each attempt, and each workspace's share of its slots."""
 
-__all__ = ["power_of_two", "registry"]
+__all__ = [
+    "budget",
+    "entry_side",
+    "fair_queue",
+    "home_side",
+    "messages",
+    "parts",
+    "poison",
+    "pool_home",
+    "power_of_two",
+    "registry",
+    "servers",
+]
--- /dev/null
+++ b/verbenadrum/placement/entry_side.py
@@ -0,0 +1,448 @@
+"""Entry host's side of placement: asks the homes, and chooses alone where none answers."""
+
+import collections
+import math
+from collections.abc import Callable
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.core import context, ports
+from verbenadrum.decisions import ring
+from verbenadrum.messages import base
+from verbenadrum.placement import budget, messages, parts, poison
+from verbenadrum.records import types
+
+__all__ = ["EntrySide"]
+
+_NEAR_TIMEOUT_MS = 100.0
+_FAR_TIMEOUT_MS = 250.0
+_QUEUED_RENEW_MS = 1_000.0
+_SLOW_HOME_MS = 2_000.0
+_WAITING_AFTER_MS = 200.0
+_WAITING_EVERY_MS = 100.0
+_ANSWERED_EVERY_MS = 1_000.0
+_LOCAL_AVOID_MS = 1_000.0
+_DRAINING_MS = 30_000.0
+
+Done = Callable[[ports.Placement], None]
+
+
+class _AskRow(msgspec.Struct, kw_only=True):
+    """A request that waits for a home's answer."""
+
+    number: int
+    request: ports.PlacementRequest
+    done: Done
+    regions: list[parts.Part]
+    homes: list[ids.HostId]
+    asked: ids.HostId = ids.HostId("")
+    sent_ms: float = -math.inf
+    queued: bool = False
+
+
+class _HeldRow(msgspec.Struct, kw_only=True):
+    """A lease held by this host; ``home`` is empty for one that it gave itself."""
+
+    lease: ids.LeaseId
+    home: ids.HostId
+    service: ids.ServiceId
+    region: ids.RegionId
+    server: ids.ServerId
+    workspace: ids.WorkspaceId
+    fingerprint: str
+    started_ms: float
+    said_ms: float
+    trusted: bool
+    answered: bool = False
+
+
+class EntrySide:
+    """Asks and leases of this host.
+
+    Parameters
+    ----------
+    context : Context
+        Clock, random numbers and decisions.
+    table : PartTable
+        Parts of the pools and their homes.
+    membership : MembershipPort
+        Listed hosts.
+    ledger : PoisonLedger
+        This host's memory of requests that crash servers.
+    send : callable
+        Sends a message to a host, this one included.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: context.Context,
+        table: parts.PartTable,
+        membership: ports.MembershipPort,
+        ledger: poison.PoisonLedger,
+        send: Callable[[ids.HostId, base.Message], None],
+    ) -> None:
+        self._context = context
+        self._table = table
+        self._membership = membership
+        self._ledger = ledger
+        self._send = send
+        self._asks: dict[int, _AskRow] = {}
+        self._held: dict[ids.LeaseId, _HeldRow] = {}
+        self._budgets: dict[ids.ServiceId, budget.RetryBudget] = collections.defaultdict(
+            budget.RetryBudget
+        )
+        self._slow_homes: dict[ids.HostId, float] = {}
+        self._local: collections.Counter[ids.ServerId] = collections.Counter()
+        self._shunned: dict[ids.ServerId, float] = {}
+        self._serial = 0
+
+    @property
+    def held(self) -> dict[ids.LeaseId, _HeldRow]:
+        """Leases that this host holds; the caller must not change the mapping."""
+        return self._held
+
+    def place(self, request: ports.PlacementRequest, done: Done) -> None:
+        """Ask the home of the nearest part for a slot."""
+        if request.attempt == 0:
+            self._budgets[request.service].earn()
+        found = self._table.parts(request.service)
+        if not any(part.servers for part in found):
+            done(_refusal("no-eligible-server"))
+            return
+        now_ms = self._context.now_ms()
+        if self._ledger.suspicion(request.fingerprint, now_ms) is poison.Suspicion.POISON:
+            done(_refusal("poison-request"))
+            return
+        self._serial += 1
+        near_first = sorted(found, key=lambda part: part.region != self._context.region)
+        row = _AskRow(number=self._serial, request=request, done=done, regions=near_first, homes=[])
+        self._asks[row.number] = row
+        self._ask_part(row)
+
+    def may_retry(self, request: ports.PlacementRequest, *, hedge: bool) -> bool:
+        """Draw one retry or hedge of the service's budget."""
+        return self._budgets[request.service].draw(hedge=hedge)
+
+    def answered(self, lease: ids.LeaseId) -> None:
+        """Note that an attempt's answer has begun, so that its wait is over."""
+        row = self._held.get(lease)
+        if row is not None and not row.answered:
+            row.answered = True
+            if self._context.now_ms() - row.started_ms >= _WAITING_AFTER_MS:
+                self._say([row])
+
+    def complete(self, lease: ids.LeaseId, outcome: ports.Outcome) -> None:
+        """Release a lease with its outcome; a second call is ignored."""
+        row = self._held.pop(lease, None)
+        if row is None:
+            return
+        now_ms = self._context.now_ms()
+        if outcome.draining:
+            self._shunned[row.server] = now_ms + _DRAINING_MS
+        elif outcome.kind is ports.OutcomeKind.CONNECT_FAILED:
+            self._shunned[row.server] = now_ms + _LOCAL_AVOID_MS
+        self._remember_death(row, outcome)
+        if not row.home:
+            self._local[row.server] -= 1
+            return
+        self._send(
+            row.home,
+            messages.Release(
+                service=row.service,
+                region=row.region,
+                lease=lease,
+                kind=outcome.kind.value,
+                latency_ms=round(outcome.latency_ms, 1),
+                bytes_sent=outcome.bytes_sent,
+                draining=outcome.draining,
+            ),
+        )
+
+    def on_answer(self, sender: ids.HostId, answer: messages.PlaceAnswer) -> None:
+        """Take in a home's answer; a slot that is no longer wanted goes back at once."""
+        row = self._asks.get(answer.number)
+        if answer.state == messages.PlaceState.GRANTED:
+            self._granted(sender, row, answer)
+            return
+        if row is None or sender != row.asked:
+            return
+        if answer.state == messages.PlaceState.QUEUED:
+            row.queued = True
+            row.sent_ms = self._context.now_ms()
+        elif answer.state == messages.PlaceState.ELSEWHERE and len(row.regions) > 1:
+            row.regions.pop(0)
+            self._ask_part(row)
+        else:
+            self._finish(row, _refusal(answer.reason, answer.retry_after_ms))
+
+    def holding(self, service: ids.ServiceId, region: ids.RegionId, home: ids.HostId) -> None:
+        """Tell a new home of a part which leases this host holds, and release to it from now."""
+        rows = [
+            row
+            for row in self._held.values()
+            if row.service == service and row.region == region and row.home
+        ]
+        if not rows:
+            return
+        for row in rows:
+            row.home = home
+        now_ms = self._context.now_ms()
+        held = tuple(
+            messages.HeldLease(
+                lease=row.lease,
+                server=row.server,
+                workspace=row.workspace,
+                fingerprint=row.fingerprint,
+                waited_ms=round(now_ms - row.started_ms, 1),
+                trusted=row.trusted,
+            )
+            for row in rows
+        )
+        self._send(
+            home,
+            messages.Holding(
+                service=service,
+                region=region,
+                data_centre=self._context.data_centre,
+                leases=held,
+            ),
+        )
+
+    def on_tick(self) -> None:
+        """Turn to the next home where one is silent, and say which leases are still held."""
+        now_ms = self._context.now_ms()
+        for row in list(self._asks.values()):
+            if now_ms >= row.request.deadline_ms:
+                self._finish(row, _refusal("deadline-passed"))
+            elif now_ms - row.sent_ms >= self._timeout_ms(row):
+                self._on_silence(row)
+        self._say([row for row in self._held.values() if row.home and _due(row, now_ms)])
+
+    def _ask_part(self, row: _AskRow) -> None:
+        part = row.regions[0]
+        now_ms = self._context.now_ms()
+        homes = list(self._table.homes(part.service, part.region))
+        homes.sort(key=lambda host: self._slow_homes.get(host, 0.0) > now_ms)
+        row.homes = homes
+        self._ask_home(row)
+
+    def _ask_home(self, row: _AskRow) -> None:
+        if not row.homes:
+            self._place_alone(row)
+            return
+        part = row.regions[0]
+        request = row.request
+        now_ms = self._context.now_ms()
+        row.asked = row.homes[0]
+        row.sent_ms = now_ms
+        row.queued = False
+        remaining_ms = min(request.deadline_ms - now_ms, 3_600_000.0)
+        self._send(
+            row.asked,
+            messages.PlaceAsk(
+                number=row.number,
+                service=request.service,
+                region=part.region,
+                workspace=request.workspace,
+                fingerprint=request.fingerprint,
+                remaining_ms=round(remaining_ms, 1),
+                idempotent=request.idempotent,
+                last=len(row.regions) == 1,
+                data_centre=self._context.data_centre,
+                excluded=request.excluded,
+            ),
+        )
+
+    def _on_silence(self, row: _AskRow) -> None:
+        if row.queued:
+            # The home may have lost the ask with its life, so it is asked for again.
+            self._ask_home(row)
+            return
+        self._slow_homes[row.asked] = self._context.now_ms() + _SLOW_HOME_MS
+        row.homes = row.homes[1:]
+        self._ask_home(row)
+
+    def _granted(
+        self, sender: ids.HostId, row: _AskRow | None, answer: messages.PlaceAnswer
+    ) -> None:
+        lease = ids.LeaseId(answer.lease)
+        if row is None:
+            if lease not in self._held:
+                self._give_back(sender, lease)
+            return
+        part = row.regions[0]
+        self._hold(
+            row,
+            lease=lease,
+            home=sender,
+            region=part.region,
+            server=ids.ServerId(answer.server),
+            trusted=answer.trusted,
+        )
+        self._finish(
+            row,
+            ports.Placement(
+                server=ids.ServerId(answer.server),
+                reason=answer.reason,
+                lease=lease,
+                address=answer.address,
+                until_ms=row.request.deadline_ms,
+                hedge_after_ms=answer.hedge_after_ms,
+            ),
+        )
+
+    def _give_back(self, home: ids.HostId, lease: ids.LeaseId) -> None:
+        _, _, service, region, _ = lease.rsplit(":", 4)
+        self._send(
+            home,
+            messages.Release(
+                service=service,
+                region=region,
+                lease=lease,
+                kind=ports.OutcomeKind.CANCELLED.value,
+                latency_ms=0.0,
+                bytes_sent=False,
+            ),
+        )
+
+    def _place_alone(self, row: _AskRow) -> None:
+        """Choose the less loaded of two servers, within a small allowance of this host's own."""
+        part = row.regions[0]
+        now_ms = self._context.now_ms()
+        suspicion = self._ledger.suspicion(row.request.fingerprint, now_ms)
+        if suspicion is poison.Suspicion.SUSPECTED:
+            self._finish(row, _refusal("poison-suspected", _LOCAL_AVOID_MS))
+            return
+        most = self._local_allowance(part)
+        free = [
+            entry
+            for entry in part.servers
+            if entry.state is types.ServerState.LIVE
+            and entry.server not in row.request.excluded
+            and self._shunned.get(entry.server, 0.0) <= now_ms
+            and self._local[entry.server] < most
+        ]
+        if not free:
+            self._finish(row, _refusal("no-home", _LOCAL_AVOID_MS))
+            return
+        pair = self._context.rng.sample(free, min(2, len(free)))
+        chosen = min(pair, key=lambda entry: self._local[entry.server])
+        server = ids.ServerId(chosen.server)
+        self._local[server] += 1
+        origin = f"{self._context.host}:{self._context.incarnation}"
+        lease = ids.LeaseId(f"{origin}:alone:{row.number}")
+        home = ids.HostId("")
+        self._hold(row, lease=lease, home=home, region=part.region, server=server, trusted=False)
+        self._finish(
+            row,
+            ports.Placement(
+                server=server,
+                reason="no-home-answered",
+                lease=lease,
+                address=chosen.address,
+                until_ms=row.request.deadline_ms,
+            ),
+        )
+
+    def _local_allowance(self, part: parts.Part) -> int:
+        hosts = max(1, len(self._table.hosts(part.region)))
+        return max(1, math.ceil(part.spec.slots / hosts))
+
+    def _hold(
+        self,
+        row: _AskRow,
+        *,
+        lease: ids.LeaseId,
+        home: ids.HostId,
+        region: ids.RegionId,
+        server: ids.ServerId,
+        trusted: bool,
+    ) -> None:
+        now_ms = self._context.now_ms()
+        self._held[lease] = _HeldRow(
+            lease=lease,
+            home=home,
+            service=row.request.service,
+            region=region,
+            server=server,
+            workspace=row.request.workspace,
+            fingerprint=row.request.fingerprint,
+            started_ms=now_ms,
+            said_ms=now_ms + _WAITING_AFTER_MS - _WAITING_EVERY_MS,
+            trusted=trusted,
+        )
+
+    def _finish(self, row: _AskRow, placement: ports.Placement) -> None:
+        del self._asks[row.number]
+        self._context.decide(
+            ring.DecisionKind.PLACE,
+            placement.server or "refused",
+            placement.reason,
+            subject=row.request.service,
+            request=row.request.request,
+            alternatives=tuple(part.region for part in row.regions[1:]),
+            detail={"attempt": row.request.attempt, "home": row.asked},
+        )
+        row.done(placement)
+
+    def _timeout_ms(self, row: _AskRow) -> float:
+        if row.queued:
+            return _QUEUED_RENEW_MS
+        host = self._membership.row(row.asked)
+        near = host is not None and host.region == self._context.region
+        return _NEAR_TIMEOUT_MS if near else _FAR_TIMEOUT_MS
+
+    def _remember_death(self, row: _HeldRow, outcome: ports.Outcome) -> None:
+        """Note a broken connection under a request, here and at every host that may be home."""
+        if outcome.kind not in poison.DEATH_KINDS or not outcome.bytes_sent:
+            return
+        if not row.fingerprint:
+            return
+        unit = poison.Unit(
+            region=row.region,
+            server=row.server,
+            borrower="",
+            trusted=row.trusted,
+            at_ms=self._context.now_ms(),
+        )
+        self._ledger.add(row.fingerprint, row.lease, unit)
+        notice = messages.PoisonNotice(
+            fingerprint=row.fingerprint,
+            unit=row.lease,
+            region=row.region,
+            server=row.server,
+            borrower="",
+            trusted=row.trusted,
+        )
+        for part in self._table.parts(row.service):
+            for home in self._table.homes(row.service, part.region):
+                if home not in (row.home, self._context.host):
+                    self._send(home, notice)
+
+    def _say(self, rows: list[_HeldRow]) -> None:
+        """Send one message for each home and part with the leases that are still held."""
+        now_ms = self._context.now_ms()
+        groups: dict[tuple[str, str, str], list[_HeldRow]] = collections.defaultdict(list)
+        for row in rows:
+            row.said_ms = now_ms
+            groups[row.home, row.service, row.region].append(row)
+        for (home, service, region), group in groups.items():
+            leases = tuple(row.lease for row in group)
+            waited = tuple(
+                0.0 if row.answered else round(now_ms - row.started_ms, 1) for row in group
+            )
+            message = messages.Waiting(
+                service=service, region=region, leases=leases, waited_ms=waited
+            )
+            self._send(ids.HostId(home), message)
+
+
+def _due(row: _HeldRow, now_ms: float) -> bool:
+    every_ms = _ANSWERED_EVERY_MS if row.answered else _WAITING_EVERY_MS
+    return now_ms - row.said_ms >= every_ms
+
+
+def _refusal(reason: str, retry_after_ms: float = 0.0) -> ports.Placement:
+    return ports.Placement(server=None, reason=reason, retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/verbenadrum/placement/home_side.py
@@ -0,0 +1,533 @@
+"""Home of one pool part: grants slot leases and gathers the evidence about its servers."""
+
+import collections
+import math
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.core import context, ports
+from verbenadrum.decisions import ring
+from verbenadrum.health import ejection, evidence, latency
+from verbenadrum.messages import base
+from verbenadrum.placement import fair_queue, gate, messages, parts, poison, servers
+
+__all__ = ["PartHome"]
+
+_LEASE_MS = 3_000.0
+_QUEUE_PER_SLOT = 8
+_MIN_QUEUE = 8
+_ELSEWHERE_AFTER_MS = 250.0
+_FIRST_SERVICE_MS = 50.0
+_SERVICE_SMOOTHING = 0.05
+_HEDGE_QUANTILE = 0.98
+_HEDGE_MEDIANS = 3.0
+_HEDGE_SAMPLES = 100
+_HEDGE_LOAD = 0.7
+_DRAIN_PROBE_MS = 5_000.0
+_PROBE_MS = 1_000.0
+_HOUSEKEEPING_MS = 1_000.0
+_UNSURE_MS = 1_000.0
+_PROBE_OBSERVER = ids.HostId("")
+
+
+class _Waiter(msgspec.Struct, kw_only=True):
+    observer: ids.HostId
+    ask: messages.PlaceAsk
+    deadline_ms: float
+    arrived_ms: float
+
+
+class PartHome:
+    """State of a pool part on the host that is its home.
+
+    Parameters
+    ----------
+    context : Context
+        Clock, random numbers and decisions of this host.
+    part : Part
+        The servers and the pool's specification.
+    judge : Judge
+        Weighs the evidence.
+    ledger : PoisonLedger
+        The host's memory of deaths and good completions.
+    permits : callable
+        Given an allowance, returns how many ejections may be held now.
+    weight : callable
+        Returns a workspace's weight.
+    regions : callable
+        Returns the number of parts of the pool.
+    send : callable
+        Sends a message to a host.
+    reserve : callable
+        Asks the other regions' homes for their allowance of a fingerprint.
+    spread : callable
+        Tells the other candidates a `messages.PoisonNotice`.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: context.Context,
+        part: parts.Part,
+        judge: evidence.Judge,
+        ledger: poison.PoisonLedger,
+        permits: Callable[[int], int],
+        weight: Callable[[str], float],
+        regions: Callable[[], int],
+        send: Callable[[ids.HostId, base.Message], None],
+        reserve: Callable[[str], None],
+        spread: Callable[[messages.PoisonNotice], None],
+    ) -> None:
+        self._context = context
+        self._part = part
+        self._judge = judge
+        self._ledger = ledger
+        self._regions = regions
+        self._send = send
+        self._reserve = reserve
+        self._spread = spread
+        self._ejector = ejection.Ejector(context=context, judge=judge, permits=permits)
+        self._servers = servers.ServerTable(ejector=self._ejector, rng=context.rng)
+        self._servers.sync(part)
+        self._gate = gate.PoisonGate(ledger=ledger, region=part.region)
+        self._queue: fair_queue.FairQueue[_Waiter] = fair_queue.FairQueue(weight=weight)
+        self._weight = weight
+        self._held_back: collections.deque[_Waiter] = collections.deque()
+        self._leases: dict[ids.LeaseId, servers.LeaseRow] = {}
+        self._asks: dict[tuple[ids.HostId, int], messages.PlaceAnswer | None] = {}
+        self._latencies = latency.LatencyHistogram()
+        self._service_ms = _FIRST_SERVICE_MS
+        self._serial = 0
+        self._hedge_ms = 0.0
+        self._housekeeping_ms = -math.inf
+        self._drain_probe_ms = -math.inf
+        self._made_ms = context.now_ms()
+        self.last_asked_ms = self._made_ms
+
+    @property
+    def ejector(self) -> ejection.Ejector:
+        """Health states of the servers."""
+        return self._ejector
+
+    @property
+    def server_table(self) -> servers.ServerTable:
+        """Slots and connections of the servers."""
+        return self._servers
+
+    @property
+    def leases(self) -> dict[ids.LeaseId, servers.LeaseRow]:
+        """Slots in use; the caller must not change the mapping."""
+        return self._leases
+
+    @property
+    def waiting(self) -> int:
+        """Number of asks that wait for a slot."""
+        return len(self._queue) + len(self._held_back)
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing would be lost if the host were no longer home."""
+        return not self._leases and not self.waiting
+
+    def sync(self, part: parts.Part) -> None:
+        """Follow the record."""
+        if part is not self._part:
+            self._part = part
+            self._servers.sync(part)
+
+    def ask(self, observer: ids.HostId, ask: messages.PlaceAsk) -> None:
+        """Grant, queue or refuse an entry host's ask; a repeated one gets the same answer."""
+        now_ms = self._context.now_ms()
+        self.last_asked_ms = now_ms
+        known = (observer, ask.number)
+        if known in self._asks:
+            again = self._asks[known] or _answer(ask, messages.PlaceState.QUEUED, "queued")
+            self._send(observer, again)
+            return
+        waiter = _Waiter(
+            observer=observer,
+            ask=ask,
+            deadline_ms=now_ms + ask.remaining_ms,
+            arrived_ms=now_ms,
+        )
+        if not self._pass_gate(waiter):
+            return
+        if not len(self._queue) and self._grant(waiter):
+            return
+        self._enqueue(waiter)
+
+    def release(self, observer: ids.HostId, message: messages.Release) -> None:
+        """Free a slot and take in the outcome of its attempt."""
+        lease = self._leases.get(ids.LeaseId(message.lease))
+        if lease is None:
+            return
+        self._close(lease)
+        kind = ports.OutcomeKind(message.kind)
+        if message.draining:
+            self._note_draining(lease.server)
+        unused = kind is ports.OutcomeKind.CANCELLED and not message.bytes_sent
+        if not unused:
+            self._learn(lease, kind, message.latency_ms)
+        self._note_poison(lease, kind, message.bytes_sent)
+        self._serve()
+
+    def still_waiting(self, message: messages.Waiting) -> None:
+        """Take in how long an entry host has waited for its answers."""
+        now_ms = self._context.now_ms()
+        for name, waited_ms in zip(message.leases, message.waited_ms, strict=False):
+            lease = self._leases.get(ids.LeaseId(name))
+            if lease is not None:
+                lease.heard_ms = now_ms
+                lease.waited_ms = waited_ms
+
+    def adopt(self, observer: ids.HostId, message: messages.Holding) -> None:
+        """Take over the leases that an entry host holds from an earlier home."""
+        now_ms = self._context.now_ms()
+        for held in message.leases:
+            if ids.LeaseId(held.lease) in self._leases:
+                continue
+            lease = servers.LeaseRow(
+                lease=ids.LeaseId(held.lease),
+                observer=observer,
+                group=ids.DataCentreId(message.data_centre),
+                number=-1,
+                server=ids.ServerId(held.server),
+                workspace=ids.WorkspaceId(held.workspace),
+                fingerprint=held.fingerprint,
+                started_ms=now_ms - held.waited_ms,
+                heard_ms=now_ms,
+                trusted=held.trusted,
+            )
+            self._open(lease)
+
+    def lend(self, fingerprint: str) -> bool:
+        """Return whether this part's allowance for a fingerprint may go to another region."""
+        now_ms = self._context.now_ms()
+        # A new home does not know yet what is under way.
+        if now_ms - self._made_ms < _UNSURE_MS:
+            return False
+        return self._gate.lendable(fingerprint, regions=self._regions(), now_ms=now_ms)
+
+    def reserved(self, fingerprint: str, granted: bool) -> None:
+        """Take in another region's answer; without its allowance the waiting copies end."""
+        self._gate.reserve_ended(fingerprint)
+        if not granted:
+            self._refuse_held_back(fingerprint, "poison-suspected")
+        self._serve()
+
+    def suspicion_changed(self, fingerprint: str) -> None:
+        """Excuse the victims of a request that has turned out to be poison."""
+        now_ms = self._context.now_ms()
+        if self._ledger.suspicion(fingerprint, now_ms) is poison.Suspicion.POISON:
+            for unit in self._ledger.units(fingerprint, now_ms).values():
+                self._ejector.excuse(ids.ServerId(unit.server))
+        self._serve()
+
+    def on_tick(self) -> None:
+        """Review the servers, end silent leases and shed what can no longer be served."""
+        now_ms = self._context.now_ms()
+        self._end_silent(now_ms)
+        self._review(now_ms)
+        self._shed(now_ms)
+        if now_ms - self._housekeeping_ms >= _HOUSEKEEPING_MS:
+            self._housekeeping_ms = now_ms
+            self._servers.forget_idle(now_ms)
+            self._hedge_ms = self._hedge_delay()
+        self._serve()
+
+    def take_probes(self) -> Iterator[ports.ProbeOrder]:
+        """Yield the probes to send now; each takes a slot."""
+        now_ms = self._context.now_ms()
+        due = self._ejector.due_probes()
+        if self._servers.draining() and now_ms - self._drain_probe_ms >= _DRAIN_PROBE_MS:
+            self._drain_probe_ms = now_ms
+            due += sorted(self._servers.draining())
+        addresses = {entry.server: entry.address for entry in self._part.servers}
+        for server in due:
+            if server not in addresses:
+                continue
+            lease = self._new_lease(server, _PROBE_OBSERVER, "", "", number=-1)
+            self._open(lease)
+            yield ports.ProbeOrder(
+                lease=lease.lease,
+                service=self._part.service,
+                server=server,
+                address=addresses[server],
+                path=self._part.spec.probe_path,
+                timeout_ms=_PROBE_MS,
+            )
+
+    def probed(self, order: ports.ProbeOrder, outcome: ports.Outcome) -> None:
+        """Take in a probe's outcome."""
+        lease = self._leases.get(order.lease)
+        if lease is not None:
+            self._close(lease)
+        passed = outcome.kind is ports.OutcomeKind.OK
+        self._context.decide(
+            ring.DecisionKind.OUTCOME,
+            order.server,
+            "probe-passed" if passed else "probe-failed",
+            subject=order.server,
+            detail={"latency_ms": round(outcome.latency_ms, 3)},
+        )
+        if passed and not outcome.draining and order.server in self._servers.draining():
+            self._servers.undrain(order.server)
+        self._ejector.probed(order.server, passed)
+        self._serve()
+
+    def _pass_gate(self, waiter: _Waiter) -> bool:
+        """Return whether a waiter may go on; else it is refused or held back."""
+        now_ms = self._context.now_ms()
+        fingerprint = waiter.ask.fingerprint
+        passage = self._gate.passage(fingerprint, regions=self._regions(), now_ms=now_ms)
+        if passage is gate.Passage.OPEN:
+            return True
+        if passage is gate.Passage.POISON:
+            self._refuse(waiter, "poison-request")
+            return False
+        self._held_back.append(waiter)
+        self._queued(waiter, "unproven-request")
+        if passage is gate.Passage.RESERVE and self._gate.reserve_due(fingerprint, now_ms):
+            self._reserve(fingerprint)
+        return False
+
+    def _enqueue(self, waiter: _Waiter) -> None:
+        workspace = waiter.ask.workspace
+        slots = max(1, self._servers.total_slots)
+        ahead = self._queue.waiting(workspace)
+        wait_ms = self._expected_wait_ms(workspace, ahead, slots)
+        if not self._servers.live:
+            self._refuse(waiter, "no-eligible-server")
+        elif not waiter.ask.last and wait_ms > _ELSEWHERE_AFTER_MS:
+            self._reply(waiter, messages.PlaceState.ELSEWHERE, "other-region-sooner")
+        elif wait_ms > waiter.ask.remaining_ms:
+            self._refuse(waiter, "deadline-unreachable", wait_ms)
+        elif ahead >= max(_MIN_QUEUE, slots * _QUEUE_PER_SLOT):
+            self._refuse(waiter, "queue-full", wait_ms)
+        else:
+            self._queue.push(workspace, waiter)
+            self._queued(waiter, "queued")
+
+    def _expected_wait_ms(self, workspace: str, ahead: int, slots: int) -> float:
+        own = self._weight(workspace)
+        others = self._queue.weights() - (own if ahead else 0.0)
+        return (ahead + 1) * self._service_ms / slots * (own + others) / own
+
+    def _grant(self, waiter: _Waiter) -> bool:
+        """Give a waiter a slot if a server has one."""
+        now_ms = self._context.now_ms()
+        ask = waiter.ask
+        entry = self._servers.choose(waiter.observer, ask.excluded, now_ms)
+        if entry is None:
+            return False
+        server = ids.ServerId(entry.server)
+        lease = self._new_lease(
+            server, waiter.observer, ask.workspace, ask.fingerprint, number=ask.number
+        )
+        lease.group = ids.DataCentreId(ask.data_centre)
+        lease.trusted = self._ledger.suspicion(ask.fingerprint, now_ms) is poison.Suspicion.GOOD
+        self._open(lease)
+        answer = _answer(
+            ask,
+            messages.PlaceState.GRANTED,
+            "least-loaded" if now_ms == waiter.arrived_ms else "fair-turn",
+            server=server,
+            address=entry.address,
+            lease=lease.lease,
+            hedge_after_ms=self._hedge_ms if ask.idempotent and not self._loaded() else 0.0,
+            trusted=lease.trusted,
+        )
+        self._asks[waiter.observer, ask.number] = answer
+        self._send(waiter.observer, answer)
+        return True
+
+    def _serve(self) -> None:
+        """Give free slots to the waiters, in turn by workspace."""
+        self._recheck_held_back()
+        while len(self._queue) and self._servers.in_use < self._servers.total_slots:
+            waiter = self._queue.pop()
+            now_ms = self._context.now_ms()
+            if waiter.deadline_ms <= now_ms:
+                self._refuse(waiter, "deadline-passed")
+                continue
+            # Another copy of the request may have crashed a server in the meantime.
+            if not self._pass_gate(waiter):
+                continue
+            if not self._grant(waiter):
+                self._queue.push(waiter.ask.workspace, waiter, front=True)
+                return
+
+    def _recheck_held_back(self) -> None:
+        for _ in range(len(self._held_back)):
+            waiter = self._held_back.popleft()
+            # One copy may open the gate for one other only, so its slot is given at once.
+            if self._pass_gate(waiter) and not self._grant(waiter):
+                self._queue.push(waiter.ask.workspace, waiter, front=True)
+
+    def _shed(self, now_ms: float) -> None:
+        for waiter in self._queue.remove(lambda item: item.deadline_ms <= now_ms):
+            self._refuse(waiter, "deadline-passed")
+        late = [waiter for waiter in self._held_back if waiter.deadline_ms <= now_ms]
+        for waiter in late:
+            self._held_back.remove(waiter)
+            self._refuse(waiter, "deadline-passed")
+
+    def _refuse_held_back(self, fingerprint: str, reason: str) -> None:
+        for waiter in [each for each in self._held_back if each.ask.fingerprint == fingerprint]:
+            self._held_back.remove(waiter)
+            self._refuse(waiter, reason, 1_000.0)
+
+    def _queued(self, waiter: _Waiter, reason: str) -> None:
+        known = (waiter.observer, waiter.ask.number)
+        if known not in self._asks:
+            self._asks[known] = None
+            answer = _answer(waiter.ask, messages.PlaceState.QUEUED, reason)
+            self._send(waiter.observer, answer)
+
+    def _refuse(self, waiter: _Waiter, reason: str, retry_after_ms: float = 0.0) -> None:
+        self._reply(waiter, messages.PlaceState.REFUSED, reason, retry_after_ms)
+
+    def _reply(self, waiter: _Waiter, state: int, reason: str, retry_after_ms: float = 0.0) -> None:
+        self._asks.pop((waiter.observer, waiter.ask.number), None)
+        answer = _answer(waiter.ask, state, reason, retry_after_ms=retry_after_ms)
+        self._send(waiter.observer, answer)
+
+    def _new_lease(
+        self,
+        server: ids.ServerId,
+        observer: ids.HostId,
+        workspace: str,
+        fingerprint: str,
+        *,
+        number: int,
+    ) -> servers.LeaseRow:
+        now_ms = self._context.now_ms()
+        self._serial += 1
+        origin = f"{self._context.host}:{self._context.incarnation}"
+        name = f"{origin}:{self._part.service}:{self._part.region}:{self._serial}"
+        return servers.LeaseRow(
+            lease=ids.LeaseId(name),
+            observer=observer,
+            group=self._context.data_centre,
+            number=number,
+            server=server,
+            workspace=ids.WorkspaceId(workspace),
+            fingerprint=fingerprint,
+            started_ms=now_ms,
+            heard_ms=now_ms,
+        )
+
+    def _open(self, lease: servers.LeaseRow) -> None:
+        self._leases[lease.lease] = lease
+        self._servers.take(lease.server, lease.observer, self._context.now_ms())
+        self._gate.start(lease)
+
+    def _close(self, lease: servers.LeaseRow) -> None:
+        del self._leases[lease.lease]
+        self._asks.pop((lease.observer, lease.number), None)
+        self._servers.give_back(lease.server, lease.observer)
+        self._gate.end(lease)
+        held_ms = self._context.now_ms() - lease.started_ms
+        self._service_ms += (held_ms - self._service_ms) * _SERVICE_SMOOTHING
+
+    def _learn(self, lease: servers.LeaseRow, kind: ports.OutcomeKind, latency_ms: float) -> None:
+        if kind is ports.OutcomeKind.OK:
+            self._latencies.add(latency_ms)
+        if lease.server in self._ejector.rows and self._ejector.excused(lease.server):
+            return
+        self._judge.ended(
+            evidence.Evidence(
+                server=lease.server,
+                observer=lease.observer,
+                group=lease.group,
+                kind=kind,
+                latency_ms=latency_ms,
+                at_ms=self._context.now_ms(),
+            )
+        )
+
+    def _note_poison(
+        self, lease: servers.LeaseRow, kind: ports.OutcomeKind, bytes_sent: bool
+    ) -> None:
+        if not lease.fingerprint:
+            return
+        now_ms = self._context.now_ms()
+        if kind is ports.OutcomeKind.OK:
+            if self._ledger.clear(lease.fingerprint, now_ms):
+                self._spread(_cleared(lease.fingerprint))
+        elif kind in poison.DEATH_KINDS and bytes_sent:
+            unit = poison.Unit(
+                region=self._part.region,
+                server=lease.server,
+                borrower="",
+                trusted=lease.trusted,
+                at_ms=now_ms,
+            )
+            self._ledger.add(lease.fingerprint, lease.lease, unit)
+            self.suspicion_changed(lease.fingerprint)
+
+    def _note_draining(self, server: ids.ServerId) -> None:
+        if self._servers.drain(server):
+            self._drain_probe_ms = self._context.now_ms()
+            self._context.decide(
+                ring.DecisionKind.EJECT, "no-new-work", "server-draining", subject=server
+            )
+
+    def _review(self, now_ms: float) -> None:
+        flights = [
+            evidence.Flight(
+                server=lease.server,
+                observer=lease.observer,
+                group=lease.group,
+                waited_ms=lease.waited_ms,
+            )
+            for lease in self._leases.values()
+            if lease.waited_ms > 0.0
+        ]
+        verdicts = self._judge.review(now_ms=now_ms, flights=flights)
+        for verdict in verdicts:
+            if verdict.kind is evidence.VerdictKind.PATH:
+                self._avoid_path(verdict, now_ms)
+        self._ejector.consider(verdicts)
+        self._ejector.review()
+
+    def _avoid_path(self, verdict: evidence.Verdict, now_ms: float) -> None:
+        if self._servers.avoid_pair(verdict.observer, verdict.server, now_ms):
+            self._context.decide(
+                ring.DecisionKind.EJECT,
+                "path-avoided",
+                verdict.reason,
+                subject=verdict.server,
+                detail={"observer": verdict.observer, "score": verdict.score},
+            )
+
+    def _end_silent(self, now_ms: float) -> None:
+        silent = [lease for lease in self._leases.values() if now_ms - lease.heard_ms >= _LEASE_MS]
+        for lease in silent:
+            self._close(lease)
+            self._context.decide(
+                ring.DecisionKind.LEASE, lease.server, "entry-host-silent", subject=lease.lease
+            )
+
+    def _loaded(self) -> bool:
+        return self._servers.in_use >= _HEDGE_LOAD * self._servers.total_slots
+
+    def _hedge_delay(self) -> float:
+        if self._latencies.total < _HEDGE_SAMPLES:
+            return 0.0
+        median_ms = self._latencies.quantile(0.5)
+        return max(_HEDGE_MEDIANS * median_ms, self._latencies.quantile(_HEDGE_QUANTILE))
+
+
+def _answer(
+    ask: messages.PlaceAsk, state: int, reason: str, **fields: object
+) -> messages.PlaceAnswer:
+    return messages.PlaceAnswer(number=ask.number, state=state, reason=reason, **fields)
+
+
+def _cleared(fingerprint: str) -> messages.PoisonNotice:
+    return messages.PoisonNotice(
+        fingerprint=fingerprint, unit="", region="", server="", borrower="", trusted=False
+    )
--- a/verbenadrum/placement/power_of_two.py
+++ b/verbenadrum/placement/power_of_two.py
@@ -3,19 +3,35 @@
 import collections
 from collections.abc import Callable
 
+import msgspec
+
 from verbenadrum import ids
 from verbenadrum.core import context, ports, system
+from verbenadrum.health import ejection, evidence
+from verbenadrum.health import registry as health_registry
 from verbenadrum.placement import registry
 from verbenadrum.records import types
 
 __all__ = ["PowerOfTwoPlacer"]
 
 
+class _Lease(msgspec.Struct, frozen=True, kw_only=True):
+    service: ids.ServiceId
+    server: ids.ServerId
+    started_ms: float
+
+
+class _Pool(msgspec.Struct, kw_only=True):
+    judge: evidence.Judge
+    ejector: ejection.Ejector
+
+
 @registry.placers.register("power_of_two")
 class PowerOfTwoPlacer(system.System):
     """Picks two live servers at random and takes the one with fewer attempts from here.
 
-    Kept for comparison, and used as the last resort when no pool home answers.
+    Kept for comparison. Each host judges the servers by its own attempts alone, and keeps to
+    the floor by itself alone.
     """
 
     def __init__(
@@ -28,23 +44,30 @@
     ) -> None:
         super().__init__(context=context)
         self._records = records
+        self._judge_type = health_registry.judges.get(judge)
+        self._pools: dict[ids.ServiceId, _Pool] = {}
         self._in_flight: collections.Counter[ids.ServerId] = collections.Counter()
-        self._leases: dict[ids.LeaseId, ids.ServerId] = {}
+        self._leases: dict[ids.LeaseId, _Lease] = {}
         self._serial = 0
 
+    def ejected(self, service: ids.ServiceId) -> list[ids.ServerId]:
+        """Return the servers that this host gives no work."""
+        pool = self._pools.get(service)
+        return [] if pool is None else pool.ejector.ejected
+
     def place(
         self, request: ports.PlacementRequest, done: Callable[[ports.Placement], None]
     ) -> None:
         """Choose a server at once."""
-        pool = self._records.pool(request.service)
-        servers = [] if pool is None else _eligible(pool, request.excluded)
+        spec = self._records.pool(request.service)
+        servers = [] if spec is None else self._eligible(request, spec)
         if not servers:
             done(ports.Placement(server=None, reason="no-eligible-server"))
             return
         pair = self._context.rng.sample(servers, min(2, len(servers)))
         chosen = min(pair, key=lambda entry: self._in_flight[ids.ServerId(entry.server)])
         server = ids.ServerId(chosen.server)
-        lease = self._open_lease(server)
+        lease = self._open_lease(request.service, server)
         done(
             ports.Placement(
                 server=server,
@@ -57,25 +80,83 @@
 
     def complete(self, lease: ids.LeaseId, outcome: ports.Outcome) -> None:
         """Release a lease; a second call is ignored."""
-        server = self._leases.pop(lease, None)
-        if server is not None:
-            self._in_flight[server] -= 1
+        row = self._leases.pop(lease, None)
+        if row is None:
+            return
+        self._in_flight[row.server] -= 1
+        self._pools[row.service].judge.ended(
+            evidence.Evidence(
+                server=row.server,
+                observer=self._context.host,
+                group=self._context.data_centre,
+                kind=outcome.kind,
+                latency_ms=outcome.latency_ms,
+                at_ms=self._context.now_ms(),
+            )
+        )
 
-    def may_retry(self, request: ports.PlacementRequest) -> bool:
+    def may_retry(self, request: ports.PlacementRequest, *, hedge: bool = False) -> bool:
         """Allow one retry of each request."""
         return request.attempt <= 1
 
-    def _open_lease(self, server: ids.ServerId) -> ids.LeaseId:
+    def answered(self, lease: ids.LeaseId) -> None:
+        """Ignore the head of an answer."""
+
+    def take_probes(self) -> list[ports.ProbeOrder]:
+        """Send no probes: the end of an ejection brings a server back."""
+        return []
+
+    def probed(self, order: ports.ProbeOrder, outcome: ports.Outcome) -> None:
+        """Ignore probes."""
+
+    def on_tick(self) -> None:
+        """Eject the servers that this host's own attempts condemn."""
+        now_ms = self._context.now_ms()
+        for service, pool in self._pools.items():
+            flights = [
+                evidence.Flight(
+                    server=row.server,
+                    observer=self._context.host,
+                    group=self._context.data_centre,
+                    waited_ms=now_ms - row.started_ms,
+                )
+                for row in self._leases.values()
+                if row.service == service
+            ]
+            pool.ejector.consider(pool.judge.review(now_ms=now_ms, flights=flights))
+            pool.ejector.review()
+
+    def _eligible(
+        self, request: ports.PlacementRequest, spec: types.PoolSpec
+    ) -> list[types.ServerEntry]:
+        live = [entry for entry in spec.servers if entry.state is types.ServerState.LIVE]
+        ejector = self._pool(request.service).ejector
+        ejector.sync([ids.ServerId(entry.server) for entry in live], spec.floor)
+        return [
+            entry
+            for entry in live
+            if entry.server not in request.excluded
+            and ejector.slots(ids.ServerId(entry.server), spec.slots)
+        ]
+
+    def _pool(self, service: ids.ServiceId) -> _Pool:
+        pool = self._pools.get(service)
+        if pool is None:
+            judge = self._judge_type()
+            ejector = ejection.Ejector(
+                context=self._context,
+                judge=judge,
+                permits=lambda allowance: allowance,
+                probing=False,
+            )
+            pool = self._pools[service] = _Pool(judge=judge, ejector=ejector)
+        return pool
+
+    def _open_lease(self, service: ids.ServiceId, server: ids.ServerId) -> ids.LeaseId:
         self._serial += 1
         lease = ids.LeaseId(f"{self._context.host}:{self._context.incarnation}:l{self._serial}")
-        self._leases[lease] = server
+        self._leases[lease] = _Lease(
+            service=service, server=server, started_ms=self._context.now_ms()
+        )
         self._in_flight[server] += 1
         return lease
-
-
-def _eligible(pool: types.PoolSpec, excluded: tuple[ids.ServerId, ...]) -> list[types.ServerEntry]:
-    return [
-        entry
-        for entry in pool.servers
-        if entry.state is types.ServerState.LIVE and entry.server not in excluded
-    ]
--- /dev/null
+++ b/verbenadrum/placement/servers.py
@@ -0,0 +1,217 @@
+"""Slots, leases and connections of the servers of one pool part, as its home counts them."""
+
+import collections
+import math
+import random
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.health import ejection
+from verbenadrum.placement import parts
+from verbenadrum.records import types
+
+__all__ = ["LeaseRow", "ServerTable"]
+
+_CONNECTION_IDLE_MS = 60_000.0
+_PAIR_AVOID_MS = 5_000.0
+# A warm connection weighs as much as this part of a server's slots.
+_WARM_BONUS = 0.3
+
+
+class LeaseRow(msgspec.Struct, kw_only=True):
+    """One slot in use.
+
+    Attributes
+    ----------
+    observer : HostId
+        The entry host that holds the lease.
+    group : DataCentreId
+        Where the entry host stands.
+    number : int
+        The entry host's own number of the ask.
+    waited_ms : float
+        How long the entry host has waited for the answer, as it last said; 0 once it began.
+    heard_ms : float
+        When the entry host last spoke of the lease.
+    trusted : bool
+        Whether the request was believed harmless.
+    """
+
+    lease: ids.LeaseId
+    observer: ids.HostId
+    group: ids.DataCentreId
+    number: int
+    server: ids.ServerId
+    workspace: ids.WorkspaceId
+    fingerprint: str
+    started_ms: float
+    heard_ms: float
+    waited_ms: float = 0.0
+    trusted: bool = False
+
+
+class ServerTable:
+    """Rows of the servers, with the choice among them."""
+
+    def __init__(self, *, ejector: ejection.Ejector, rng: random.Random) -> None:
+        self._ejector = ejector
+        self._rng = rng
+        self._part: parts.Part | None = None
+        self._live: tuple[types.ServerEntry, ...] = ()
+        self._in_use: collections.Counter[ids.ServerId] = collections.Counter()
+        self._by_pair: collections.Counter[tuple[ids.HostId, ids.ServerId]] = collections.Counter()
+        self._connections: dict[ids.ServerId, dict[ids.HostId, tuple[int, float]]] = {}
+        self._pairs: dict[tuple[ids.HostId, ids.ServerId], float] = {}
+        self._draining: set[ids.ServerId] = set()
+
+    @property
+    def total_slots(self) -> int:
+        """Slots that may be used now, over all servers."""
+        slots = self._part.spec.slots
+        return sum(self._ejector.slots(entry.server, slots) for entry in self._live)
+
+    @property
+    def in_use(self) -> int:
+        """Slots in use, over all servers."""
+        return sum(self._in_use.values())
+
+    @property
+    def live(self) -> tuple[types.ServerEntry, ...]:
+        """Servers that are neither leaving nor draining."""
+        return self._live
+
+    def sync(self, part: parts.Part) -> None:
+        """Follow the record."""
+        if self._part is part:
+            return
+        self._part = part
+        listed = {entry.server for entry in part.servers}
+        self._draining &= listed
+        self._select()
+
+    def used(self, server: ids.ServerId) -> int:
+        """Return how many of a server's slots are in use."""
+        return self._in_use[server]
+
+    def drain(self, server: ids.ServerId) -> bool:
+        """Give a server no new work; return whether that is news."""
+        if server in self._draining:
+            return False
+        self._draining.add(server)
+        self._select()
+        return True
+
+    def draining(self) -> set[ids.ServerId]:
+        """Return the servers that said they are draining."""
+        return self._draining
+
+    def undrain(self, server: ids.ServerId) -> None:
+        """Give a server work again."""
+        self._draining.discard(server)
+        self._select()
+
+    def avoid_pair(self, observer: ids.HostId, server: ids.ServerId, now_ms: float) -> bool:
+        """Keep one entry host from one server for a while; return whether that is news."""
+        news = self._pairs.get((observer, server), 0.0) <= now_ms
+        self._pairs[observer, server] = now_ms + _PAIR_AVOID_MS
+        return news
+
+    def take(self, server: ids.ServerId, observer: ids.HostId, now_ms: float) -> None:
+        """Count a slot as used by an entry host."""
+        self._in_use[server] += 1
+        self._by_pair[observer, server] += 1
+        used = self._connections.setdefault(server, {})
+        most = used.get(observer, (0, 0.0))[0]
+        used[observer] = (max(self._by_pair[observer, server], most), now_ms)
+
+    def give_back(self, server: ids.ServerId, observer: ids.HostId) -> None:
+        """Count a slot as free."""
+        _decrement(self._in_use, server)
+        _decrement(self._by_pair, (observer, server))
+
+    def connections(self, server: ids.ServerId) -> int:
+        """Return how many connections the entry hosts are believed to hold to a server."""
+        return sum(most for most, _ in self._connections.get(server, {}).values())
+
+    def choose(
+        self, observer: ids.HostId, excluded: tuple[str, ...], now_ms: float
+    ) -> types.ServerEntry | None:
+        """Return the least loaded server with a free slot, a warm one among equals."""
+        best = None
+        best_cost = math.inf
+        for entry in self._live:
+            cost = self._cost(entry, observer, excluded, now_ms)
+            if cost < best_cost:
+                best, best_cost = entry, cost
+        if best is not None and best.server in excluded and self._any_other(excluded):
+            return None
+        return best
+
+    def forget_idle(self, now_ms: float) -> None:
+        """Drop connections and avoided pairs whose time is over."""
+        for used in self._connections.values():
+            idle = [host for host, (_, at) in used.items() if now_ms - at > _CONNECTION_IDLE_MS]
+            for host in idle:
+                del used[host]
+        ended = [pair for pair, until_ms in self._pairs.items() if until_ms <= now_ms]
+        for pair in ended:
+            del self._pairs[pair]
+
+    def _cost(
+        self,
+        entry: types.ServerEntry,
+        observer: ids.HostId,
+        excluded: tuple[str, ...],
+        now_ms: float,
+    ) -> float:
+        server = ids.ServerId(entry.server)
+        slots = self._ejector.slots(server, self._part.spec.slots)
+        used = self._in_use.get(server, 0)
+        if used >= slots:
+            return math.inf
+        cost = used / slots + self._rng.random() * 0.1
+        if self._is_warm(server, observer):
+            cost -= _WARM_BONUS
+        elif self._is_full(server):
+            return math.inf
+        if self._ejector.avoided(server):
+            cost += 100.0
+        if self._pairs and self._pairs.get((observer, server), 0.0) > now_ms:
+            cost += 200.0
+        if server in excluded:
+            cost += 1000.0
+        return cost
+
+    def _any_other(self, excluded: tuple[str, ...]) -> bool:
+        slots = self._part.spec.slots
+        return any(
+            entry.server not in excluded and self._ejector.slots(entry.server, slots)
+            for entry in self._live
+        )
+
+    def _is_warm(self, server: ids.ServerId, observer: ids.HostId) -> bool:
+        held = self._connections.get(server, {}).get(observer)
+        return held is not None and self._by_pair.get((observer, server), 0) < held[0]
+
+    def _is_full(self, server: ids.ServerId) -> bool:
+        # Each entry host may hold as many connections as there are slots, so most never count.
+        hosts = len(self._connections.get(server, ()))
+        cap = self._part.spec.max_connections
+        if hosts * self._part.spec.slots < cap:
+            return False
+        return self.connections(server) >= cap
+
+    def _select(self) -> None:
+        self._live = tuple(
+            entry
+            for entry in self._part.servers
+            if entry.state is types.ServerState.LIVE and entry.server not in self._draining
+        )
+        self._ejector.sync([entry.server for entry in self._live], self._part.spec.floor)
+
+
+def _decrement(counter: collections.Counter, key: object) -> None:
+    counter[key] -= 1
+    if counter[key] <= 0:
+        del counter[key]
