--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -24,10 +24,12 @@
 from verbenadrum.records import types
 from verbenadrum.utils import clock
 
-__all__ = ["Fleet", "FleetHost", "RequestLog", "StubServer", "two_regions"]
+__all__ = ["Attempt", "Fleet", "FleetHost", "RequestLog", "StubServer", "two_regions"]
 
 NEAR_MS = 0.5
 FAR_MS = 30.0
+SLOTS = 3
+CRASH_AFTER_MS = 10.0
 SERVICE = "svc"
 
 
@@ -40,6 +42,8 @@
         Fraction of its answers that never come.
     error_fraction : float
         Fraction of its answers that are 500.
+    hiccup_per_s, hiccup_ms : float
+        How often all its answers are late together, and by how much at most.
     down : bool
         Whether it refuses connections.
     draining : bool
@@ -56,19 +60,37 @@
         self.draining = False
         self.crashes_on = ""
         self.restart_ms = 2_000.0
+        self.up_since_ms = -math.inf
+        self.hiccup_per_s = 0.0
+        self.hiccup_ms = 250.0
+        self._hiccup_until_ms = 0.0
         self.median_ms = median_ms
         self.sigma = sigma
         self.crashes = 0
-        self.busy = 0
+        self.running: list[Attempt] = []
+        self.backlog: collections.deque[Attempt] = collections.deque()
         self.most_busy = 0
-        self.connections: dict[str, int] = collections.defaultdict(int)
+        self.received = 0
         self._rng = rng
 
-    def service_ms(self) -> float:
+    @property
+    def open_attempts(self) -> list["Attempt"]:
+        """Attempts that run or wait here."""
+        return [*self.running, *self.backlog]
+
+    def service_ms(self, now_ms: float) -> float:
         """Return the time of one answer; infinite for one that never comes."""
         if self._rng.random() < self.stall_fraction:
             return math.inf
-        return self.median_ms * math.exp(self._rng.gauss(0.0, self.sigma))
+        base_ms = self.median_ms * math.exp(self._rng.gauss(0.0, self.sigma))
+        return base_ms + self._pause_ms(now_ms)
+
+    def _pause_ms(self, now_ms: float) -> float:
+        """Return what is left of a short pause of the whole server."""
+        chance = self.hiccup_per_s * self.median_ms / 1000.0
+        if now_ms >= self._hiccup_until_ms and self._rng.random() < chance:
+            self._hiccup_until_ms = now_ms + self.hiccup_ms
+        return max(0.0, self._hiccup_until_ms - now_ms)
 
     def errs(self) -> bool:
         """Return whether the next answer is an error."""
@@ -93,10 +115,14 @@
         done(ports.Admission(granted=True, reason="within-rate"))
 
 
-class _Flight(msgspec.Struct, kw_only=True):
+class Attempt(msgspec.Struct, kw_only=True, eq=False):
+    """One dispatch under way."""
+
+    sink: "_Sink"
     order: ports.DispatchOrder
     server: StubServer
     started_ms: float
+    distance_ms: float
     ended: bool = False
 
 
@@ -109,7 +135,9 @@
         self.paused_until_ms = 0.0
         self.records = record_table.RecordTable()
         self.membership = host_table.HostTable()
-        self.decisions = ring.DecisionRing(wall_ms=fleet.clock.wall_ms, size=2_000)
+        self.decisions = ring.DecisionRing(
+            wall_ms=fleet.clock.wall_ms, size=2_000, listener=fleet.on_decision
+        )
         self.context = context.Context(
             host=row.host,
             data_centre=row.data_centre,
@@ -152,7 +180,7 @@
         self.fleet = fleet
         self.host = host
         self.log = log
-        self.flights: dict[str, _Flight] = {}
+        self.attempts: dict[str, Attempt] = {}
 
     def dispatch(self, order):
         self.log.attempts.append(order.server)
@@ -166,9 +194,9 @@
         self.log.ok = True
 
     def cancel(self, lease):
-        flight = self.flights.get(lease)
-        if flight is not None:
-            self.fleet.end(self, flight, ports.OutcomeKind.CANCELLED)
+        attempt = self.attempts.get(lease)
+        if attempt is not None:
+            self.fleet.end(attempt, ports.OutcomeKind.CANCELLED)
 
 
 class Fleet:
@@ -205,6 +233,7 @@
         self.rng = random.Random(seed)
         self.logs: list[RequestLog] = []
         self.keep_logs = True
+        self.listeners: list[Callable[[ring.Decision], None]] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.wasted_ms = 0.0
         self.used_ms = 0.0
@@ -244,6 +273,11 @@
         for host in self.hosts.values():
             self.at(self.rng.random() * tick_ms, lambda host=host: self._tick(host))
 
+    def on_decision(self, decision: ring.Decision) -> None:
+        """Pass a host's decision to whoever listens."""
+        for listener in self.listeners:
+            listener(decision)
+
     def publish(self, entries: tuple[types.ServerEntry, ...]) -> None:
         """Put a pool in force on every host at once."""
         self.entries = entries
@@ -338,23 +372,22 @@
         """Send an attempt to its server."""
         self.counts["attempts"] += 1
         server = self.servers[order.server]
-        flight = _Flight(order=order, server=server, started_ms=self.clock.now_ms())
-        sink.flights[order.lease] = flight
-        distance_ms = self._server_distance_ms(sink.host, order.server)
+        server.received += 1
+        attempt = Attempt(
+            sink=sink,
+            order=order,
+            server=server,
+            started_ms=self.clock.now_ms(),
+            distance_ms=self._server_distance_ms(sink.host, order.server),
+        )
+        sink.attempts[order.lease] = attempt
         if server.down:
-            self.after(
-                distance_ms, lambda: self.end(sink, flight, ports.OutcomeKind.CONNECT_FAILED)
-            )
+            refused = ports.OutcomeKind.CONNECT_FAILED
+            self.after(attempt.distance_ms, lambda: self.end(attempt, refused))
             return
-        server.busy += 1
-        server.most_busy = max(server.most_busy, server.busy)
-        if server.crashes_on and sink.log.path == server.crashes_on:
-            self.after(10.0, lambda: self.crash(server))
-        self._flights(server).append((sink, flight))
-        service_ms = server.service_ms()
-        if service_ms < math.inf:
-            kind = ports.OutcomeKind.SERVER_ERROR if server.errs() else ports.OutcomeKind.OK
-            self.after(2 * distance_ms + service_ms, lambda: self.end(sink, flight, kind))
+        server.backlog.append(attempt)
+        server.most_busy = max(server.most_busy, len(server.open_attempts))
+        self._start_next(server)
 
     def crash(self, server: StubServer) -> None:
         """Break every connection of a server, and bring it back later."""
@@ -362,37 +395,32 @@
             return
         server.down = True
         server.crashes += 1
-        for sink, flight in self._flights(server):
-            if not flight.ended:
-                self.end(sink, flight, ports.OutcomeKind.RESET)
-        self._flights(server).clear()
-        self.after(server.restart_ms, lambda: setattr(server, "down", False))
+        for attempt in server.open_attempts:
+            self.end(attempt, ports.OutcomeKind.RESET)
+        self.after(server.restart_ms, lambda: self._restart(server))
 
-    def end(self, sink: _Sink, flight: _Flight, kind: ports.OutcomeKind) -> None:
+    def end(self, attempt: Attempt, kind: ports.OutcomeKind) -> None:
         """Tell the entry host how an attempt ended."""
-        if flight.ended:
+        if attempt.ended:
             return
-        flight.ended = True
-        sink.flights.pop(flight.order.lease, None)
-        now_ms = self.clock.now_ms()
-        held_ms = now_ms - flight.started_ms
+        attempt.ended = True
+        sink, server = attempt.sink, attempt.server
+        sink.attempts.pop(attempt.order.lease, None)
+        self._leave(attempt)
+        held_ms = self.clock.now_ms() - attempt.started_ms
         self.used_ms += held_ms
-        sent = kind is not ports.OutcomeKind.CONNECT_FAILED
-        if sent:
-            flight.server.busy -= 1
-        request, lease = flight.order.request, flight.order.lease
-        good = kind in (ports.OutcomeKind.OK, ports.OutcomeKind.SERVER_ERROR)
-        chosen = good and sink.host.pipeline.commit(request, lease)
-        if chosen:
+        request, lease = attempt.order.request, attempt.order.lease
+        answered = kind in (ports.OutcomeKind.OK, ports.OutcomeKind.SERVER_ERROR)
+        if answered and sink.host.pipeline.commit(request, lease):
             sink.log.ok = kind is ports.OutcomeKind.OK
-            sink.log.ended_ms = now_ms
+            sink.log.ended_ms = self.clock.now_ms()
         else:
             self.wasted_ms += held_ms
         outcome = ports.Outcome(
             kind=kind,
             latency_ms=held_ms,
-            bytes_sent=sent,
-            draining=flight.server.draining,
+            bytes_sent=kind is not ports.OutcomeKind.CONNECT_FAILED,
+            draining=server.draining,
         )
         sink.host.pipeline.outcome(request, lease, outcome)
 
@@ -405,11 +433,32 @@
         """Stop a host for good."""
         self.hosts[name].alive = False
 
-    def _flights(self, server: StubServer) -> list[tuple[_Sink, _Flight]]:
-        rows = server.__dict__.setdefault("flights", [])
-        if len(rows) > 50:
-            rows[:] = [row for row in rows if not row[1].ended]
-        return rows
+    def _restart(self, server: StubServer) -> None:
+        server.down = False
+        server.up_since_ms = self.clock.now_ms()
+
+    def _start_next(self, server: StubServer) -> None:
+        while server.backlog and len(server.running) < SLOTS:
+            self._start(server.backlog.popleft())
+
+    def _start(self, attempt: Attempt) -> None:
+        server = attempt.server
+        server.running.append(attempt)
+        if server.crashes_on and attempt.sink.log.path == server.crashes_on:
+            self.after(CRASH_AFTER_MS, lambda: self.crash(server))
+            return
+        service_ms = server.service_ms(self.clock.now_ms())
+        if service_ms < math.inf:
+            kind = ports.OutcomeKind.SERVER_ERROR if server.errs() else ports.OutcomeKind.OK
+            self.after(2 * attempt.distance_ms + service_ms, lambda: self.end(attempt, kind))
+
+    def _leave(self, attempt: Attempt) -> None:
+        server = attempt.server
+        if attempt in server.running:
+            server.running.remove(attempt)
+            self._start_next(server)
+        elif attempt in server.backlog:
+            server.backlog.remove(attempt)
 
     def _tick(self, host: FleetHost) -> None:
         if not host.alive:
@@ -424,7 +473,7 @@
     def _probe(self, host: FleetHost, order: ports.ProbeOrder) -> None:
         self.counts["probes"] += 1
         server = self.servers[order.server]
-        delay_ms, kind = server.service_ms(), ports.OutcomeKind.OK
+        delay_ms, kind = server.service_ms(self.clock.now_ms()), ports.OutcomeKind.OK
         if server.down:
             delay_ms, kind = 1.0, ports.OutcomeKind.CONNECT_FAILED
         elif delay_ms > order.timeout_ms:
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -28,6 +28,7 @@
 _DRAIN_PROBE_MS = 5_000.0
 _PROBE_MS = 1_000.0
 _HOUSEKEEPING_MS = 1_000.0
+_SUSPECTED_RETRY_MS = 1_000.0
 _UNSURE_MS = 1_000.0
 _PROBE_OBSERVER = ids.HostId("")
 
@@ -101,6 +102,8 @@
         self._service_ms = _FIRST_SERVICE_MS
         self._serial = 0
         self._hedge_ms = 0.0
+        self._serving = False
+        self._serve_again = False
         self._housekeeping_ms = -math.inf
         self._drain_probe_ms = -math.inf
         self._made_ms = context.now_ms()
@@ -214,7 +217,11 @@
         """Take in another region's answer; without its allowance the waiting copies end."""
         self._gate.reserve_ended(fingerprint)
         if not granted:
-            self._refuse_held_back(fingerprint, "poison-suspected")
+            self._refuse_held_back(
+                lambda item: item.ask.fingerprint == fingerprint,
+                "poison-suspected",
+                _SUSPECTED_RETRY_MS,
+            )
         self._serve()
 
     def suspicion_changed(self, fingerprint: str) -> None:
@@ -344,8 +351,20 @@
         return True
 
     def _serve(self) -> None:
-        """Give free slots to the waiters, in turn by workspace."""
-        self._recheck_held_back()
+        """Give free slots to the waiters; a call from within another only repeats that one."""
+        if self._serving:
+            self._serve_again = True
+            return
+        self._serving = self._serve_again = True
+        try:
+            while self._serve_again:
+                self._serve_again = False
+                self._recheck_held_back()
+                self._serve_queue()
+        finally:
+            self._serving = False
+
+    def _serve_queue(self) -> None:
         while len(self._queue) and self._servers.in_use < self._servers.total_slots:
             waiter = self._queue.pop()
             now_ms = self._context.now_ms()
@@ -360,8 +379,8 @@
                 return
 
     def _recheck_held_back(self) -> None:
-        for _ in range(len(self._held_back)):
-            waiter = self._held_back.popleft()
+        waiters, self._held_back = self._held_back, collections.deque()
+        for waiter in waiters:
             # One copy may open the gate for one other only, so its slot is given at once.
             if self._pass_gate(waiter) and not self._grant(waiter):
                 self._queue.push(waiter.ask.workspace, waiter, front=True)
@@ -369,15 +388,19 @@
     def _shed(self, now_ms: float) -> None:
         for waiter in self._queue.remove(lambda item: item.deadline_ms <= now_ms):
             self._refuse(waiter, "deadline-passed")
-        late = [waiter for waiter in self._held_back if waiter.deadline_ms <= now_ms]
-        for waiter in late:
-            self._held_back.remove(waiter)
-            self._refuse(waiter, "deadline-passed")
+        self._refuse_held_back(lambda item: item.deadline_ms <= now_ms, "deadline-passed")
 
-    def _refuse_held_back(self, fingerprint: str, reason: str) -> None:
-        for waiter in [each for each in self._held_back if each.ask.fingerprint == fingerprint]:
-            self._held_back.remove(waiter)
-            self._refuse(waiter, reason, 1_000.0)
+    def _refuse_held_back(
+        self, unwanted: Callable[[_Waiter], bool], reason: str, retry_after_ms: float = 0.0
+    ) -> None:
+        refused = [waiter for waiter in self._held_back if unwanted(waiter)]
+        if not refused:
+            return
+        self._held_back = collections.deque(
+            waiter for waiter in self._held_back if not unwanted(waiter)
+        )
+        for waiter in refused:
+            self._refuse(waiter, reason, retry_after_ms)
 
     def _queued(self, waiter: _Waiter, reason: str) -> None:
         known = (waiter.observer, waiter.ask.number)
