Stand-ins for platform, backend servers, network and callers

Real processes for tests and the demo, each on a free loopback port and steered over control paths. A backend server prints each run that it begins, so at-most-once can be proved after a crash. The proxy names the source of a connection by its process, so that one rule covers both directions' connections of a pair of hosts.

No daemon takes part yet.

--- /dev/null
+++ b/standins/tests/test_standins.py
@@ -0,0 +1,176 @@
+"""Tests of the stand-ins as real processes, without a daemon."""
+
+import http.client
+import signal
+import socket
+
+import pytest
+
+from standins import behaviours, child, fault_proxy, fleet, platform, serving
+
+
+@pytest.fixture(scope="module")
+def processes():
+    with fleet.Fleet() as running:
+        specs = [
+            fleet.ServerSpec(server=name, service="svc", data_centre="d") for name in ("s1", "s2")
+        ]
+        running.start_servers(specs, service_ms=1.0)
+        yield running
+
+
+@pytest.fixture
+def server(processes):
+    yield processes
+    processes.set_server_faults("s1", [])
+    processes.set_rule(None)
+
+
+def ask(running, target="/x", method="GET", through="address", body=None, **headers):
+    entry = running._servers["s1"]
+    port = entry.port if through == "port" else int(entry.address.split(":")[1])
+    connection = http.client.HTTPConnection(serving.LOOPBACK, port, timeout=2.0)
+    headers = {name.replace("_", "-"): value for name, value in headers.items()}
+    connection.request(method, target, body=body, headers={"X-Request-Id": "q"} | headers)
+    return connection.getresponse()
+
+
+def test_answer_repeats_the_identifier_and_has_the_asked_size(server):
+    answer = ask(server, "/x?size=100000")
+    assert answer.getheader("X-Request-Id") == "q"
+    assert len(answer.read()) == 100_000
+
+
+def test_large_body_is_streamed(server):
+    answer = ask(server, "/x?size=200000000", through="port")
+    total = 0
+    while block := answer.read(1_000_000):
+        total += len(block)
+    assert total == 200_000_000
+
+
+def test_runs_are_counted_by_request_and_key(server):
+    for _ in range(2):
+        ask(server, method="POST", X_Request_Id="twice", Idempotency_Key="k", X_Workspace="w")
+    counts = serving.call(server._servers["s1"].port, "/control/runs")
+    assert (counts["by_request"]["twice"], counts["by_key"]["w/k"]) == (2, 2)
+    assert [run.key for run in server.runs() if run.request == "twice"] == ["k", "k"]
+
+
+@pytest.mark.parametrize("header", ["Authorization", "X_Api_Key", "Cookie"])
+def test_secret_that_reaches_the_server_is_noted(server, header):
+    ask(server, X_Request_Id=header, **{header: "secret-1"})
+    assert [run.secret for run in server.runs() if run.request == header] == [True]
+
+
+def test_errors_sheds_and_deadlines(server):
+    server.set_server_faults("s1", [behaviours.Fault(name="error")])
+    assert ask(server).status == 500
+    server.set_server_faults("s1", [behaviours.Fault(name="shed")])
+    answer = ask(server, X_Request_Id="shed")
+    assert (answer.status, answer.getheader("X-Not-Run")) == (503, "true")
+    assert not [run for run in server.runs() if run.request == "shed"]
+    server.set_server_faults("s1", [behaviours.Fault(name="stall")])
+    assert ask(server, X_Deadline_Ms="20").status == 504
+
+
+@pytest.mark.parametrize("mode", ["length", "chunked"])
+def test_truncated_answer_is_noticed_by_its_reader(server, mode):
+    server.set_server_faults("s1", [behaviours.Fault(name="truncate", mode=mode)])
+    with pytest.raises(http.client.IncompleteRead):
+        ask(server, "/x?size=300000").read()
+
+
+def test_crossed_answer_carries_another_identifier(server):
+    ask(server, "/first", X_Request_Id="first").read()
+    server.set_server_faults("s1", [behaviours.Fault(name="cross")])
+    answer = ask(server, "/second", X_Request_Id="second")
+    assert answer.getheader("X-Request-Id") == "first"
+    assert answer.read().startswith(b"/first\n")
+
+
+def test_behaviours_combine_and_health_misleads(server):
+    faults = [behaviours.Fault(name="error"), behaviours.Fault(name="mislead")]
+    server.set_server_faults("s1", faults)
+    assert (ask(server).status, ask(server, "/health").status) == (500, 200)
+
+
+def test_chunked_upload_is_read_whole(server):
+    blocks = iter([b"ab", b"c"])
+    first = ask(server, method="POST", body=blocks).getheader("X-Body-Checksum")
+    assert first == ask(server, method="POST", body=b"abc").getheader("X-Body-Checksum")
+
+
+def test_marked_request_crashes_the_server_and_stays_counted(processes):
+    processes.set_server_faults("s2", [behaviours.Fault(name="crash")])
+    entry = processes._servers["s2"]
+    with pytest.raises(serving.CallError):
+        serving.call(entry.port, "/x?crash=1")
+    assert entry.process.wait(5.0) == 70
+    assert [run.server for run in processes.runs() if run.server == "s2"] == ["s2"]
+
+
+def test_swallowed_direction_leaves_the_connection_open(server):
+    server.set_rule(fault_proxy.Rule(source=("s1",), target=("",), swallow=True))
+    with pytest.raises(TimeoutError):
+        ask(server, X_Request_Id="unanswered")
+    assert [run for run in server.runs() if run.request == "unanswered"]
+
+
+def test_reset_rule_resets(server):
+    server.set_rule(fault_proxy.Rule(source=("",), target=("s1",), reset=True))
+    with pytest.raises((ConnectionError, http.client.RemoteDisconnected)):
+        ask(server)
+
+
+def test_delay_and_bandwidth_keep_the_answer_whole(server):
+    rule = fault_proxy.Rule(source=("s1",), target=("",), delay_ms=20.0, kbit_per_s=30_000.0)
+    server.set_rule(rule)
+    assert len(ask(server, "/x?size=200000").read()) == 200_000
+
+
+def test_paused_child_is_killed_and_its_port_closed(tmp_path):
+    process = child.Child(name="p", arguments=("-m", "standins.platform"), directory=tmp_path)
+    port = process.read_port()
+    process.send_signal(signal.SIGSTOP)
+    process.kill()
+    assert process.exit_code == -signal.SIGKILL
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection((serving.LOOPBACK, port))
+
+
+def read(running, path, reader):
+    port = running._platform_port
+    connection = http.client.HTTPConnection(serving.LOOPBACK, port, timeout=5.0)
+    connection.request("GET", path, headers={"X-Reader": reader})
+    answer = connection.getresponse()
+    return answer.status, answer.read()
+
+
+def test_platform_serves_changes_faults_and_counts(processes):
+    processes.publish("workspace", "w", {"rate_per_s": 1, "burst": 1})
+    processes.publish("workspace", "w", {"rate_per_s": 2, "burst": 1})
+    processes.platform_fault(platform.ReaderFault(reader="old", stale=True))
+    processes.publish("workspace", "w", None)
+    status, body = read(processes, "/v1/records?after=1&wait_ms=0", "new")
+    assert (status, b'"revision":3' in body, b'"spec":null' in body) == (200, True, True)
+    _, body = read(processes, "/v1/records?after=0&wait_ms=0", "old")
+    assert b'"rate_per_s":2' in body
+    processes.platform_fault(platform.ReaderFault(outage=True))
+    assert read(processes, "/v1/hosts?after=0&wait_ms=0", "new")[0] == 503
+    processes.platform_fault(None)
+    assert processes.platform_calls() == {"new": 2, "old": 1}
+
+
+def test_platform_splits_large_answers(processes):
+    for index in range(12):
+        processes.publish("route", f"large{index}", {"path_prefix": "/" + "x" * 100_000})
+    after, answers = 3, 0
+    while True:
+        _, body = read(processes, f"/v1/records?after={after}&wait_ms=0", "pages")
+        page = platform.msgspec.json.decode(body, type=platform.RecordPage)
+        assert len(body) <= 1_000_000
+        after, answers = page.revision, answers + 1
+        if page.complete:
+            break
+    assert (after, answers) == (15, 2)
