--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,3 +1,12 @@
 """Stand-ins for the platform, backend servers, callers and the network, for tests and demos."""
 
-__all__ = ["backend", "behaviours", "caller", "child", "fault_proxy", "fleet", "platform", "serving"]
+__all__ = [
+    "backend",
+    "behaviours",
+    "caller",
+    "child",
+    "fault_proxy",
+    "fleet",
+    "platform",
+    "serving",
+]
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -82,7 +82,10 @@
 
 
 class Row(msgspec.Struct, frozen=True, kw_only=True):
-    """Result of one request; times are milliseconds, ``started_ms`` since the epoch."""
+    """Result of one request; times are milliseconds, ``started_ms`` since the epoch.
+
+    ``connections`` counts those opened to the target so far.
+    """
 
     number: int
     verdict: Verdict
@@ -95,6 +98,7 @@
     request: str = ""
     key: str = ""
     server: str = ""
+    connections: int = 0
 
 
 class _Problem(msgspec.Struct):
@@ -111,17 +115,15 @@
     ----------
     load : Load
         What to send.
-    unlisted : callable
-        Returns the addresses that the balancer no longer sends new work to.
+    avoided : callable
+        Returns the addresses that the balancer sends no new work to.
     """
 
-    def __init__(
-        self, *, load: Load, unlisted: Callable[[], set[str]] = frozenset  # type: ignore
-    ) -> None:
+    def __init__(self, *, load: Load, avoided: Callable[[], set[str]] = set) -> None:
         self.load = load
         self.rows: list[Row] = []
         self.done = event.Event()
-        self._unlisted = unlisted
+        self._avoided = avoided
         self._turns = itertools.count()
         size = 1 if load.one_connection else _MAX_CONNECTIONS
         self._pools = {
@@ -203,10 +205,11 @@
             not_run=str(problem.not_run).lower(),
             request=answer.headers.get("X-Request-Id", ""),
             server=answer.headers.get("X-Server", ""),
+            connections=self._pools[row.target].num_connections,
         )
 
     def _next_target(self) -> str:
-        avoided = self._unlisted()
+        avoided = self._avoided()
         listed = [each for each in self.load.targets if each not in avoided] or self.load.targets
         return listed[next(self._turns) % len(listed)]
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -36,6 +36,8 @@
 [platform]
 urls = ["http://127.0.0.1:{platform}"]
 [decisions]
+seed = {seed}
+ring_size = 65536
 {decisions}
 """
 
@@ -92,7 +94,7 @@
     def __init__(self, *, seed: int = 1, proxied: bool = True, decisions: str = "") -> None:
         self._seed = seed
         self._proxied = proxied
-        self._decisions = f"seed = {seed}\n{decisions}"
+        self._decisions = decisions
         self._folder = tempfile.TemporaryDirectory(prefix="verbenadrum-")
         self.directory = pathlib.Path(self._folder.name)
         self._children: list[child.Child] = []
@@ -323,6 +325,7 @@
                 peers=ports[2],
                 seeds=seeds,
                 platform=self._platform_port,
+                seed=self._seed + len(self._hosts),
                 decisions=self._decisions,
             )
         )
