--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 SOURCES := verbenadrum standins scenarios benchmarks
 
-.PHONY: env test format demo bench measure capacity
+.PHONY: env test format demo scenarios bench measure capacity
 
 env: $(BIN)/.installed
 
@@ -25,6 +25,9 @@
 demo: env
 	$(BIN)/python -m standins.demo
 
+scenarios: env
+	$(BIN)/python -m scenarios.run scenarios/*.scenario
+
 bench: env
 	$(BIN)/python -m benchmarks.added_latency
 
--- a/scenarios/run.py
+++ b/scenarios/run.py
@@ -1,7 +1,7 @@
-"""Runs one scenario file: ``python -m scenarios.run scenarios/NAME.scenario``.
+"""Runs scenario files: ``python -m scenarios.run scenarios/NAME.scenario``.
 
-It exits with 0 if every expectation and promise was kept, 1 if one was not, and 2 if the scenario
-could not be run.
+It exits with 0 if every expectation and promise was kept, 1 if one was not, and 2 if a scenario
+could not be run. Several files run one after the other.
 """
 
 if __name__ == "__main__":
@@ -11,6 +11,7 @@
     monkey.patch_all()
 
 import pathlib
+import signal
 import sys
 import time
 
@@ -25,6 +26,9 @@
 _SEED = flags.DEFINE_integer("seed", None, "Seed in place of the scenario's own.")
 _KEEP_LOGS = flags.DEFINE_boolean("logs", False, "Print the hosts' logs after a failure.")
 
+EXIT_KEPT = 0
+EXIT_BROKEN = 1
+EXIT_NOT_RUN = 2
 _LOAD_TIMEOUT_S = 120.0
 _AFTERMATH_S = 1.0
 
@@ -56,12 +60,21 @@
 
 
 def main(argv: list[str]) -> int:
-    """Run the scenario of the first argument."""
-    if len(argv) != 2:
-        print("usage: python -m scenarios.run FILE.scenario", file=sys.stderr)
-        return 2
+    """Run the scenarios of the arguments, and return the greatest exit code."""
+    if len(argv) < 2:
+        print("usage: python -m scenarios.run FILE.scenario ...", file=sys.stderr)
+        return EXIT_NOT_RUN
+    # An end by SIGTERM, like one by Ctrl-C, must still end the children.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    codes = {path: _run_file(path) for path in argv[1:]}
+    if len(codes) > 1:
+        print("\n".join(f"{code} {path}" for path, code in codes.items()))
+    return max(codes.values())
+
+
+def _run_file(path: str) -> int:
     try:
-        scenario = language.load_scenario(pathlib.Path(argv[1]))
+        scenario = language.load_scenario(pathlib.Path(path))
         scenario.seed = scenario.seed if _SEED.value is None else _SEED.value
         return _run(scenario)
     except (
@@ -70,8 +83,8 @@
         serving.CallError,
         stage.SettleError,
     ) as error:
-        print(f"cannot run {argv[1]}: {error}", file=sys.stderr)
-        return 2
+        print(f"cannot run {path}: {error}", file=sys.stderr)
+        return EXIT_NOT_RUN
 
 
 def _run(scenario: language.Scenario) -> int:
@@ -85,7 +98,7 @@
         if _KEEP_LOGS.value and not kept:
             for path in sorted(running.directory.glob("*.err")):
                 print(f"--- {path.name}\n{path.read_text(errors='replace')}")
-    return 0 if kept else 1
+    return EXIT_KEPT if kept else EXIT_BROKEN
 
 
 if __name__ == "__main__":
--- a/scenarios/stage.py
+++ b/scenarios/stage.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 import gevent
+import msgspec
 
 from scenarios import language
 from standins import behaviours, caller, fleet
@@ -62,10 +63,13 @@
         self.fleet.start_hosts(self.scenario.hosts)
         self.settled_ms = time.time() * 1000.0
         for workspace in self.scenario.workspaces:
-            gevent.joinall(
-                [gevent.spawn(self._settle, host, workspace.keys[0]) for host in self.fleet.hosts],
-                raise_error=True,
-            )
+            waits = [
+                gevent.spawn(self._settle, host, workspace.keys[0]) for host in self.fleet.hosts
+            ]
+            gevent.joinall(waits)
+            if not all(wait.value for wait in waits):
+                newest = self.settle_rows[-1]
+                raise SettleError(f"a host has no whole answer for {workspace.name}: {newest}")
         self.begun_ms = time.time() * 1000.0
 
     def publish_pool(self, service: str) -> None:
@@ -104,7 +108,7 @@
         hosts = self.fleet.hosts if load.targets == (_ANY,) else load.targets
         addresses = tuple(self.fleet.caller_address(host) for host in hosts)
         run = caller.LoadRun(
-            load=caller.msgspec.structs.replace(load, targets=addresses),
+            load=msgspec.structs.replace(load, targets=addresses),
             avoided=lambda: {self.fleet.caller_address(host) for host in self.closed},
         )
         self.loads[load.name] = run
@@ -150,7 +154,8 @@
                 spec = {"workspace": workspace.name, "sha256": keys.hash_key(key)}
                 self.fleet.publish("key", key, spec)
 
-    def _settle(self, host: str, key: str) -> None:
+    def _settle(self, host: str, key: str) -> bool:
+        """Ask through one host until it gives a whole answer, a bounded number of times."""
         load = caller.Load(
             name=f"settle-{host}",
             targets=(self.fleet.caller_address(host),),
@@ -164,6 +169,6 @@
             run.run()
             self.settle_rows += run.rows
             if run.rows[-1].verdict is caller.Verdict.WHOLE:
-                return
+                return True
             gevent.sleep(_SETTLE_PAUSE_S)
-        raise SettleError(f"{host} answers {key}: {run.rows[-1]}")
+        return False
