--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -21,6 +21,7 @@
     "ClaimState",
     "ClaimPort",
     "DispatchOrder",
+    "EarlierList",
     "Epoch",
     "EpochPort",
     "HostRow",
@@ -121,6 +122,14 @@
         """Return up to ``count`` live hosts in rendezvous order, unreachable ones last."""
 
 
+class EarlierList(msgspec.Struct, frozen=True, kw_only=True):
+    """A host list that may have been in force until ``until_wall_ms``."""
+
+    revision: int
+    members: tuple[ids.HostId, ...]
+    until_wall_ms: float
+
+
 class Epoch(msgspec.Struct, frozen=True, kw_only=True):
     """A host list that is in force in one data centre under majority vouching.
 
@@ -144,6 +153,13 @@
         Wall time from which this host holds the epoch.
     valid_until_ms : float
         Monotonic time of this host until which epoch and share last.
+    intermediate : tuple of tuple of HostId
+        Members of each list between ``members`` and ``next_members`` that may be in force
+        elsewhere.
+    earlier : tuple of EarlierList
+        Every list that may have been in force since ``known_since_wall_ms``, oldest first.
+    known_since_wall_ms : float
+        Wall time since which this host knows without a gap which lists were in force.
     """
 
     scope: ids.EpochScope
@@ -154,18 +170,21 @@
     share: float
     since_wall_ms: float
     valid_until_ms: float
+    intermediate: tuple[tuple[ids.HostId, ...], ...] = ()
+    earlier: tuple[EarlierList, ...] = ()
+    known_since_wall_ms: float = float("inf")
 
     @property
     def settled(self) -> bool:
         """Whether no move to a later list is under way."""
-        return self.members == self.next_members
+        return self.members == self.next_members and not self.intermediate
 
 
 class EpochPort(typing.Protocol):
     """Gives the one host list of this host's data centre that hard rules may rest on.
 
     In every schedule, settled and valid epochs of one scope and generation have the same
-    revision at any instant, and the valid shares sum to at most 1, as far as the clocks of hosts
+    members at any instant, and the valid shares sum to at most 1, as far as the clocks of hosts
     run at the same rate.
     """
 
