--- a/verbenadrum/core/behaviours.py
+++ b/verbenadrum/core/behaviours.py
@@ -1,7 +1,7 @@
 """Imports every module that registers a behaviour, so that settings can select it."""
 
 from verbenadrum.claims import local
-from verbenadrum.epochs import listed
+from verbenadrum.epochs import listed, vouched
 from verbenadrum.health import consecutive, sequential
 from verbenadrum.limits import static_split
 from verbenadrum.placement import pool_home, power_of_two
@@ -14,4 +14,5 @@
     "power_of_two",
     "sequential",
     "static_split",
+    "vouched",
 ]
