--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,346 @@
+"""Measures how the limiters serve workspaces that stay within their rate, and one that does not.
+
+Run ``python -m benchmarks.limits`` for a table, or with seeds as arguments. Each request of the
+in-rate rows is one that a single bucket of the workspace's rate and burst would admit, so every
+refusal of one is the limiter's own doing.
+"""
+
+import random
+import sys
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from benchmarks import experiment, limits_fleet
+from verbenadrum import ids
+from verbenadrum.core import ports
+from verbenadrum.limits import bucket, escrow, partitions, reference
+from verbenadrum.records import types
+
+__all__ = ["BEHAVIOURS", "DEPLOYMENTS", "measure_in_rate", "measure_over_rate"]
+
+_WARM_MS = 8_000.0
+_RUN_MS = 60_000.0
+_TAIL_MS = 3_000.0
+_LOAD = 0.8
+_REPLACE_EVERY_MS = 15_000.0
+_LEAVING_MS = 3_000.0
+_READY_MS = 3_000.0
+_EPOCH_MOVES_MS = 5_000.0
+_LIST_LAG_MS = (500.0, 3_000.0)
+_LINK_TARGET_BYTES_PER_S = 0.01 * 30e6 / 8
+_MS_PER_S = 1000.0
+
+# Rate and burst of each workspace.
+DEPLOYMENTS: dict[str, tuple[tuple[float, float], ...]] = {
+    "board": ((200, 400), (120, 240), (60, 120), (20, 40), (10, 20), (5, 10), (2, 4), (2, 4)),
+    "forja": ((150, 300), (100, 200), (30, 60), (8, 16), (4, 8), (2, 4), (2, 4), (1, 4)),
+}
+
+
+def _data_centre_escrow(**arguments: object) -> escrow.EscrowLimiter:
+    return escrow.EscrowLimiter(scope=partitions.Scope.DATA_CENTRE, **arguments)
+
+
+BEHAVIOURS: dict[str, Callable[..., ports.Limiter] | str] = {
+    "escrow": "escrow",
+    "escrow, data centre homes": _data_centre_escrow,
+    "static_split": "static_split",
+    "global_owner": "global_owner",
+}
+
+
+class Result(msgspec.Struct, kw_only=True):
+    """Totals of one run."""
+
+    sent: int
+    refused: int
+    excess: float
+    admitted_part: float
+    wait_p99_ms: float
+    link_bytes_per_s: float
+    messages_per_s: float
+    busiest_messages_per_s: float
+    cpu_ms_per_s: float
+
+
+class Traffic:
+    """Requests of every workspace at random hosts that a balancer holds ready.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Where they go.
+    limits : tuple
+        Rate and burst of each workspace.
+    load : float
+        Mean of the sending rate over the workspace's rate.
+    sides : tuple of str
+        Regions whose requests are kept within equal parts of the limit each; empty where the
+        limit holds for all of them together.
+    in_rate : bool
+        Whether requests that a single bucket refuses are left out.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: limits_fleet.Fleet,
+        limits: tuple[tuple[float, float], ...],
+        load: float,
+        sides: tuple[str, ...] = (),
+        in_rate: bool = True,
+    ) -> None:
+        self._fleet = fleet
+        self._rng = random.Random(11)
+        self._load = load
+        self._in_rate = in_rate
+        self.ready: set[ids.HostId] = set(fleet.names)
+        for index, (rate, burst) in enumerate(limits):
+            for side in sides or ("",):
+                parts = max(1, len(sides))
+                self._start(ids.WorkspaceId(f"w{index}"), side, rate / parts, burst / parts)
+
+    def _start(self, workspace: ids.WorkspaceId, side: str, rate: float, burst: float) -> None:
+        allowance = bucket.TokenBucket(now_ms=_WARM_MS, tokens=burst, rate_per_s=rate, burst=burst)
+
+        def fire() -> None:
+            now_ms = self._fleet.now_ms
+            if not self._in_rate or allowance.take(now_ms=now_ms):
+                self._fleet.request(self._choose(side), workspace)
+            schedule()
+
+        def schedule() -> None:
+            gap_ms = self._rng.expovariate(self._load * rate) * _MS_PER_S
+            if self._fleet.now_ms + gap_ms < _WARM_MS + _RUN_MS:
+                self._fleet.at(self._fleet.now_ms + gap_ms, fire)
+
+        self._fleet.at(_WARM_MS, schedule)
+
+    def _choose(self, side: str) -> ids.HostId:
+        names = [
+            name
+            for name in sorted(self.ready & self._fleet.hosts.keys())
+            if not side or self._fleet.hosts[name].row.region == side
+        ]
+        return self._rng.choice(names)
+
+
+class Replacements:
+    """Replaces one host in ten each minute, by turns with notice and without."""
+
+    def __init__(self, *, fleet: limits_fleet.Fleet, traffic: Traffic, seed: int) -> None:
+        self._fleet = fleet
+        self._traffic = traffic
+        self._rng = random.Random(seed)
+        self._count = 0
+        fleet.at(_WARM_MS + _REPLACE_EVERY_MS / 2, self._next)
+
+    def _next(self) -> None:
+        fleet = self._fleet
+        if fleet.now_ms > _WARM_MS + _RUN_MS:
+            return
+        fleet.at(fleet.now_ms + _REPLACE_EVERY_MS, self._next)
+        name = self._rng.choice(sorted(self._traffic.ready & fleet.hosts.keys()))
+        self._count += 1
+        row = fleet.hosts[name].row
+        self._join(msgspec.structs.replace(row, host=ids.HostId(f"{name}n{self._count}")))
+        self._traffic.ready.discard(name)
+        if self._count % 2:
+            self._publish(frozenset({name}))
+            fleet.at(fleet.now_ms + _LEAVING_MS, lambda: self._end(name))
+        else:
+            self._end(name)
+
+    def _join(self, row: ports.HostRow) -> None:
+        self._fleet.add(row, member=False)
+        self._publish(frozenset())
+        members = self._fleet.book.members[row.data_centre]
+        now_ms = self._fleet.now_ms
+        self._fleet.at(now_ms + _EPOCH_MOVES_MS, lambda: members.add(row.host))
+        self._fleet.at(now_ms + _READY_MS, lambda: self._traffic.ready.add(row.host))
+
+    def _end(self, name: ids.HostId) -> None:
+        members = self._fleet.book.members[self._fleet.hosts[name].row.data_centre]
+        self._fleet.remove(name)
+        members.add(name)
+        self._fleet.at(self._fleet.now_ms + _EPOCH_MOVES_MS, lambda: members.discard(name))
+        self._publish(frozenset())
+
+    def _publish(self, leaving: frozenset[ids.HostId]) -> None:
+        self._fleet.publish_hosts(lag_ms=lambda: self._rng.uniform(*_LIST_LAG_MS), leaving=leaving)
+
+
+def _make_fleet(
+    behaviour: str, limits: tuple[tuple[float, float], ...], seed: int
+) -> limits_fleet.Fleet:
+    fleet = limits_fleet.Fleet(seed=seed, make=BEHAVIOURS[behaviour])
+    rows = limits_fleet.layout(2, 2, 10)
+    centres = sorted({(row.data_centre, row.region) for row in rows})
+    shares = tuple(types.DataCentreShare(data_centre=name, region=at) for name, at in centres)
+    fleet.publish(types.RecordKind.FLEET, "fleet", types.FleetSpec(data_centres=shares))
+    for index, (rate, burst) in enumerate(limits):
+        spec = types.WorkspaceSpec(rate_per_s=rate, burst=burst)
+        fleet.publish(types.RecordKind.WORKSPACE, f"w{index}", spec)
+    for row in rows:
+        fleet.add(row)
+    fleet.publish_hosts()
+    return fleet
+
+
+def _run(fleet: limits_fleet.Fleet, limits: tuple[tuple[float, float], ...]) -> Result:
+    fleet.run(_WARM_MS)
+    fleet.sent.clear()
+    fleet.measure_bytes = True
+    started = time.process_time()
+    fleet.run(_WARM_MS + _RUN_MS + _TAIL_MS)
+    spent_ms = (time.process_time() - started) * _MS_PER_S
+    seconds = (_RUN_MS + _TAIL_MS) / _MS_PER_S
+    ended = [row for row in fleet.log if row.granted is not None]
+    waits = sorted(row.ended_ms - row.at_ms for row in ended if row.granted) or [0.0]
+    admitted = {f"w{index}": fleet.admitted(f"w{index}") for index in range(len(limits))}
+    return Result(
+        sent=len(ended),
+        refused=sum(not row.granted for row in ended),
+        excess=max(
+            reference.excess(admitted[f"w{index}"], rate_per_s=rate, burst=burst)
+            for index, (rate, burst) in enumerate(limits)
+        ),
+        admitted_part=min(
+            sum(at_ms < _WARM_MS + _RUN_MS for at_ms in admitted[f"w{index}"])
+            / (rate * _RUN_MS / _MS_PER_S)
+            for index, (rate, _) in enumerate(limits)
+        ),
+        wait_p99_ms=waits[int(len(waits) * 0.99)],
+        link_bytes_per_s=max(fleet.link_bytes.values(), default=0) / seconds,
+        messages_per_s=sum(fleet.sent.values()) / len(fleet.hosts) / seconds,
+        busiest_messages_per_s=max(fleet.sent.values(), default=0) / seconds,
+        cpu_ms_per_s=spent_ms / len(fleet.hosts) / seconds,
+    )
+
+
+def measure_in_rate(behaviour: str, deployment: str, script: str, seed: int) -> Result:
+    """Run requests within every rate under ``quiet``, ``replaced`` or ``cut``."""
+    limits = DEPLOYMENTS[deployment]
+    fleet = _make_fleet(behaviour, limits, seed)
+    sides = ("r0", "r1") if script == "cut" else ()
+    traffic = Traffic(fleet=fleet, limits=limits, load=_LOAD, sides=sides)
+    if script == "replaced":
+        Replacements(fleet=fleet, traffic=traffic, seed=seed)
+    if script == "cut":
+        cut = {("r0", "r1"), ("r1", "r0")}
+        fleet.at(_WARM_MS + 5_000.0, lambda: fleet.faults.cut.update(cut))
+    return _run(fleet, limits)
+
+
+def measure_over_rate(behaviour: str, deployment: str, seed: int) -> Result:
+    """Run a sender of five times its rate in every workspace."""
+    limits = DEPLOYMENTS[deployment]
+    fleet = _make_fleet(behaviour, limits, seed)
+    Traffic(fleet=fleet, limits=limits, load=5.0, in_rate=False)
+    return _run(fleet, limits)
+
+
+_SCRIPTS = (
+    ("quiet", "in-rate requests refused, no fault (%)", 0.01),
+    ("replaced", "in-rate requests refused, 1 host in 10 replaced a minute (%)", 0.1),
+    ("cut", "in-rate requests refused, regions cut (%)", 0.5),
+)
+
+
+@experiment.experiments.register("limits-in-rate")
+def in_rate(seed: int) -> list[experiment.Row]:
+    """Return in-rate refusals, excess and control traffic of every limiter."""
+    rows = []
+    for deployment in DEPLOYMENTS:
+        for script, measure, target in _SCRIPTS:
+            for behaviour in BEHAVIOURS:
+                result = measure_in_rate(behaviour, deployment, script, seed)
+                rows.extend(_rows(result, behaviour, deployment, script, measure, target))
+    return rows
+
+
+@experiment.experiments.register("limits-over-rate")
+def over_rate(seed: int) -> list[experiment.Row]:
+    """Return what a sender of five times its rate gets under every limiter."""
+    rows = []
+    for deployment in DEPLOYMENTS:
+        for behaviour in BEHAVIOURS:
+            result = measure_over_rate(behaviour, deployment, seed)
+            rows.append(
+                experiment.Row(
+                    measure="least admitted part of the rate, sending 5x (%)",
+                    behaviour=behaviour,
+                    value=100.0 * result.admitted_part,
+                    target=95.0,
+                    at_most=False,
+                    note=f"{deployment}, seed {seed}",
+                )
+            )
+            rows.append(_excess_row(result, behaviour, f"{deployment}, 5x, seed {seed}"))
+    return rows
+
+
+def _excess_row(result: Result, behaviour: str, note: str) -> experiment.Row:
+    return experiment.Row(
+        measure="most admitted above burst + rate x window (requests)",
+        behaviour=behaviour,
+        value=max(0.0, round(result.excess, 6)),
+        target=0.0,
+        note=note,
+    )
+
+
+def _rows(
+    result: Result,
+    behaviour: str,
+    deployment: str,
+    script: str,
+    measure: str,
+    target: float,
+) -> list[experiment.Row]:
+    note = f"{deployment}, {script}, {result.sent} requests"
+    figures = (
+        (measure, 100.0 * result.refused / result.sent, target),
+        ("wait for a token at p99 (ms)", result.wait_p99_ms, None),
+        ("limiter bytes over the region link (B/s)", result.link_bytes_per_s, None),
+        ("limiter messages a host sends (1/s)", result.messages_per_s, None),
+    )
+    rows = [
+        experiment.Row(measure=name, behaviour=behaviour, value=value, target=bound, note=note)
+        for name, value, bound in figures
+    ]
+    return [*rows, _excess_row(result, behaviour, note)]
+
+
+def main(seeds: list[int]) -> None:
+    """Print one line for each run."""
+    print(
+        "deployment script behaviour seed sent refused% excess admitted% wait99_ms link_B/s"
+        " msgs/s busiest cpu_ms/s"
+    )
+    for deployment in DEPLOYMENTS:
+        for script in (*(name for name, _, _ in _SCRIPTS), "5x"):
+            for behaviour in BEHAVIOURS:
+                for seed in seeds:
+                    if script == "5x":
+                        result = measure_over_rate(behaviour, deployment, seed)
+                    else:
+                        result = measure_in_rate(behaviour, deployment, script, seed)
+                    _print(deployment, script, behaviour, seed, result)
+
+
+def _print(deployment: str, script: str, behaviour: str, seed: int, result: Result) -> None:
+    print(
+        f"{deployment:6} {script:9} {behaviour:26} {seed:3} {result.sent:6}"
+        f" {100 * result.refused / result.sent:8.4f} {result.excess:9.3f}"
+        f" {100 * result.admitted_part:6.1f} {result.wait_p99_ms:8.1f}"
+        f" {result.link_bytes_per_s:8.0f} {result.messages_per_s:7.1f}"
+        f" {result.busiest_messages_per_s:7.1f} {result.cpu_ms_per_s:6.2f}",
+        flush=True,
+    )
+
+
+if __name__ == "__main__":
+    main([int(argument) for argument in sys.argv[1:]] or [1])
--- a/verbenadrum/limits/tests/test_bound.py
+++ b/verbenadrum/limits/tests/test_bound.py
@@ -116,6 +116,31 @@
     def load(self, for_ms):
         flood(self.fleet, for_ms, self.rng)
 
+    @stateful.rule(for_ms=st.sampled_from([400.0, 2_000.0]))
+    def load_within_rate(self, for_ms):
+        """Let entry hosts hold tokens ahead of demand."""
+        end_ms = self.fleet.now_ms + for_ms
+        while self.fleet.now_ms < end_ms:
+            self.fleet.request(self.rng.choice(self.fleet.names), "large")
+            self.fleet.run(self.fleet.now_ms + 25.0)
+
+    @stateful.rule(
+        region=st.sampled_from(["r0", "r1"]),
+        name=st.sampled_from(sorted(LIMITS)),
+        for_ms=st.sampled_from([0.0, 1_500.0, 6_000.0]),
+        delisted=st.booleans(),
+    )
+    def move_home(self, region, name, for_ms, delisted):
+        """Give a partition another home while the first one pauses, or its leases last."""
+        fleet = self.fleet
+        hosts = [host for host in fleet.hosts.values() if host.row.region == region]
+        homes = [host.row.host for host in hosts if host.limiter.lent_share(name) > 0]
+        for home in homes:
+            if for_ms:
+                fleet.pause(home, for_ms)
+            if delisted:
+                fleet.publish_hosts(leaving=frozenset({home}))
+
     @stateful.rule(for_ms=st.sampled_from([500.0, 4_000.0, 20_000.0]))
     def rest(self, for_ms):
         self.fleet.run(self.fleet.now_ms + for_ms)
