--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -31,6 +31,7 @@
 _LIST_LAG_MS = (500.0, 3_000.0)
 _LINK_TARGET_BYTES_PER_S = 0.01 * 30e6 / 8
 _MS_PER_S = 1000.0
+_SIDES = {"cut": ("r0", "r1"), "one-sided": ("r0",)}
 
 # Rate and burst of each workspace.
 DEPLOYMENTS: dict[str, tuple[tuple[float, float], ...]] = {
@@ -76,6 +77,8 @@
         Rate and burst of each workspace.
     load : float
         Mean of the sending rate over the workspace's rate.
+    seed : int
+        Seed of times and hosts.
     sides : tuple of str
         Regions whose requests are kept within equal parts of the limit each; empty where the
         limit holds for all of them together.
@@ -89,11 +92,12 @@
         fleet: limits_fleet.Fleet,
         limits: tuple[tuple[float, float], ...],
         load: float,
+        seed: int,
         sides: tuple[str, ...] = (),
         in_rate: bool = True,
     ) -> None:
         self._fleet = fleet
-        self._rng = random.Random(11)
+        self._rng = random.Random(seed)
         self._load = load
         self._in_rate = in_rate
         self.ready: set[ids.HostId] = set(fleet.names)
@@ -221,11 +225,12 @@
 
 
 def measure_in_rate(behaviour: str, deployment: str, script: str, seed: int) -> Result:
-    """Run requests within every rate under ``quiet``, ``replaced`` or ``cut``."""
+    """Run requests within every rate under one of ``_SCRIPTS``."""
     limits = DEPLOYMENTS[deployment]
     fleet = _make_fleet(behaviour, limits, seed)
-    sides = ("r0", "r1") if script == "cut" else ()
-    traffic = Traffic(fleet=fleet, limits=limits, load=_LOAD, sides=sides)
+    traffic = Traffic(
+        fleet=fleet, limits=limits, load=_LOAD, seed=seed, sides=_SIDES.get(script, ())
+    )
     if script == "replaced":
         Replacements(fleet=fleet, traffic=traffic, seed=seed)
     if script == "cut":
@@ -238,7 +243,7 @@
     """Run a sender of five times its rate in every workspace."""
     limits = DEPLOYMENTS[deployment]
     fleet = _make_fleet(behaviour, limits, seed)
-    Traffic(fleet=fleet, limits=limits, load=5.0, in_rate=False)
+    Traffic(fleet=fleet, limits=limits, load=5.0, seed=seed, in_rate=False)
     return _run(fleet, limits)
 
 
@@ -246,6 +251,7 @@
     ("quiet", "in-rate requests refused, no fault (%)", 0.01),
     ("replaced", "in-rate requests refused, 1 host in 10 replaced a minute (%)", 0.1),
     ("cut", "in-rate requests refused, regions cut (%)", 0.5),
+    ("one-sided", "in-rate requests refused, all sent through one region (%)", None),
 )
 
 
@@ -298,13 +304,14 @@
     deployment: str,
     script: str,
     measure: str,
-    target: float,
+    target: float | None,
 ) -> list[experiment.Row]:
     note = f"{deployment}, {script}, {result.sent} requests"
+    link = _LINK_TARGET_BYTES_PER_S
     figures = (
         (measure, 100.0 * result.refused / result.sent, target),
         ("wait for a token at p99 (ms)", result.wait_p99_ms, None),
-        ("limiter bytes over the region link (B/s)", result.link_bytes_per_s, None),
+        ("limiter bytes over the region link (B/s)", result.link_bytes_per_s, link),
         ("limiter messages a host sends (1/s)", result.messages_per_s, None),
     )
     rows = [
