--- a/verbenadrum/core/behaviours.py
+++ b/verbenadrum/core/behaviours.py
@@ -3,11 +3,13 @@
 from verbenadrum.claims import local
 from verbenadrum.epochs import listed, vouched
 from verbenadrum.health import consecutive, sequential
-from verbenadrum.limits import static_split
+from verbenadrum.limits import escrow, global_owner, static_split
 from verbenadrum.placement import pool_home, power_of_two
 
 __all__ = [
     "consecutive",
+    "escrow",
+    "global_owner",
     "listed",
     "local",
     "pool_home",
