--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -9,6 +9,7 @@
 
 import bottle
 import gevent
+import xxhash
 
 from verbenadrum import ids
 from verbenadrum.core import engine, ports
@@ -116,6 +117,7 @@
             deadline_ms=self._deadline_ms(environ),
             body_length=length,
             replayable=body is None or isinstance(body, bytes),
+            body_digest=xxhash.xxh3_64_hexdigest(body) if isinstance(body, bytes) else "",
         )
         headers.append(("Host", environ.get("HTTP_HOST", "")))
         sent = upstream.SentRequest(
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -16,6 +16,8 @@
     metrics,
     operators,
     peers,
+    platform_reader,
+    prober,
     sockets,
     upstream,
 )
@@ -30,6 +32,7 @@
 
 _MS_PER_S = 1000.0
 _LINGER_S = 0.5
+_SEED_INTERVAL_S = 0.5
 _SHUTDOWN_POLL_S = 0.02
 _MAX_IDLE_CONNECTIONS = 8
 _INCARNATION_BITS = 62
@@ -65,6 +68,10 @@
         )
         self._engine = self._make_engine()
         self._peers = self._make_peers()
+        self._reader = platform_reader.PlatformReader(
+            engine=self._engine, urls=settings.platform.urls, host=settings.host.id
+        )
+        self._prober = prober.Prober(engine=self._engine)
         self._setup = metrics.MeterSetup(host=settings.host.id, settings=settings.metrics)
         self._pools = upstream.ConnectionPools(max_idle=_MAX_IDLE_CONNECTIONS)
         self._callers = callers.CallersPort(
@@ -82,8 +89,14 @@
         self._peers.start()
         self._caller_server.start()
         self._operator_server.start()
-        self._greenlets.append(gevent.spawn(self._run_ticks))
-        self._greenlets.append(gevent.spawn(self._log.run))
+        for run in (
+            self._run_ticks,
+            self._log.run,
+            self._reader.run_records,
+            self._reader.run_hosts,
+            self._ask_seeds,
+        ):
+            self._greenlets.append(gevent.spawn(run))
         _log.info("started", extra={"host": self._settings.host.id})
 
     def wait(self) -> None:
@@ -164,6 +177,8 @@
         self._engine.on_message(ids.HostId(envelope.sender), envelope.message)
 
     def _find_address(self, host: ids.HostId) -> str | None:
+        if host in self._settings.peers.seeds:
+            return host
         row = self._engine.membership.row(host)
         return None if row is None else row.address
 
@@ -172,16 +187,22 @@
             gevent.sleep(engine.TICK_MS / _MS_PER_S)
             try:
                 self._engine.on_tick()
+                self._prober.start_due()
             except Exception:
                 # A fault in one tick must not end every later one.
                 _log.exception("a tick failed")
 
+    def _ask_seeds(self) -> None:
+        seeds = self._settings.peers.seeds
+        turn = 0
+        while seeds:
+            gevent.sleep(_SEED_INTERVAL_S)
+            if self._engine.reader_duty().ask_seeds:
+                self._peers.send_to_address(seeds[turn % len(seeds)], self._engine.seed_request())
+                turn += 1
+
     def _is_ready(self) -> bool:
-        return (
-            not self._stopping
-            and self._engine.records.revision > 0
-            and self._engine.membership.revision > 0
-        )
+        return not self._stopping and self._engine.ready
 
     def _status(self) -> dict:
         host = self._settings.host
@@ -196,6 +217,7 @@
             "host_list_revision": self._engine.membership.revision,
             "hosts": [row.host for row in self._engine.membership.hosts()],
             "epoch": self._engine.epochs.active(),
+            "platform_calls": self._reader.calls,
             "peers": self._peers.counters,
         }
 
--- a/verbenadrum/daemon/peers.py
+++ b/verbenadrum/daemon/peers.py
@@ -56,7 +56,7 @@
     server_tls, client_tls : ssl.SSLContext or None
         Mutual TLS; then a sender's identifier must be its certificate's common name.
     find_address : callable
-        Returns the ``ip:port`` of a host, or None if it is unknown.
+        Returns the ``ip:port`` of a host or of an address, or None if it is unknown.
     deliver : callable
         Takes each received envelope.
     """
@@ -75,7 +75,7 @@
         self._client_tls = client_tls
         self._find_address = find_address
         self._deliver = deliver
-        self._links: dict[ids.HostId, _Link] = {}
+        self._links: dict[str, _Link] = {}
         self.counters = PeerCounters()
         tls = {} if server_tls is None else {"ssl_context": server_tls}
         self._server = server.StreamServer(listener, self._receive, **tls)
@@ -96,21 +96,23 @@
             # A greenlet of its own, so that the sender's system is never entered twice.
             gevent.spawn(self._deliver, codec.Envelope(self._host, message))
             return
-        data = codec.encode(self._host, message)
-        link = self._links.get(to)
+        self._link(to, to).send(codec.encode(self._host, message))
+
+    def send_to_address(self, address: str, message: base.Message) -> None:
+        """Send a message to a peer port whose host is not known yet."""
+        self._link(address, "").send(codec.encode(self._host, message))
+
+    def _link(self, name: str, expected_name: str) -> "_Link":
+        link = self._links.get(name)
         if link is None:
-            link = self._open(to)
-        link.send(data)
-
-    def _open(self, to: ids.HostId) -> "_Link":
-        link = _Link(
-            find_address=lambda: self._find_address(to),
-            tls=self._client_tls,
-            expected_name=to if self._client_tls is not None else "",
-            counters=self.counters,
-            on_close=lambda: self._links.pop(to, None),
-        )
-        self._links[to] = link
+            link = _Link(
+                find_address=lambda: self._find_address(ids.HostId(name)),
+                tls=self._client_tls,
+                expected_name=expected_name,
+                counters=self.counters,
+                on_close=lambda: self._links.pop(name, None),
+            )
+            self._links[name] = link
         return link
 
     def _receive(self, sock: socket.socket, address: tuple) -> None:
@@ -219,7 +221,7 @@
             sockets.disable_nagle(sock)
             if self._tls is not None:
                 sock = self._tls.wrap_socket(sock)
-                if _common_name(sock) != self._expected_name and self._expected_name:
+                if self._expected_name and _common_name(sock) != self._expected_name:
                     sock.close()
                     return False
             sock.settimeout(_SEND_TIMEOUT_S)
--- /dev/null
+++ b/verbenadrum/daemon/prober.py
@@ -0,0 +1,53 @@
+"""Sends the probes of backend servers that the core orders."""
+
+import time
+
+import gevent
+import urllib3
+from urllib3 import exceptions
+
+from verbenadrum.core import engine, ports
+from verbenadrum.daemon import sockets, upstream
+
+__all__ = ["Prober"]
+
+_MS_PER_S = 1000.0
+
+
+class Prober:
+    """Runs each ordered probe once, on a connection of its own.
+
+    Parameters
+    ----------
+    engine : Engine
+        Orders probes, and takes their outcomes.
+    """
+
+    def __init__(self, *, engine: engine.Engine) -> None:
+        self._engine = engine
+
+    def start_due(self) -> None:
+        """Start every probe that is due."""
+        for order in self._engine.take_probes():
+            gevent.spawn(self._run, order)
+
+    def _run(self, order: ports.ProbeOrder) -> None:
+        started_s = time.monotonic()
+        status = 0
+        try:
+            response = self._ask(order)
+            status = response.status
+            kind = upstream.outcome_kind(status, response.headers)
+        except exceptions.TimeoutError:
+            kind = ports.OutcomeKind.TIMEOUT
+        except (exceptions.HTTPError, OSError):
+            kind = ports.OutcomeKind.CONNECT_FAILED
+        latency_ms = (time.monotonic() - started_s) * _MS_PER_S
+        outcome = ports.Outcome(kind=kind, latency_ms=latency_ms, bytes_sent=True, status=status)
+        self._engine.probed(order, outcome)
+
+    def _ask(self, order: ports.ProbeOrder) -> urllib3.BaseHTTPResponse:
+        ip, port = sockets.split_address(order.address)
+        timeout_s = order.timeout_ms / _MS_PER_S
+        with urllib3.HTTPConnectionPool(ip, port, timeout=timeout_s, retries=False) as pool:
+            return pool.request("GET", order.path, headers={"X-Probe": "true"}, redirect=False)
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -146,7 +146,11 @@
     def outcome(self, kind: ports.OutcomeKind) -> ports.Outcome:
         """Return an outcome of this answer."""
         return ports.Outcome(
-            kind=kind, latency_ms=self.latency_ms, bytes_sent=True, status=self.status
+            kind=kind,
+            latency_ms=self.latency_ms,
+            bytes_sent=True,
+            status=self.status,
+            draining=self.draining,
         )
 
     def discard(self) -> None:
