--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -33,11 +33,11 @@
 class Choices(msgspec.Struct, frozen=True, kw_only=True):
     """Names of the behaviours to run, each in its register."""
 
-    limits: str = "static_split"
+    limits: str = "escrow"
     claims: str = "local"
-    epochs: str = "listed"
-    placement: str = "power_of_two"
-    health: str = "consecutive"
+    epochs: str = "vouched"
+    placement: str = "pool_home"
+    health: str = "sequential"
 
 
 class Engine:
