--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -40,12 +40,14 @@
 class _Handler(pywsgi.WSGIHandler):
     """Reads requests of one connection."""
 
-    def read_request(self, raw_requestline: str) -> bool:
-        """Read the head and refuse every request whose framing is in doubt."""
-        if not super().read_request(raw_requestline):
-            return False
-        _check_head(self.request_version, self.headers)
-        return True
+    def MessageClass(self, *arguments: object) -> http.client.HTTPMessage:  # noqa: N802
+        """Parse the head, and refuse every request whose framing is in doubt.
+
+        This is checked before the base class drops a Content-Length beside a Transfer-Encoding.
+        """
+        headers = super().MessageClass(*arguments)
+        _check_head(self.request_version, headers)
+        return headers
 
     def read_requestline(self) -> str:
         """Wait a bounded time for the next request on the connection."""
--- /dev/null
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -0,0 +1,112 @@
+"""Tests of framing on the callers' port, with raw sockets."""
+
+import socket
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from verbenadrum.daemon import http_server, sockets
+
+SETTINGS = hypothesis.settings(derandomize=True, deadline=None, database=None, max_examples=150)
+TIMEOUT_S = 5.0
+GOOD = b"GET /good HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+
+class Server:
+    """A server that records what its application was given."""
+
+    def __init__(self):
+        self.bodies = []
+        self.server = http_server.HttpServer(
+            listener=sockets.listen("127.0.0.1:0"), application=self.answer
+        )
+        self.server.start()
+
+    def answer(self, environ, start_response):
+        body = environ["wsgi.input"].read()
+        self.bodies.append((environ[http_server.TARGET_KEY], body))
+        if environ["PATH_INFO"] == "/abort":
+            start_response("200 OK", [("Content-Length", "10")])
+            return self.aborted()
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    def aborted(self):
+        yield b"half"
+        raise http_server.AbortAnswer("the server left")
+
+    def send(self, data):
+        with socket.create_connection(("127.0.0.1", self.server.server_port), TIMEOUT_S) as sock:
+            sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+            received = b""
+            while piece := sock.recv(65_536):
+                received += piece
+            return received
+
+
+@pytest.fixture(scope="module")
+def server():
+    made = Server()
+    yield made
+    made.server.stop(timeout=0)
+
+
+def post(*headers, body=b""):
+    lines = [b"POST /guarded HTTP/1.1", b"Host: a", *headers, b"", body]
+    return b"\r\n".join(lines)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        post(b"Content-Length: 3", b"Content-Length: 3", body=b"abc"),
+        post(b"Content-Length: 3", b"Content-Length: 4", body=b"abcd"),
+        post(b"Content-Length: +3", body=b"abc"),
+        post(b"Content-Length: -1"),
+        post(b"Content-Length: 3", b"Transfer-Encoding: chunked", body=b"0\r\n\r\n"),
+        post(b"Transfer-Encoding: gzip, chunked", body=b"0\r\n\r\n"),
+        post(b"Transfer-Encoding: xchunked", body=b"0\r\n\r\n"),
+        post(b"Transfer-Encoding : chunked", body=b"0\r\n\r\n"),
+        post(b"Bad Name: x"),
+        post(b"X: a", b" folded"),
+        post(b"Host: b"),
+        post(b"X: a\x00b"),
+        b"GET /guarded HTTP/1.1\r\n\r\n",
+        b"GET /guarded HTTP/2.0\r\nHost: a\r\n\r\n",
+        b"GET /guarded\r\n\r\n",
+        b"GET /guarded HTTP/1.1\r\nHost: a\r\n" + b"X: y\r\n" * 200 + b"\r\n",
+        b"GET /guarded HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 70_000 + b"\r\n\r\n",
+        b"GET /" + b"g" * 9_000 + b" HTTP/1.1\r\nHost: a\r\n\r\n",
+    ],
+)
+def test_doubtful_framing_never_reaches_the_application(server, data):
+    server.bodies.clear()
+    received = server.send(data)
+    assert received == b"" or received.startswith(b"HTTP/1.1 4")
+    assert server.bodies == []
+
+
+def test_pipelined_requests_get_their_own_answers(server):
+    server.bodies.clear()
+    data = post(b"Content-Length: 3", body=b"one") + post(b"Content-Length: 3", body=b"two")
+    received = server.send(data)
+    assert received.count(b"HTTP/1.1 200 OK") == 2
+    assert [body for _, body in server.bodies] == [b"one", b"two"]
+
+
+def test_aborted_answer_is_not_ended_cleanly(server):
+    received = server.send(b"GET /abort HTTP/1.1\r\nHost: a\r\n\r\n" + GOOD)
+    assert received.endswith(b"half")
+
+
+@hypothesis.given(
+    prefix=strategies.sampled_from((b"", b"GET / HTTP/1.1\r\n", b"POST / HTTP/1.1\r\nHost: a\r\n")),
+    junk=strategies.binary(max_size=300),
+)
+@SETTINGS
+def test_junk_never_harms_the_next_connection(server, prefix, junk):
+    received = server.send(prefix + junk)
+    assert received == b"" or received.startswith(b"HTTP/1.1 ")
+    assert server.send(GOOD).startswith(b"HTTP/1.1 200 OK")
--- /dev/null
+++ b/verbenadrum/daemon/tests/test_peers.py
@@ -0,0 +1,138 @@
+"""Tests of the streams between hosts."""
+
+import socket
+import struct
+
+import gevent
+import hypothesis
+import pytest
+from gevent import event
+from hypothesis import strategies
+
+from verbenadrum.daemon import peers, sockets
+from verbenadrum.daemon.tests import certificates
+from verbenadrum.dissemination import messages
+from verbenadrum.messages import codec
+from verbenadrum.settings import types
+
+SETTINGS = hypothesis.settings(derandomize=True, deadline=None, database=None, max_examples=50)
+TIMEOUT_S = 5.0
+PLAIN = types.PeersTable(listen="127.0.0.1:0")
+
+
+class Node:
+    """A host's peer streams that keep what they receive."""
+
+    def __init__(self, *, host, table=PLAIN, addresses):
+        self.received = []
+        self.arrived = event.Event()
+        listener = sockets.listen(table.listen)
+        self.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        self.streams = peers.PeerStreams(
+            host=host,
+            listener=listener,
+            server_tls=sockets.peer_server_context(table),
+            client_tls=sockets.peer_client_context(table),
+            find_address=addresses.get,
+            deliver=self.deliver,
+        )
+        addresses[host] = self.address
+        self.streams.start()
+
+    def deliver(self, envelope):
+        self.received.append(envelope)
+        self.arrived.set()
+
+
+def tls_table(authority, name):
+    cert, key = authority.issue(name)
+    return types.PeersTable(
+        listen="127.0.0.1:0", tls_cert=str(cert), tls_key=str(key), tls_ca=str(authority.ca_file)
+    )
+
+
+@pytest.fixture
+def nodes():
+    made = []
+    yield made
+    for node in made:
+        node.streams.stop()
+
+
+def wait_until(condition):
+    with gevent.Timeout(TIMEOUT_S):
+        while not condition():
+            gevent.sleep(0.005)
+
+
+def test_messages_arrive_in_order_over_one_connection(nodes):
+    addresses = {}
+    nodes += [Node(host=name, addresses=addresses) for name in ("h1", "h2")]
+    for number in range(50):
+        nodes[0].streams.send("h2", messages.HostsPull(number))
+    wait_until(lambda: len(nodes[1].received) == 50)
+    assert nodes[1].received[7] == codec.Envelope("h1", messages.HostsPull(7))
+
+
+def test_message_to_the_own_host_is_delivered_later(nodes):
+    nodes.append(Node(host="h1", addresses={}))
+    nodes[0].streams.send("h1", messages.HostsPull(1))
+    assert nodes[0].received == []
+    assert nodes[0].arrived.wait(TIMEOUT_S)
+
+
+def test_unknown_host_drops_and_counts(nodes):
+    nodes.append(Node(host="h1", addresses={}))
+    nodes[0].streams.send("nobody", messages.HostsPull(1))
+    wait_until(lambda: nodes[0].streams.counters.messages_dropped == 1)
+
+
+def test_certified_hosts_hear_each_other(nodes, tmp_path):
+    authority = certificates.Authority(folder=tmp_path)
+    addresses = {}
+    for name in ("h1", "h2"):
+        nodes.append(Node(host=name, table=tls_table(authority, name), addresses=addresses))
+    nodes[0].streams.send("h2", messages.HostsPull(3))
+    assert nodes[1].arrived.wait(TIMEOUT_S)
+    assert nodes[1].received[0].sender == "h1"
+
+
+@pytest.mark.parametrize("fault", ["no-certificate", "other-authority", "other-name"])
+def test_uncertified_hosts_are_not_heard(nodes, tmp_path, fault):
+    authority = certificates.Authority(folder=tmp_path)
+    addresses = {}
+    nodes.append(Node(host="h2", table=tls_table(authority, "h2"), addresses=addresses))
+    if fault == "no-certificate":
+        table = PLAIN
+    elif fault == "other-authority":
+        table = tls_table(certificates.Authority(folder=tmp_path, name="other"), "h1")
+    else:
+        table = tls_table(authority, "h3")
+    nodes.append(Node(host="h1", table=table, addresses=addresses))
+    nodes[1].streams.send("h2", messages.HostsPull(3))
+    counters = nodes[1].streams.counters
+    wait_until(lambda: counters.messages_sent + counters.messages_dropped == 1)
+    gevent.sleep(0)
+    if fault == "other-name":
+        wait_until(lambda: nodes[0].streams.counters.malformed == 1)
+    assert nodes[0].received == []
+
+
+@hypothesis.given(junk=strategies.binary(max_size=400), framed=strategies.booleans())
+@SETTINGS
+def test_junk_closes_the_stream_and_harms_nobody(junk, framed):
+    addresses = {}
+    node = Node(host="h2", addresses=addresses)
+    other = Node(host="h1", addresses=addresses)
+    try:
+        data = struct.pack(">I", len(junk)) + junk if framed else junk
+        with socket.create_connection(sockets.split_address(node.address), TIMEOUT_S) as sock:
+            sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+            assert sock.recv(1) == b""
+        other.streams.send("h2", messages.HostsPull(9))
+        assert node.arrived.wait(TIMEOUT_S)
+        assert [envelope.sender for envelope in node.received] == ["h1"]
+    finally:
+        node.streams.stop()
+        other.streams.stop()
