--- a/verbenadrum/daemon/tests/test_targets.py
+++ b/verbenadrum/daemon/tests/test_targets.py
@@ -46,7 +46,9 @@
     assert list(targets.clean_headers(environ, "")) == [("Accept", "*/*")]
 
 
-@hypothesis.given(place=strategies.sampled_from(("bearer", "header", "query", "cookie")), extra=TEXT)
+@hypothesis.given(
+    place=strategies.sampled_from(("bearer", "header", "query", "cookie")), extra=TEXT
+)
 @SETTINGS
 def test_the_key_never_passes(place, extra):
     query = f"api_key={KEY}&z=1" if place == "query" else "z=1"
