Add witnessed claims: one winner for each idempotency key across the fleet

Cause: claims kept on the entry host alone let a resend through another host run again.

Change: claim system 'witnessed' (not the default): write-once rows at three witnesses out of the epoch of the workspace's home data centre; two accepts win. Shared file: core/behaviours.py (import). Epochs merge archived lists with equal members.

--- a/verbenadrum/claims/__init__.py
+++ b/verbenadrum/claims/__init__.py
@@ -1,3 +1,13 @@
 """Claims of idempotency keys: non-idempotent work runs at most once."""
 
-__all__ = ["local", "registry"]
+__all__ = [
+    "attempts",
+    "homes",
+    "keys",
+    "local",
+    "messages",
+    "register",
+    "registry",
+    "winners",
+    "witnessed",
+]
--- /dev/null
+++ b/verbenadrum/claims/keys.py
@@ -0,0 +1,57 @@
+"""What an idempotency key and the records say about where and how long it is claimed."""
+
+import uuid
+
+from verbenadrum import ids
+from verbenadrum.core import ports
+from verbenadrum.utils import hashing
+
+__all__ = ["LIFETIME_MS", "WITNESSES", "created_ms", "home_data_centre", "witnesses"]
+
+LIFETIME_MS = 15 * 60_000.0
+WITNESSES = 3
+_UUID_LENGTH = 36
+_UUID_TIME_SHIFT = 80
+_TIME_VERSION = 7
+
+
+def created_ms(key: str) -> float | None:
+    """Return the wall time in a UUIDv7 key, in milliseconds, or None for any other key.
+
+    Examples
+    --------
+    >>> created_ms("018bcfe5-6800-7000-8000-000000000000")
+    1700000000000.0
+    >>> created_ms("refund-17") is None
+    True
+    """
+    if len(key) != _UUID_LENGTH:
+        return None
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != _TIME_VERSION:
+        return None
+    return float(parsed.int >> _UUID_TIME_SHIFT)
+
+
+def witnesses(
+    workspace: ids.WorkspaceId, key: ids.IdempotencyKey, members: tuple[ids.HostId, ...]
+) -> tuple[ids.HostId, ...]:
+    """Return the hosts that keep a key's claim, out of the members of an epoch."""
+    return tuple(hashing.rank(f"{workspace}\x00{key}", members)[:WITNESSES])
+
+
+def home_data_centre(
+    records: ports.RecordsPort, workspace: ids.WorkspaceId
+) -> ids.DataCentreId | None:
+    """Return the data centre that keeps a workspace's claims, or None without a fleet record."""
+    spec = records.workspace(workspace)
+    if spec is not None and spec.home_data_centre:
+        return ids.DataCentreId(spec.home_data_centre)
+    fleet = records.fleet()
+    if fleet is None:
+        return None
+    names = [share.data_centre for share in fleet.data_centres if share.weight > 0]
+    return hashing.top(workspace, [ids.DataCentreId(name) for name in names])
--- /dev/null
+++ b/verbenadrum/claims/tests/callers.py
@@ -0,0 +1,143 @@
+"""Callers that send the same keys again through any host, and what they were told."""
+
+import collections
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.claims import messages, registry
+from verbenadrum.core import ports
+from verbenadrum.epochs.tests import fleet
+
+WORKSPACE = ids.WorkspaceId("w")
+DEADLINE_MS = 5_000.0
+ANSWER = ports.StoredAnswer(status=201, headers=(), body=b"done")
+
+
+class ClaimFleet(fleet.Fleet):
+    """A fleet whose hosts also claim keys, with a record of every result."""
+
+    def __init__(self, *, claims="witnessed", **options):
+        self.claims = claims
+        self.won = collections.Counter()
+        self.runs = collections.Counter()
+        self.released = collections.Counter()
+        self.results = []
+        self.problems = []
+        self.claim_messages = 0
+        self._requests = 0
+        super().__init__(**options)
+
+    def make_systems(self, host):
+        host.claims = registry.claim_systems.get(self.claims)(
+            context=host.context,
+            records=host.records,
+            membership=host.membership,
+            epochs=host.epochs,
+        )
+        return [host.claims]
+
+    def send(self, sender, to, message):
+        self.claim_messages += type(message).__module__ == messages.__name__
+        super().send(sender, to, message)
+
+    def key(self, skew_ms=0.0):
+        """Return a new UUIDv7 key."""
+        wall_ms = int(fleet.START_WALL_MS + self.now_ms + skew_ms)
+        digits = f"{wall_ms:012x}7{self.rng.getrandbits(12):03x}8{self.rng.getrandbits(60):015x}"
+        parts = (digits[:8], digits[8:12], digits[12:16], digits[16:20], digits[20:])
+        return ids.IdempotencyKey("-".join(parts))
+
+    def claim(self, name, key, *, fingerprint="f", win=None, deadline_ms=DEADLINE_MS):
+        """Claim a key at a host; ``win`` is called with host and request once it is won."""
+        host = self.hosts[name]
+        self._requests += 1
+        request = ports.ClaimRequest(
+            workspace=WORKSPACE,
+            key=key,
+            request=ids.RequestId(f"q{self._requests}"),
+            fingerprint=fingerprint,
+            deadline_ms=host.clock.now_ms() + deadline_ms,
+        )
+        result = Result(key=key, asked_ms=self.now_ms, wins_before=self._standing(key))
+        self.results.append(result)
+
+        def done(claim):
+            result.claim, result.ended_ms = claim, self.now_ms
+            if claim.state is ports.ClaimState.WON:
+                self._on_won(host, request, win)
+            elif claim.state is ports.ClaimState.NOT_RUN and result.wins_before:
+                self.problems.append(f"{key} has run and was said not to have run")
+
+        host.claims.claim(request, done)
+        return result
+
+    def _standing(self, key):
+        return self.won[key] - self.released[key]
+
+    def _on_won(self, host, request, win):
+        key = request.key
+        self.won[key] += 1
+        if self._standing(key) > 1:
+            self.problems.append(f"{key} was won {self.won[key]} times")
+        if win is not None:
+            win(host, request)
+
+    def run(self, host, request, answer=ANSWER):
+        """Run a won key at a backend server and end it at once."""
+        self.runs[request.key] += 1
+        host.claims.finish(request, answer)
+
+    def release(self, host, request):
+        """Give a won claim back before a byte was sent."""
+        self.released[request.key] += 1
+        host.claims.release(request)
+
+    def violation(self):
+        return super().violation() or "; ".join(self.problems)
+
+
+class Result(msgspec.Struct, kw_only=True):
+    """What a caller was told of one request."""
+
+    key: str
+    asked_ms: float
+    wins_before: int
+    claim: ports.Claim | None = None
+    ended_ms: float = 0.0
+
+
+class ClaimSchedule(fleet.Schedule):
+    """Random faults, with callers that send new keys and old ones again."""
+
+    def __init__(self, group, **options):
+        super().__init__(group, **options)
+        self.keys = []
+        self._won = []
+
+    def call(self):
+        """Send a new key, or an old one again, through one to three hosts at once."""
+        group = self.fleet
+        if not self.keys or self.rng.random() < 0.5:
+            self.keys.append(group.key(self.rng.uniform(-3_000.0, 1_000.0)))
+        key = self.rng.choice(self.keys[-6:])
+        names = sorted(group.hosts)
+        for name in self.rng.sample(names, min(len(names), self.rng.choice((1, 1, 2, 3)))):
+            if not group.hosts[name].paused:
+                group.claim(name, key, win=self._keep)
+
+    def _keep(self, host, request):
+        self._won.append((host, request))
+
+    def finish(self):
+        """End some won runs, and release others of which no byte was sent."""
+        for host, request in self._won:
+            if self.fleet.hosts.get(host.name) is host and not host.paused:
+                release = self.rng.random() < 0.3
+                (self.fleet.release if release else self.fleet.run)(host, request)
+        self._won.clear()
+
+    def step(self, check):
+        for _ in range(2):
+            self.rng.choice((self.call, self.call, self.call, self.finish))()
+        super().step(check)
--- /dev/null
+++ b/verbenadrum/claims/winners.py
@@ -0,0 +1,105 @@
+"""What this host knows of the claims that its own requests made."""
+
+import collections
+
+import msgspec
+
+from verbenadrum import ids
+from verbenadrum.claims import keys, messages
+from verbenadrum.core import ports
+
+__all__ = ["WinnerRow", "WinnerTable"]
+
+_MOST_ANSWER_BYTES = 8 * 1_048_576
+_LARGEST_ANSWER_BYTES = 65_536
+_MOST_ENDED = 20_000
+_MOST_GIVEN_UP = 4_096
+
+Key = tuple[ids.WorkspaceId, ids.IdempotencyKey]
+
+
+class WinnerRow(msgspec.Struct, kw_only=True):
+    """A claim that this host has won.
+
+    ``ended_ms`` is the monotonic time at which the run ended, or infinite while it runs.
+    """
+
+    owner: messages.Owner
+    fingerprint: str
+    attempt: int
+    witnesses: tuple[ids.HostId, ...]
+    ended_ms: float = float("inf")
+    answer: ports.StoredAnswer | None = None
+
+
+class WinnerTable:
+    """Won claims with their stored answers, and claims that were given up.
+
+    Rows of ended runs are dropped when they are old or too many: the witnesses still hold the
+    key, so that a resend gets "outcome unknown" and never runs.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[Key, WinnerRow] = {}
+        self._ended: collections.deque[Key] = collections.deque()
+        self._given_up: collections.OrderedDict[messages.Owner, None] = collections.OrderedDict()
+        self._answer_bytes = 0
+
+    def get(self, key: Key) -> WinnerRow | None:
+        """Return the won claim of a key, or None."""
+        return self._rows.get(key)
+
+    def add(self, key: Key, row: WinnerRow) -> None:
+        """Keep a claim that was won just now."""
+        self._given_up.pop(row.owner, None)
+        self._rows[key] = row
+
+    def finish(self, key: Key, answer: ports.StoredAnswer | None, now_ms: float) -> None:
+        """Note the end of a run, and keep its answer if it is small."""
+        row = self._rows.get(key)
+        if row is None or row.ended_ms <= now_ms:
+            return
+        row.ended_ms = now_ms
+        if answer is not None and _size(answer) <= _LARGEST_ANSWER_BYTES:
+            row.answer = answer
+            self._answer_bytes += _size(answer)
+        self._ended.append(key)
+        self._trim(now_ms)
+
+    def give_up(self, key: Key, owner: messages.Owner) -> None:
+        """Note that an owner has taken its claim back."""
+        current = self._rows.get(key)
+        if current is not None and current.owner == owner:
+            del self._rows[key]
+        self._given_up[owner] = None
+        while len(self._given_up) > _MOST_GIVEN_UP:
+            self._given_up.popitem(last=False)
+
+    def state(self, key: Key, owner: messages.Owner) -> messages.WinnerState:
+        """Return what became of an owner's claim; doubt is `WinnerState.ENDED`."""
+        row = self._rows.get(key)
+        if owner in self._given_up:
+            return messages.WinnerState.GIVEN_UP
+        if row is None or row.owner != owner:
+            return messages.WinnerState.ENDED
+        if row.ended_ms == float("inf"):
+            return messages.WinnerState.RUNNING
+        if row.answer is None:
+            return messages.WinnerState.ENDED
+        return messages.WinnerState.ANSWERED
+
+    def _trim(self, now_ms: float) -> None:
+        while self._ended and self._has_excess(now_ms):
+            row = self._rows.pop(self._ended.popleft(), None)
+            if row is not None and row.answer is not None:
+                self._answer_bytes -= _size(row.answer)
+
+    def _has_excess(self, now_ms: float) -> bool:
+        oldest = self._rows.get(self._ended[0])
+        old = oldest is None or oldest.ended_ms + keys.LIFETIME_MS < now_ms
+        many = len(self._ended) > _MOST_ENDED
+        return old or many or self._answer_bytes > _MOST_ANSWER_BYTES
+
+
+def _size(answer: ports.StoredAnswer) -> int:
+    return len(answer.body) + sum(len(name) + len(value) for name, value in answer.headers)
--- /dev/null
+++ b/verbenadrum/claims/witnessed.py
@@ -0,0 +1,325 @@
+"""Claims in a write-once register at three witnesses of the workspace's home data centre.
+
+Two of three accepts win. ``docs/design/at-most-once.md`` gives the argument.
+"""
+
+from collections.abc import Callable
+
+from verbenadrum import ids
+from verbenadrum.claims import attempts, keys, messages, register, registry, winners
+from verbenadrum.core import context, ports, system
+from verbenadrum.decisions import ring
+
+__all__ = ["WitnessedClaims"]
+
+_ASK_AGAIN_MS = 150.0
+_QUERY_AGAIN_MS = 150.0
+_LONGEST_QUERY_MS = 1_000.0
+_LONGEST_CLAIM_MS = 30_000.0
+_BACKOFF_MS = (20.0, 150.0)
+_EVERY_ATTEMPT = 2**31
+# After this time the witnesses are guessed anew, since the list may have changed meanwhile.
+_LONGEST_ATTEMPT_MS = 600.0
+
+_STATES = {
+    messages.WinnerState.RUNNING: (ports.ClaimState.IN_PROGRESS, "in-progress"),
+    messages.WinnerState.ENDED: (ports.ClaimState.UNKNOWN, "outcome-unknown"),
+    messages.WinnerState.ANSWERED: (ports.ClaimState.ANSWERED, "answered"),
+}
+
+
+@registry.claim_systems.register("witnessed")
+class WitnessedClaims(system.System):
+    """Claims keys for this host's requests, and is a witness for others' claims."""
+
+    def __init__(
+        self,
+        *,
+        context: context.Context,
+        records: ports.RecordsPort,
+        membership: ports.MembershipPort,
+        epochs: ports.EpochPort,
+    ) -> None:
+        super().__init__(context=context)
+        self._records = records
+        self._membership = membership
+        self._epochs = epochs
+        self._register = register.ClaimRegister(context=context, records=records, epochs=epochs)
+        self._winners = winners.WinnerTable()
+        self._attempts: dict[ids.RequestId, attempts.AttemptRow] = {}
+
+    def claim(self, request: ports.ClaimRequest, done: Callable[[ports.Claim], None]) -> None:
+        """Claim a key; ``done`` gets the result by the request's deadline."""
+        row = attempts.AttemptRow(
+            request=request,
+            done=done,
+            owner=messages.Owner(self._context.host, self._context.incarnation, request.request),
+            began_ms=self._context.now_ms(),
+        )
+        self._attempts[request.request] = row
+        winner = self._winners.get(row.key)
+        if winner is None:
+            self._attempt(row)
+        elif winner.fingerprint != request.fingerprint:
+            self._end(row, ports.ClaimState.UNKNOWN, "key-reused")
+        else:
+            state = self._winners.state(row.key, winner.owner)
+            self._conclude(row, state, winner.answer)
+
+    def release(self, request: ports.ClaimRequest) -> None:
+        """Give a won claim back; allowed only where certainly no byte was sent."""
+        winner = self._winners.get((request.workspace, request.key))
+        if winner is not None and winner.owner.request == request.request:
+            key = (request.workspace, request.key)
+            self._give_up(key, winner.owner, winner.attempt, winner.witnesses)
+
+    def finish(self, request: ports.ClaimRequest, answer: ports.StoredAnswer | None) -> None:
+        """Record the end of a won run, with its whole answer if it is known and small."""
+        key = (request.workspace, request.key)
+        winner = self._winners.get(key)
+        if winner is not None and winner.owner.request == request.request:
+            self._winners.finish(key, answer, self._context.now_ms())
+
+    def on_tick(self) -> None:
+        """Ask again where answers are missing, and end claims at their deadline."""
+        self._register.sweep()
+        now_ms = self._context.now_ms()
+        for row in list(self._attempts.values()):
+            if now_ms >= min(row.request.deadline_ms, row.began_ms + _LONGEST_CLAIM_MS):
+                self._expire(row)
+            elif now_ms >= row.due_ms:
+                self._continue(row, now_ms)
+
+    @system.handles(messages.ClaimAsk)
+    def on_ask(self, sender: ids.HostId, message: messages.ClaimAsk) -> None:
+        """Answer as a witness."""
+        self._context.send(sender, self._register.ask(message))
+
+    @system.handles(messages.ClaimDrop)
+    def on_drop(self, sender: ids.HostId, message: messages.ClaimDrop) -> None:
+        """Remove a claim that its owner takes back."""
+        self._register.drop(message)
+
+    @system.handles(messages.ClaimAnswer)
+    def on_answer(self, sender: ids.HostId, message: messages.ClaimAnswer) -> None:
+        """Add a witness's answer to the attempt that asked for it."""
+        row = self._attempts.get(message.owner.request)
+        if row is None or row.stage is not attempts.Stage.ASKING or row.owner != message.owner:
+            return
+        if message.attempt != row.attempt or sender not in row.witnesses:
+            return
+        previous = row.answers.get(sender)
+        if previous is not None and previous.verdict is messages.Verdict.ACCEPTED:
+            return
+        row.answers[sender] = message
+        if (message.generation, message.revision) > row.order and message.witnesses:
+            self._attempt_at(row, message)
+        else:
+            self._evaluate(row)
+
+    @system.handles(messages.WinnerQuery)
+    def on_query(self, sender: ids.HostId, message: messages.WinnerQuery) -> None:
+        """Tell what became of a claim of this host."""
+        key = (message.workspace, message.key)
+        state = self._own_state(key, message.owner)
+        winner = self._winners.get(key)
+        answer = None
+        if state is messages.WinnerState.ANSWERED and winner is not None:
+            answer = winner.answer
+        self._context.send(
+            sender,
+            messages.WinnerReply(
+                request=message.request, owner=message.owner, state=state, answer=answer
+            ),
+        )
+
+    @system.handles(messages.WinnerReply)
+    def on_reply(self, sender: ids.HostId, message: messages.WinnerReply) -> None:
+        """Conclude a claim from what the owner of the other one says."""
+        row = self._attempts.get(message.request)
+        if row is None or row.stage is not attempts.Stage.QUERYING or row.holder != message.owner:
+            return
+        self._conclude(row, message.state, message.answer)
+
+    def _own_state(self, key: winners.Key, owner: messages.Owner) -> messages.WinnerState:
+        row = self._attempts.get(owner.request)
+        if row is not None and row.owner == owner:
+            return messages.WinnerState.CLAIMING
+        return self._winners.state(key, owner)
+
+    def _attempt(self, row: attempts.AttemptRow) -> None:
+        """Begin an attempt at the witnesses that this host's own view names."""
+        home = keys.home_data_centre(self._records, row.request.workspace)
+        members: tuple[ids.HostId, ...] = ()
+        row.order = (0, 0)
+        if home is not None:
+            members = tuple(each.host for each in self._membership.hosts(data_centre=home))
+        epoch = self._epochs.active() if home == self._context.data_centre else None
+        if epoch is not None:
+            members = epoch.members
+            row.order = (epoch.generation, epoch.revision)
+        if members:
+            self._ask_all(row, keys.witnesses(*row.key, members))
+        else:
+            row.due_ms = self._context.now_ms() + _ASK_AGAIN_MS
+
+    def _attempt_at(self, row: attempts.AttemptRow, hint: messages.ClaimAnswer) -> None:
+        """Begin an attempt at the witnesses that a later epoch names."""
+        self._drop(row)
+        row.order = (hint.generation, hint.revision)
+        self._ask_all(row, hint.witnesses)
+
+    def _ask_all(self, row: attempts.AttemptRow, witnesses: tuple[ids.HostId, ...]) -> None:
+        row.attempt += 1
+        row.witnesses = witnesses
+        row.answers.clear()
+        row.stage = attempts.Stage.ASKING
+        row.holder = None
+        self._ask(row)
+
+    def _ask(self, row: attempts.AttemptRow) -> None:
+        row.due_ms = self._context.now_ms() + _ASK_AGAIN_MS
+        message = messages.ClaimAsk(
+            workspace=row.request.workspace,
+            key=row.request.key,
+            owner=row.owner,
+            fingerprint=row.request.fingerprint,
+            attempt=row.attempt,
+            witnesses=row.witnesses,
+        )
+        for host in row.unanswered:
+            self._context.send(host, message)
+
+    def _evaluate(self, row: attempts.AttemptRow) -> None:
+        result = row.result()
+        if result is attempts.Result.OPEN:
+            return
+        if result is attempts.Result.WON:
+            self._win(row)
+        elif result is attempts.Result.TAKEN:
+            self._query(row)
+        elif result is attempts.Result.ABSENT:
+            self._end(row, ports.ClaimState.NOT_RUN, result.value)
+        else:
+            self._end(row, ports.ClaimState.UNKNOWN, result.value)
+
+    def _win(self, row: attempts.AttemptRow) -> None:
+        winner = winners.WinnerRow(
+            owner=row.owner,
+            fingerprint=row.request.fingerprint,
+            attempt=row.attempt,
+            witnesses=row.witnesses,
+        )
+        self._winners.add(row.key, winner)
+        self._finish_attempt(row, ports.Claim(state=ports.ClaimState.WON, reason="majority"))
+
+    def _query(self, row: attempts.AttemptRow) -> None:
+        """Take back what was accepted, and ask the other claim's owner what became of it."""
+        row.holder = row.rival()
+        self._drop(row)
+        row.stage = attempts.Stage.QUERYING
+        row.queried_ms = row.due_ms = self._context.now_ms()
+        self._send_query(row)
+
+    def _send_query(self, row: attempts.AttemptRow) -> None:
+        row.due_ms += _QUERY_AGAIN_MS
+        query = messages.WinnerQuery(
+            workspace=row.request.workspace,
+            key=row.request.key,
+            owner=row.holder,
+            request=row.request.request,
+        )
+        self._context.send(row.holder.host, query)
+
+    def _query_again(self, row: attempts.AttemptRow, now_ms: float) -> None:
+        if now_ms >= row.queried_ms + _LONGEST_QUERY_MS:
+            self._end(row, ports.ClaimState.UNKNOWN, "winner-unreachable")
+        else:
+            self._send_query(row)
+
+    def _conclude(
+        self,
+        row: attempts.AttemptRow,
+        state: messages.WinnerState,
+        answer: ports.StoredAnswer | None,
+    ) -> None:
+        if state in _STATES:
+            self._end(row, *_STATES[state], answer)
+            return
+        if state is messages.WinnerState.GIVEN_UP and row.holder is not None:
+            # Its request has ended for good, so whatever the witnesses still hold of it is void.
+            self._send_drops(row.key, row.holder, _EVERY_ATTEMPT, row.witnesses)
+        row.stage = attempts.Stage.WAITING
+        row.due_ms = self._context.now_ms() + self._context.rng.uniform(*_BACKOFF_MS)
+
+    def _continue(self, row: attempts.AttemptRow, now_ms: float) -> None:
+        if row.stage is attempts.Stage.WAITING:
+            self._attempt(row)
+        elif row.stage is attempts.Stage.QUERYING:
+            self._query_again(row, now_ms)
+        elif row.rival() is not None:
+            self._query(row)
+        elif len(row.answers) == len(row.witnesses) or now_ms < row.began_ms + _LONGEST_ATTEMPT_MS:
+            self._ask(row)
+        else:
+            self._drop(row)
+            self._attempt(row)
+
+    def _expire(self, row: attempts.AttemptRow) -> None:
+        if row.stage is attempts.Stage.QUERYING:
+            self._end(row, ports.ClaimState.UNKNOWN, "winner-unreachable")
+        else:
+            self._end(row, ports.ClaimState.UNKNOWN, "claim-timeout")
+
+    def _end(
+        self,
+        row: attempts.AttemptRow,
+        state: ports.ClaimState,
+        reason: str,
+        answer: ports.StoredAnswer | None = None,
+    ) -> None:
+        """End a claim that was not won: nothing runs for it, now or later."""
+        if row.attempt:
+            self._drop(row)
+        self._finish_attempt(row, ports.Claim(state=state, reason=reason, answer=answer))
+
+    def _finish_attempt(self, row: attempts.AttemptRow, claim: ports.Claim) -> None:
+        del self._attempts[row.request.request]
+        self._context.decide(
+            ring.DecisionKind.CLAIM,
+            claim.state.value,
+            claim.reason,
+            subject=row.request.workspace,
+            request=row.request.request,
+            alternatives=row.witnesses,
+            detail={
+                "attempts": row.attempt,
+                "waited_ms": round(self._context.now_ms() - row.began_ms, 3),
+            },
+        )
+        row.done(claim)
+
+    def _drop(self, row: attempts.AttemptRow) -> None:
+        """Take back this attempt's claim at every witness asked."""
+        self._give_up(row.key, row.owner, row.attempt, row.witnesses)
+
+    def _give_up(
+        self,
+        key: winners.Key,
+        owner: messages.Owner,
+        attempt: int,
+        witnesses: tuple[ids.HostId, ...],
+    ) -> None:
+        self._winners.give_up(key, owner)
+        self._send_drops(key, owner, attempt, witnesses)
+
+    def _send_drops(
+        self,
+        key: winners.Key,
+        owner: messages.Owner,
+        attempt: int,
+        witnesses: tuple[ids.HostId, ...],
+    ) -> None:
+        message = messages.ClaimDrop(workspace=key[0], key=key[1], owner=owner, attempt=attempt)
+        for host in witnesses:
+            self._context.send(host, message)
--- a/verbenadrum/core/behaviours.py
+++ b/verbenadrum/core/behaviours.py
@@ -1,6 +1,6 @@
 """Imports every module that registers a behaviour, so that settings can select it."""
 
-from verbenadrum.claims import local
+from verbenadrum.claims import local, witnessed
 from verbenadrum.epochs import listed, vouched
 from verbenadrum.health import consecutive, sequential
 from verbenadrum.limits import escrow, global_owner, static_split
@@ -17,4 +17,5 @@
     "sequential",
     "static_split",
     "vouched",
+    "witnessed",
 ]
--- a/verbenadrum/epochs/vouched.py
+++ b/verbenadrum/epochs/vouched.py
@@ -274,6 +274,9 @@
     def _archive(self, replaced: list[messages.HostList]) -> None:
         wall_ms = self._context.clock.wall_ms()
         for each in replaced:
+            # Most lists change other data centres only, and need no entry of their own.
+            if self._earlier and self._earlier[-1].members == each.members:
+                self._earlier.pop()
             self._earlier.append(
                 ports.EarlierList(
                     revision=each.revision, members=each.members, until_wall_ms=wall_ms
@@ -282,8 +285,7 @@
         while self._earlier and self._archive_is_full(wall_ms):
             dropped = self._earlier.pop(0)
             self._known_wall_ms = max(self._known_wall_ms, dropped.until_wall_ms)
-        kept = self._earlier[0].revision if self._earlier else self._chain.base_revision
-        self._floor = max(self._floor, kept)
+            self._floor = max(self._floor, dropped.revision)
 
     def _archive_is_full(self, wall_ms: float) -> bool:
         old = self._earlier[0].until_wall_ms + _KEEP_EARLIER_MS < wall_ms
