Dissemination tests: a state machine of faults, and each promise by itself

Loss, delay, duplication, reordering, one-way cuts, a stale replica, the platform down for long, hosts restarted empty, pauses and two changes at once: nothing reverts, a refused revision keeps the last accepted one, and all hosts agree within 15 s of simulated time once messages flow. Two broken variants, a table that takes any revision and a progress that skips gaps, fail under the same machine; both runs are kept as tests.

--- a/standins/spreading.py
+++ b/standins/spreading.py
@@ -3,6 +3,7 @@
 Only what spreads records and host lists runs here: the engine of each host, without requests.
 """
 
+import bisect
 import random
 
 import msgspec
@@ -60,6 +61,7 @@
         self.calls = 0
         self._records: dict[tuple[str, str], tuple[int, bytes]] = {}
         self._sorted: list[tuple[int, bytes]] | None = None
+        self._frozen: dict[str, list[tuple[int, bytes]]] = {}
 
     def publish(self, kind: str, name: str, spec: object) -> int:
         """Publish a revision of a record and return its number."""
@@ -69,6 +71,10 @@
         self._sorted = None
         return self.revision
 
+    def latest(self, kind: str, name: str) -> int:
+        """Return the newest revision of a record, or 0 if it was never published."""
+        return self._records.get((kind, name), (0, b""))[0]
+
     def list_hosts(self, rows: tuple[ports.HostRow, ...]) -> None:
         """Publish a host list."""
         self.hosts_revision += 1
@@ -77,19 +83,24 @@
     def freeze(self, host: str) -> None:
         """Show a reader the present state from now on, whatever comes."""
         self.stale[host] = (self.revision, self.hosts_revision)
+        self._frozen[host] = sorted(self._records.values())
 
     def answers(self, host: str) -> bool:
         """Return whether the platform answers a host at all."""
         return not self.down and host not in self.unreachable
 
     def records_after(self, host: str, after: int) -> duty.RecordsAnswer | None:
-        """Return what a host would get now, or None if it would wait."""
+        """Return what a host would get now, or None if it would wait.
+
+        A stale replica that is asked for what it does not know yet gives all that it has.
+        """
         visible, _ = self.stale.get(host, (self.revision, 0))
-        if self._sorted is None:
-            self._sorted = sorted(self._records.values())
-        found = [entry for entry in self._sorted if after < entry[0] <= visible]
         if visible == after:
             return None
+        found = self._state_for(host)
+        if after < visible:
+            start = bisect.bisect_right(found, after, key=lambda entry: entry[0])
+            found = found[start:]
         size = 0
         chosen = []
         for _, data in found:
@@ -104,6 +115,13 @@
             envelopes=tuple(chosen),
         )
 
+    def _state_for(self, host: str) -> list[tuple[int, bytes]]:
+        if host in self.stale:
+            return self._frozen[host]
+        if self._sorted is None:
+            self._sorted = sorted(self._records.values())
+        return self._sorted
+
     def hosts_after(self, host: str, after: int) -> duty.HostsAnswer | None:
         """Return what a host would get now, or None if it would wait."""
         _, visible = self.stale.get(host, (0, self.hosts_revision))
--- /dev/null
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -0,0 +1,338 @@
+"""Tests of spreading records and host lists over lossy, cut and late channels."""
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import stateful, strategies
+
+from standins import spreading
+from verbenadrum import ids
+from verbenadrum.core import ports
+from verbenadrum.dissemination import duty, messages, progress
+from verbenadrum.records import envelope, store, table, types
+
+_SETTINGS = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=100,
+    stateful_step_count=30,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+_CONVERGENCE_MS = 15_000.0
+_NAMES = ("w0", "w1", "w2")
+_BAD_SPEC = {"rate_per_s": 0, "burst": 0}
+
+
+def good_spec(rate):
+    return {"rate_per_s": rate, "burst": 4}
+
+
+def accepted_revisions(host):
+    return {row.name: row.revision for row in host.engine.records.rows()}
+
+
+class SpreadMachine(stateful.RuleBasedStateMachine):
+    """Faults of every kind, two at once: nothing reverts, and all agree once messages flow."""
+
+    @stateful.initialize(seed=strategies.integers(0, 2**16))
+    def begin(self, seed):
+        self.fleet = spreading.Fleet(seed=seed, data_centres=1, hosts=3)
+        self.fleet.seeds = list(self.fleet.hosts)
+        self.names = list(self.fleet.hosts)
+        self.good = {name: {} for name in _NAMES}
+        self.seen = {}
+        self.publish(0, False, False)
+        self.fleet.run(2_000)
+
+    @stateful.rule(
+        index=strategies.integers(0, 2),
+        bad=strategies.booleans(),
+        gone=strategies.booleans(),
+        run_ms=strategies.sampled_from([0, 5, 50, 500]),
+    )
+    def publish(self, index, bad, gone, run_ms=0):
+        name = _NAMES[index]
+        spec = _BAD_SPEC if bad else None if gone else good_spec(1 + len(self.good[name]))
+        revision = self.fleet.platform.publish("workspace", name, spec)
+        if not bad:
+            self.good[name][revision] = spec
+        self.fleet.run(run_ms)
+
+    @stateful.rule(first=strategies.integers(0, 2), second=strategies.integers(0, 2))
+    def two_operators_at_once(self, first, second):
+        self.publish(first, False, False)
+        self.publish(second, False, True)
+
+    @stateful.rule(ms=strategies.sampled_from([10, 300, 3_000, 12_000]))
+    def run(self, ms):
+        self.fleet.run(ms)
+
+    @stateful.rule(loss=strategies.sampled_from([0.0, 0.05, 0.4]), twice=strategies.booleans())
+    def disturb(self, loss, twice):
+        self.fleet.channel.conditions.loss = loss
+        self.fleet.channel.conditions.duplication = 0.3 if twice else 0.0
+        self.fleet.channel.conditions.jitter = 20.0 if twice else 0.5
+
+    @stateful.rule(
+        first=strategies.integers(0, 5), others=strategies.sets(strategies.integers(0, 5))
+    )
+    def cut_one_way(self, first, others):
+        pairs = {(self.names[first], self.names[other]) for other in others if other != first}
+        self.fleet.channel.conditions.cuts |= pairs
+
+    @stateful.rule()
+    def heal(self):
+        self.fleet.channel.conditions.cuts.clear()
+
+    @stateful.rule(index=strategies.integers(0, 5), frozen=strategies.booleans())
+    def stale_reader(self, index, frozen):
+        if frozen:
+            self.fleet.platform.freeze(self.names[index])
+        else:
+            self.fleet.platform.stale.pop(self.names[index], None)
+
+    @stateful.rule(down=strategies.booleans(), minutes=strategies.sampled_from([0, 0, 1]))
+    def platform(self, down, minutes):
+        self.fleet.platform.down = down
+        self.fleet.run(minutes * 60_000)
+
+    @stateful.rule(index=strategies.integers(0, 5), reachable=strategies.booleans())
+    def platform_path(self, index, reachable):
+        change = set.discard if reachable else set.add
+        change(self.fleet.platform.unreachable, self.names[index])
+
+    @stateful.rule(index=strategies.integers(0, 5))
+    def restart_empty(self, index):
+        self.fleet.stop(self.names[index])
+        self.fleet.start(self.names[index])
+        self.seen.pop(self.names[index], None)
+
+    @stateful.rule(index=strategies.integers(0, 5), paused=strategies.booleans())
+    def pause(self, index, paused):
+        self.fleet.hosts[self.names[index]].paused = paused
+
+    @stateful.invariant()
+    def nothing_reverts(self):
+        if not hasattr(self, "fleet"):
+            return
+        for name, host in self.fleet.hosts.items():
+            seen = self.seen.setdefault(name, {})
+            for record, revision in accepted_revisions(host).items():
+                assert revision >= seen.get(record, 0), f"{record} on {name} reverted"
+                assert revision in self.good[record], f"{record} on {name} is a refused revision"
+                assert self._in_force(host, record) == self.good[record][revision]
+                seen[record] = revision
+
+    def _in_force(self, host, record):
+        spec = host.engine.records.workspace(ids.WorkspaceId(record))
+        return None if spec is None else good_spec(spec.rate_per_s)
+
+    def teardown(self):
+        if not hasattr(self, "fleet"):
+            return
+        self.disturb(0.0, False)
+        self.heal()
+        self.fleet.platform.down = False
+        self.fleet.platform.unreachable.clear()
+        self.fleet.platform.stale.clear()
+        for host in self.fleet.hosts.values():
+            host.paused = False
+        taken = self.fleet.run_until(self._agreed, _CONVERGENCE_MS)
+        assert taken < _CONVERGENCE_MS, "no agreement"
+        self.nothing_reverts()
+
+    def _agreed(self):
+        views = [accepted_revisions(host) for host in self.fleet.hosts.values()]
+        latest = self.fleet.platform.revision
+        if not self.fleet.all_have(latest) or any(view != views[0] for view in views):
+            return False
+        newest = {name: max(good) for name, good in self.good.items() if good}
+        return all(
+            views[0].get(name) == revision
+            for name, revision in newest.items()
+            if revision == self._latest_of(name)
+        )
+
+    def _latest_of(self, name):
+        return self.fleet.platform.latest("workspace", name)
+
+
+SpreadMachine.TestCase.settings = _SETTINGS
+TestSpread = SpreadMachine.TestCase
+
+
+def is_bad(raw):
+    return msgspec.json.decode(raw)["spec"] == _BAD_SPEC
+
+
+def fails_under_the_machine():
+    unshrunk = hypothesis.settings(
+        _SETTINGS, phases=[hypothesis.Phase.generate], report_multiple_bugs=False
+    )
+    try:
+        stateful.run_state_machine_as_test(SpreadMachine, settings=unshrunk)
+    except AssertionError:
+        return True
+    return False
+
+
+def test_machine_catches_a_table_that_takes_any_revision(monkeypatch):
+    judge = store.RecordStore.offer
+
+    def put(self, record):
+        previous = self._rows.get((record.kind, record.name))
+        self._rows[record.kind, record.name] = record
+        self._index(record, None if previous is None else previous.spec)
+        return True
+
+    def offer(self, raw):
+        verdict = judge(self, raw)
+        if verdict is store.Verdict.OLD and not is_bad(raw):
+            record = envelope.parse(raw)
+            self._accept((record.kind.value, record.name), record, raw)
+        return verdict
+
+    monkeypatch.setattr(table.RecordTable, "put", put)
+    monkeypatch.setattr(store.RecordStore, "offer", offer)
+    assert fails_under_the_machine()
+
+
+def test_machine_catches_progress_that_skips_gaps(monkeypatch):
+    def advance(self, source, *, after, to, final):
+        self._complete_to = max(self._complete_to, to)
+        return True
+
+    monkeypatch.setattr(progress.Progress, "advance", advance)
+    assert fails_under_the_machine()
+
+
+def ready_fleet(seed, **sizes):
+    fleet = spreading.Fleet(seed=seed, **sizes)
+    revision = fleet.platform.publish("workspace", "w", good_spec(1))
+    assert fleet.run_until(lambda: fleet.all_have(revision), 10_000) < 10_000
+    fleet.run(1_000)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_change_and_withdrawn_key_are_everywhere_within_two_seconds(seed):
+    fleet = ready_fleet(seed)
+    fleet.channel.conditions.loss = 0.05
+    reader = next(
+        host
+        for host, each in fleet.hosts.items()
+        if each.engine.reader_duty().reason is duty.ReadReason.READER
+    )
+    fleet.platform.freeze(reader)
+    digest = "a" * 64
+    revision = fleet.platform.publish("key", "k", {"workspace": "w", "sha256": digest})
+    assert fleet.run_until(lambda: fleet.all_have(revision), 2_000) < 2_000
+    fleet.platform.publish("key", "k", None)
+    fleet.run(2_000)
+    assert not any(host.engine.records.key_workspace(digest) for host in fleet.hosts.values())
+
+
+def test_hosts_without_the_platform_learn_from_peers():
+    fleet = ready_fleet(1)
+    fleet.platform.unreachable = {host for host in fleet.hosts if host.startswith("h1")}
+    revision = fleet.platform.publish("workspace", "w", good_spec(2))
+    assert fleet.run_until(lambda: fleet.all_have(revision), 2_000) < 2_000
+
+
+def test_host_that_can_only_hear_still_learns():
+    fleet = ready_fleet(2)
+    deaf = "h0003"
+    fleet.platform.unreachable.add(deaf)
+    fleet.channel.conditions.cuts = {(deaf, other) for other in fleet.hosts}
+    revision = fleet.platform.publish("workspace", "w", good_spec(2))
+    assert fleet.run_until(lambda: fleet.all_have(revision), 5_000) < 5_000
+
+
+def test_restarted_host_loads_from_peers_and_seeds_while_the_platform_is_down():
+    fleet = ready_fleet(3)
+    fleet.platform.down = True
+    fleet.seeds = ["h0001", "h1001"]
+    fleet.stop("h0005")
+    started = fleet.start("h0005")
+    assert fleet.run_until(lambda: started.engine.ready, 10_000) < 10_000
+
+
+def test_last_accepted_revision_reaches_a_host_that_starts_after_a_bad_one():
+    fleet = ready_fleet(4)
+    fleet.platform.publish("workspace", "w", _BAD_SPEC)
+    fleet.run(2_000)
+    for name in ("h0001", "h1003"):
+        fleet.stop(name)
+        fleet.start(name)
+    fleet.run(8_000)
+    for host in fleet.hosts.values():
+        assert host.engine.records.workspace(ids.WorkspaceId("w")).rate_per_s == 1
+        (rejection,) = host.engine.store.rejections()
+        assert rejection.accepted_revision == 1
+
+
+def test_large_sets_load_in_chunks_below_the_message_limit():
+    fleet = ready_fleet(5, data_centres=1, hosts=3)
+    padding = "x" * 200_000
+    for index in range(12):
+        spec = {"path_prefix": f"/{index}", "service": "s", "note": padding}
+        revision = fleet.platform.publish("route", f"r{index}", spec)
+    assert fleet.run_until(lambda: fleet.all_have(revision), 10_000) < 10_000
+    fleet.stop("h1001")
+    fleet.start("h1001")
+    assert fleet.run_until(lambda: fleet.all_have(revision), 10_000) < 10_000
+    assert fleet.hosts["h1001"].engine.records.route("", "/7") is not None
+
+
+def test_readers_are_few_and_calls_stay_small_while_the_platform_is_down():
+    fleet = ready_fleet(6)
+    reasons = [host.engine.reader_duty().reason for host in fleet.hosts.values()]
+    assert reasons.count(duty.ReadReason.READER) == 6
+    fleet.platform.down = True
+    fleet.run(5_000)
+    before = fleet.platform.calls
+    fleet.run(20_000)
+    assert fleet.platform.calls - before <= 6 * 2 * 20 / 2.5 * 1.1
+
+
+def test_host_that_hears_no_peer_reads_for_itself():
+    fleet = ready_fleet(7)
+    lonely = next(
+        host
+        for host, each in fleet.hosts.items()
+        if each.engine.reader_duty().reason is duty.ReadReason.NONE
+    )
+    fleet.channel.conditions.cuts = {(other, lonely) for other in fleet.hosts}
+    fleet.run(12_000)
+    revision = fleet.platform.publish("workspace", "w", good_spec(2))
+    assert fleet.run_until(lambda: fleet.all_have(revision), 2_000) < 2_000
+
+
+def test_host_list_spreads_as_changes_and_never_reverts():
+    fleet = ready_fleet(8)
+    rows = fleet.platform.rows
+    leaving = msgspec.structs.replace(rows[0], state=ports.HostState.LEAVING)
+    fleet.platform.list_hosts((leaving, *rows[1:-1]))
+    fleet.run(2_000)
+    for host in fleet.hosts.values():
+        assert host.engine.membership.revision == 2
+        assert len(host.engine.membership.hosts()) == len(rows) - 1
+        assert host.engine.membership.row(rows[0].host).state is ports.HostState.LEAVING
+    host = fleet.hosts["h0001"].engine
+    assert not host.on_platform_hosts(duty.HostsAnswer(after=2, revision=1, rows=rows))
+    host.on_message("h0002", messages.HostChanges(0, 1, ()))
+    assert host.membership.revision == 2
+
+
+def test_older_answer_of_the_platform_changes_nothing():
+    fleet = ready_fleet(9, data_centres=1, hosts=1)
+    host = fleet.hosts["h0000"].engine
+    newer = spreading.envelope_of("workspace", "w", 7, good_spec(7))
+    older = spreading.envelope_of("workspace", "w", 3, good_spec(3))
+    for revision, data in ((7, newer), (3, older)):
+        answer = duty.RecordsAnswer(after=1, revision=revision, complete=True, envelopes=(data,))
+        host.on_platform_records(answer)
+    assert host.records.row(types.RecordKind.WORKSPACE, "w").revision == 7
+    stale = duty.RecordsAnswer(after=7, revision=3, complete=True, envelopes=())
+    assert not host.on_platform_records(stale)
