Platform reader: long polls with urllib3 as the core's duty says

Two greenlets poll records and hosts, one call each at a time; a refused, unusable or stale answer moves on to the next URL, and the core's backoff decides when. Answers are capped at 8 MB and bound in time. HostTable.address also knows hosts that asked before the list names them, so that a seed can answer a newcomer: the pulls carry its address until then (Engine takes it as address).

--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -13,7 +13,6 @@
 from verbenadrum.core import context, ports, system
 from verbenadrum.dissemination import duty as platform_duty
 from verbenadrum.dissemination import host_lists, sampler
-from verbenadrum.dissemination import messages as spread_messages
 from verbenadrum.dissemination import records as record_spread
 from verbenadrum.entry import pipeline
 from verbenadrum.epochs import registry as epoch_registry
@@ -49,16 +48,18 @@
         Identity, clock, random numbers, sending and decisions.
     choices : Choices
         Which behaviours to run.
+    address : str
+        ``ip:port`` of this host's peer port, for answers before the host list names it.
     """
 
-    def __init__(self, *, context: context.Context, choices: Choices) -> None:
+    def __init__(self, *, context: context.Context, choices: Choices, address: str = "") -> None:
         self._context = context
         self.records = record_table.RecordTable()
         self.membership = host_table.HostTable()
         self.store = record_store.RecordStore(context=context, records=self.records)
         peers = sampler.PeerSampler(context=context, membership=self.membership)
         self.host_spread = host_lists.HostListSpread(
-            context=context, membership=self.membership, peers=peers
+            context=context, membership=self.membership, peers=peers, address=address
         )
         self.record_spread = record_spread.RecordSpread(
             context=context,
@@ -147,7 +148,7 @@
 
     def seed_request(self) -> base.Message:
         """Return the message to send to a seed peer while `Duty.ask_seeds` is set."""
-        return spread_messages.HostsPull(0)
+        return self.host_spread.pull_request()
 
     def apply_records(self, records: list[types.Record]) -> int:
         """Put records in force, and return how many were newer than those held."""
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -138,7 +138,11 @@
             send=self._send,
             decisions=self._decisions,
         )
-        return engine.Engine(context=made, choices=self._settings.decisions)
+        return engine.Engine(
+            context=made,
+            choices=self._settings.decisions,
+            address=self._settings.peers.listen,
+        )
 
     def _make_peers(self) -> peers.PeerStreams:
         table = self._settings.peers
@@ -179,8 +183,7 @@
     def _find_address(self, host: ids.HostId) -> str | None:
         if host in self._settings.peers.seeds:
             return host
-        row = self._engine.membership.row(host)
-        return None if row is None else row.address
+        return self._engine.membership.address(host)
 
     def _run_ticks(self) -> None:
         while True:
--- a/verbenadrum/daemon/platform_reader.py
+++ b/verbenadrum/daemon/platform_reader.py
@@ -1,7 +1,6 @@
-"""Reads records and host lists from the platform where the core says that this host should."""
+"""Reads the platform's configuration service by long polls, as the core's duty says."""
 
 import logging
-from collections.abc import Callable, Iterator
 
 import gevent
 import msgspec
@@ -9,54 +8,69 @@
 
 from verbenadrum.core import engine, ports
 from verbenadrum.dissemination import duty
+from verbenadrum.utils import errors
 
-__all__ = ["PlatformReader"]
+__all__ = ["PlatformError", "PlatformReader"]
 
-_IDLE_S = 0.1
-_MAX_PAUSE_S = 0.25
 _MS_PER_S = 1000.0
 _CONNECT_TIMEOUT_S = 1.0
-# How much longer than its asked wait a long poll may take before it counts as failed.
-_EXTRA_WAIT_S = 3.0
-_MAX_ANSWER_BYTES = 2_097_152
+_READ_MARGIN_S = 2.0
+_WHOLE_MARGIN_S = 10.0
+_IDLE_S = 0.25
+_AFTER_FAULT_S = 1.0
+_MAX_ANSWER_BYTES = 8_388_608
+_CONNECTIONS_PER_URL = 2
 
 _log = logging.getLogger(__name__)
 
 
-class _RecordsBody(msgspec.Struct):
-    """JSON answer with records; each envelope is kept as the bytes that came."""
+class PlatformError(errors.VerbenadrumError):
+    """A call to the platform gave no usable answer."""
+
+    code = "platform-unusable"
+
+
+class _RecordsBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a poll for records; envelopes stay raw."""
 
     revision: int
-    complete: bool
     records: tuple[msgspec.Raw, ...]
+    complete: bool = True
 
 
-class _HostsBody(msgspec.Struct):
-    """JSON answer with the host list."""
+class _HostsBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a poll for the host list."""
 
     revision: int
     hosts: tuple[ports.HostRow, ...]
 
 
 class PlatformReader:
-    """Long-polls the platform, turning to the next URL after a failure or a stale answer.
+    """Polls records and hosts in a greenlet each.
+
+    Each greenlet makes one call at a time. Several URLs are tried in turn: a failed call or a
+    stale answer moves on to the next.
 
     Parameters
     ----------
     engine : Engine
-        Says what to read, and takes the answers.
+        Says what to read and takes the answers.
     urls : tuple of str
-        Base URLs of the platform's configuration service.
+        Base URLs of the configuration service.
     host : str
-        This host's identifier, sent with each call.
+        This host's identifier, named in the header ``X-Reader``.
     """
 
     def __init__(self, *, engine: engine.Engine, urls: tuple[str, ...], host: str) -> None:
         self._engine = engine
-        self._urls = urls
+        self._urls = tuple(url.rstrip("/") for url in urls)
+        self._headers = {"X-Reader": host, "Accept": "application/json"}
+        self._url_index = dict.fromkeys(duty.Stream, 0)
+        # urllib3 sets TCP_NODELAY on the sockets of its connections by itself.
         self._http = urllib3.PoolManager(
-            headers={"X-Reader": host}, retries=False, num_pools=len(urls), maxsize=2
+            num_pools=len(urls), maxsize=_CONNECTIONS_PER_URL, retries=False
         )
+        self._failing: set[duty.Stream] = set()
         self._calls = 0
 
     @property
@@ -66,73 +80,112 @@
 
     def run_records(self) -> None:
         """Read records until killed."""
-        self._run(duty.Stream.RECORDS, "/v1/records", lambda due: due.records, self._take_records)
+        self._run(duty.Stream.RECORDS)
 
     def run_hosts(self) -> None:
         """Read host lists until killed."""
-        self._run(duty.Stream.HOSTS, "/v1/hosts", lambda due: due.hosts, self._take_hosts)
-
-    def _run(
-        self,
-        stream: duty.Stream,
-        path: str,
-        pick: Callable[[duty.Duty], duty.PollOrder | None],
-        take: Callable[[int, bytes], bool],
-    ) -> None:
-        turn = 0
-        for order in self._due(pick):
-            url = self._urls[turn % len(self._urls)]
-            try:
-                fresh = take(order.after, self._call(url + path, order))
-            except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError) as error:
-                _log.info("platform call failed", extra={"url": url, "fault": str(error)})
-                self._engine.on_platform_failure(stream)
-                fresh = False
-            if not fresh:
-                turn += 1
-
-    def _due(self, pick: Callable[[duty.Duty], duty.PollOrder | None]) -> Iterator[duty.PollOrder]:
-        """Yield each order when its time has come."""
+        self._run(duty.Stream.HOSTS)
+
+    def poll_once(self, stream: duty.Stream) -> float:
+        """Make one call if the core wants one now.
+
+        Returns
+        -------
+        float
+            Seconds after which to come again.
+        """
+        order = self._order(stream)
+        if order is None:
+            return _IDLE_S
+        if order.delay_ms > 0:
+            return min(_IDLE_S, order.delay_ms / _MS_PER_S)
+        self._poll(stream, order)
+        return 0.0
+
+    def _run(self, stream: duty.Stream) -> None:
         while True:
-            order = pick(self._engine.reader_duty())
-            if order is None:
-                gevent.sleep(_IDLE_S)
-            elif order.delay_ms > 0:
-                gevent.sleep(min(order.delay_ms / _MS_PER_S, _MAX_PAUSE_S))
-            else:
-                yield order
-
-    def _call(self, url: str, order: duty.PollOrder) -> bytes:
+            try:
+                pause_s = self.poll_once(stream)
+            except Exception:
+                # A fault over one answer must not end every later call.
+                _log.exception("a platform answer could not be taken")
+                pause_s = _AFTER_FAULT_S
+            gevent.sleep(pause_s)
+
+    def _order(self, stream: duty.Stream) -> duty.PollOrder | None:
+        current = self._engine.reader_duty()
+        return current.records if stream is duty.Stream.RECORDS else current.hosts
+
+    def _poll(self, stream: duty.Stream, order: duty.PollOrder) -> None:
         self._calls += 1
-        read_s = order.wait_ms / _MS_PER_S + _EXTRA_WAIT_S
-        response = self._http.request(
-            "GET",
-            url,
-            fields={"after": str(order.after), "wait_ms": str(int(order.wait_ms))},
-            timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=read_s),
-            preload_content=False,
-        )
         try:
-            body = response.read(_MAX_ANSWER_BYTES + 1)
-        finally:
-            response.release_conn()
+            data = self._get(stream, order)
+            fresh = self._take(stream, order, data)
+        except (urllib3.exceptions.HTTPError, OSError, PlatformError, gevent.Timeout) as error:
+            self._note_failure(stream, error)
+            self._engine.on_platform_failure(stream)
+            fresh = False
+        else:
+            self._note_success(stream)
+        if not fresh:
+            self._url_index[stream] += 1
+
+    def _get(self, stream: duty.Stream, order: duty.PollOrder) -> bytes:
+        base = self._urls[self._url_index[stream] % len(self._urls)]
+        wait_s = order.wait_ms / _MS_PER_S
+        with gevent.Timeout(wait_s + _WHOLE_MARGIN_S):
+            response = self._http.request(
+                "GET",
+                f"{base}/v1/{stream.value}?after={order.after}&wait_ms={order.wait_ms:.0f}",
+                headers=self._headers,
+                timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=wait_s + _READ_MARGIN_S),
+                redirect=False,
+                preload_content=False,
+            )
+            try:
+                data = response.read(_MAX_ANSWER_BYTES + 1)
+            except BaseException:
+                response.close()
+                raise
+            finally:
+                response.release_conn()
         if response.status != 200:
-            raise urllib3.exceptions.HTTPError(f"status {response.status}")
-        if len(body) > _MAX_ANSWER_BYTES:
-            raise urllib3.exceptions.HTTPError("the answer is too large")
-        return body
-
-    def _take_records(self, after: int, data: bytes) -> bool:
-        body = msgspec.json.decode(data, type=_RecordsBody)
-        answer = duty.RecordsAnswer(
-            after=after,
-            revision=body.revision,
-            complete=body.complete,
-            envelopes=tuple(bytes(raw) for raw in body.records),
+            raise PlatformError(f"status {response.status} from {base}")
+        if len(data) > _MAX_ANSWER_BYTES:
+            raise PlatformError(f"answer of more than {_MAX_ANSWER_BYTES} bytes from {base}")
+        return data
+
+    def _take(self, stream: duty.Stream, order: duty.PollOrder, data: bytes) -> bool:
+        if stream is duty.Stream.RECORDS:
+            body = _decode(data, _RecordsBody)
+            return self._engine.on_platform_records(
+                duty.RecordsAnswer(
+                    after=order.after,
+                    revision=body.revision,
+                    complete=body.complete,
+                    envelopes=tuple(bytes(raw) for raw in body.records),
+                )
+            )
+        body = _decode(data, _HostsBody)
+        return self._engine.on_platform_hosts(
+            duty.HostsAnswer(after=order.after, revision=body.revision, rows=body.hosts)
         )
-        return self._engine.on_platform_records(answer)
 
-    def _take_hosts(self, after: int, data: bytes) -> bool:
-        body = msgspec.json.decode(data, type=_HostsBody)
-        answer = duty.HostsAnswer(after=after, revision=body.revision, rows=body.hosts)
-        return self._engine.on_platform_hosts(answer)
+    def _note_failure(self, stream: duty.Stream, error: BaseException) -> None:
+        if stream not in self._failing:
+            self._failing.add(stream)
+            _log.warning(
+                "platform cannot be read", extra={"stream": stream.value, "fault": str(error)}
+            )
+
+    def _note_success(self, stream: duty.Stream) -> None:
+        if stream in self._failing:
+            self._failing.discard(stream)
+            _log.info("platform is read again", extra={"stream": stream.value})
+
+
+def _decode(data: bytes, expected: type):
+    try:
+        return msgspec.json.decode(data, type=expected)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise PlatformError(f"unreadable answer: {error}") from error
--- /dev/null
+++ b/verbenadrum/daemon/tests/test_platform_reader.py
@@ -0,0 +1,118 @@
+"""Tests of the platform reader against a small HTTP server."""
+
+import contextlib
+import http.server
+import socket
+import threading
+
+import msgspec
+import pytest
+
+from standins import spreading
+from verbenadrum.core import ports
+from verbenadrum.daemon import platform_reader
+from verbenadrum.dissemination import duty
+
+_HOSTS = {
+    "revision": 4,
+    "hosts": [{"host": "h1", "address": "127.0.0.1:1", "data_centre": "d", "region": "r"}],
+}
+
+
+class FakeEngine:
+    """Wants one call of each stream at a time, and keeps what came of it."""
+
+    def __init__(self):
+        self.answers = []
+        self.failures = []
+
+    def reader_duty(self):
+        order = duty.PollOrder(after=3, wait_ms=100.0, delay_ms=0.0)
+        return duty.Duty(reason=duty.ReadReason.READER, records=order, hosts=order)
+
+    def on_platform_records(self, answer):
+        self.answers.append(answer)
+        return answer.revision >= answer.after
+
+    on_platform_hosts = on_platform_records
+
+    def on_platform_failure(self, stream):
+        self.failures.append(stream)
+
+
+@contextlib.contextmanager
+def serving(body, status=200):
+    """Answer every request alike, and yield the base URL and the requests seen."""
+    seen = []
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def do_GET(self):
+            seen.append((self.path, self.headers["X-Reader"]))
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *args):
+            pass
+
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    thread = threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True)
+    thread.start()
+    try:
+        yield f"http://127.0.0.1:{server.server_port}", seen
+    finally:
+        server.shutdown()
+        server.server_close()
+        thread.join()
+
+
+def make_reader(*urls):
+    fake = FakeEngine()
+    reader = platform_reader.PlatformReader(engine=fake, urls=urls, host="h1")
+    return reader, fake
+
+
+def test_records_come_as_raw_envelopes():
+    raw = spreading.envelope_of("key", "k", 5, None)
+    body = msgspec.json.encode({"revision": 5, "complete": False, "records": [msgspec.Raw(raw)]})
+    with serving(body) as (url, seen):
+        reader, fake = make_reader(url)
+        assert reader.poll_once(duty.Stream.RECORDS) == 0.0
+    assert fake.answers == [
+        duty.RecordsAnswer(after=3, revision=5, complete=False, envelopes=(raw,))
+    ]
+    assert seen == [("/v1/records?after=3&wait_ms=100", "h1")]
+
+
+def test_host_list_is_typed():
+    with serving(msgspec.json.encode(_HOSTS)) as (url, _):
+        reader, fake = make_reader(url)
+        reader.poll_once(duty.Stream.HOSTS)
+    assert fake.answers[0].rows[0].state is ports.HostState.LIVE
+
+
+@pytest.mark.parametrize(
+    ("body", "status"), [(b"{}", 200), (b"not json", 200), (b"[" * 100_000, 200), (b"", 503)]
+)
+def test_unusable_answers_count_as_failures(body, status):
+    with serving(body, status) as (url, _):
+        reader, fake = make_reader(url)
+        reader.poll_once(duty.Stream.RECORDS)
+    assert (fake.answers, fake.failures) == ([], [duty.Stream.RECORDS])
+
+
+def test_refused_and_stale_urls_are_passed_over():
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        refused = f"http://127.0.0.1:{closed.getsockname()[1]}"
+        stale = msgspec.json.encode({"revision": 1, "records": []})
+        fresh = msgspec.json.encode({"revision": 9, "records": []})
+        with serving(stale) as (stale_url, _), serving(fresh) as (fresh_url, seen):
+            reader, fake = make_reader(refused, stale_url, fresh_url)
+            for _ in range(4):
+                reader.poll_once(duty.Stream.RECORDS)
+    assert [answer.revision for answer in fake.answers] == [1, 9, 9]
+    assert (len(fake.failures), len(seen)) == (1, 2)
--- a/verbenadrum/dissemination/host_lists.py
+++ b/verbenadrum/dissemination/host_lists.py
@@ -28,6 +28,8 @@
         Where the newest list goes in force.
     peers : PeerSampler
         Chooses whom to tell.
+    address : str
+        ``ip:port`` of this host's peer port, for answers before the list names it.
     """
 
     def __init__(
@@ -36,10 +38,12 @@
         context: context.Context,
         membership: host_table.HostTable,
         peers: sampler.PeerSampler,
+        address: str = "",
     ) -> None:
         super().__init__(context=context)
         self._membership = membership
         self._peers = peers
+        self._address = address
         self._kept: collections.OrderedDict[int, _Rows] = collections.OrderedDict()
 
     def on_platform(self, *, after: int, revision: int, rows: tuple[ports.HostRow, ...]) -> bool:
@@ -60,7 +64,7 @@
         if message.revision <= self._membership.revision:
             return
         if message.base not in (0, self._membership.revision):
-            self._context.send(sender, messages.HostsPull(self._membership.revision))
+            self._context.send(sender, self.pull_request())
             return
         rows: _Rows = {}
         if message.base:
@@ -76,13 +80,22 @@
     @system.handles(messages.HostsPull)
     def on_pull(self, sender: ids.HostId, message: messages.HostsPull) -> None:
         """Answer with what has changed since the asker's list."""
+        self._membership.note_contact(sender, message.reply_to)
         if message.revision < self._membership.revision:
             self._context.send(sender, self._changes_since(message.revision))
 
+    def reply_address(self) -> str:
+        """Return this host's address while its list does not name it, else an empty text."""
+        return self._address if self._membership.row(self._context.host) is None else ""
+
+    def pull_request(self) -> messages.HostsPull:
+        """Return the message that asks any peer for a newer list."""
+        return messages.HostsPull(self._membership.revision, self.reply_address())
+
     def compare(self, peer: ids.HostId, revision: int) -> None:
         """Pull a newer list from a peer, or send it the newer one that is held here."""
         if revision > self._membership.revision:
-            self._context.send(peer, messages.HostsPull(self._membership.revision))
+            self._context.send(peer, self.pull_request())
         elif revision < self._membership.revision:
             self._context.send(peer, self._changes_since(revision))
 
--- a/verbenadrum/dissemination/messages.py
+++ b/verbenadrum/dissemination/messages.py
@@ -53,9 +53,13 @@
 
 @base.register
 class RecordPull(base.Message, tag="rp"):
-    """Asks for the records that changed after a revision."""
+    """Asks for the records that changed after a revision.
+
+    ``reply_to`` is the asker's address while the host list does not name it yet.
+    """
 
     after: int
+    reply_to: str = ""
 
 
 @base.register
@@ -102,6 +106,10 @@
 
 @base.register
 class HostsPull(base.Message, tag="hp"):
-    """Asks for the host list if it is newer than a revision."""
+    """Asks for the host list if it is newer than a revision.
+
+    ``reply_to`` is the asker's address while the host list does not name it yet.
+    """
 
     revision: int
+    reply_to: str = ""
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -136,6 +136,7 @@
     @system.handles(messages.RecordPull)
     def on_pull(self, sender: ids.HostId, message: messages.RecordPull) -> None:
         """Answer a pull with the next chunk."""
+        self._membership.note_contact(sender, message.reply_to)
         self._context.send(sender, self._chunk(message.after))
 
     @system.handles(messages.Digest)
@@ -266,7 +267,8 @@
 
     def _send_pull(self) -> None:
         peer = self._pull.peer
-        self._context.send(peer, messages.RecordPull(self._progress.cursor(peer)))
+        cursor = self._progress.cursor(peer)
+        self._context.send(peer, messages.RecordPull(cursor, self._hosts.reply_address()))
 
     def _watch_pull(self, now_ms: float) -> None:
         """Repeat a pull that got no answer, then turn to another peer."""
--- a/verbenadrum/membership/table.py
+++ b/verbenadrum/membership/table.py
@@ -1,11 +1,15 @@
 """Table of the listed hosts as this host knows them."""
 
+import collections
+
 from verbenadrum import ids
 from verbenadrum.core import ports
 from verbenadrum.utils import hashing
 
 __all__ = ["HostTable"]
 
+_MAX_CONTACTS = 64
+
 
 class HostTable:
     """Rows of the newest host list, with hints on which hosts are unreachable."""
@@ -17,6 +21,7 @@
         self._by_region: dict[str, tuple[ports.HostRow, ...]] = {}
         self._all: tuple[ports.HostRow, ...] = ()
         self._suspected: set[ids.HostId] = set()
+        self._contacts: collections.OrderedDict[ids.HostId, str] = collections.OrderedDict()
 
     @property
     def revision(self) -> int:
@@ -63,6 +68,20 @@
         """Return a host's row, or None if it is not listed."""
         return self._rows.get(host)
 
+    def address(self, host: ids.HostId) -> str | None:
+        """Return where a host listens for peers, or None if that is not known."""
+        row = self._rows.get(host)
+        return self._contacts.get(host) if row is None else row.address
+
+    def note_contact(self, host: ids.HostId, address: str) -> None:
+        """Remember where to answer a host that the list does not name yet."""
+        if not address or host in self._rows:
+            return
+        self._contacts[host] = address
+        self._contacts.move_to_end(host)
+        if len(self._contacts) > _MAX_CONTACTS:
+            self._contacts.popitem(last=False)
+
     def reachable(self, host: ids.HostId) -> bool:
         """Return whether the host is believed reachable from here; a hint, never a proof."""
         return host not in self._suspected
