--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -30,6 +30,7 @@
 _GIVE_UP_MS = 30_000.0
 _MINUTE_MS = 60_000.0
 _NOISY_SIGMA = 1.0
+_PAUSE_MS = 2_000.0
 
 
 class DetectionTrial(msgspec.Struct, frozen=True, kw_only=True):
@@ -119,6 +120,7 @@
     fleet.listeners.append(listen)
     per_s = half_load_per_s(_NOISY_SIGMA) / 2.0
     fleet.load(workspace="w", per_s=per_s, path=functools.partial(_path, fleet))
+    # The first minute is quiet.
     for minute in range(trial.minutes):
         _disturb(fleet, minute)
         fleet.run(_MINUTE_MS)
@@ -141,13 +143,38 @@
     if kind == 1:
         fleet.extra_ms = _slow_link
     elif kind == 3:
-        names = sorted(fleet.hosts)
-        fleet.cut.update(tuple(fleet.rng.sample(names, 2)) for _ in range(80))
+        fleet.cut.update(_one_way_cuts(fleet))
     elif kind == 5:
         _poison(fleet, f"/poison/{minute}")
     elif kind == 7:
         for server in fleet.servers.values():
             server.hiccup_per_s = 0.05
+    elif kind == 2:
+        _pause_hosts(fleet)
+
+
+def _one_way_cuts(fleet: stepped_fleet.Fleet) -> set[tuple[str, str]]:
+    """Return lost directions: between hosts, from hosts to servers, and the other way."""
+    hosts, servers = sorted(fleet.hosts), sorted(fleet.servers)
+    draw = fleet.rng.choice
+    between = {tuple(fleet.rng.sample(hosts, 2)) for _ in range(80)}
+    forth = {(draw(hosts), draw(servers)) for _ in range(20)}
+    back = {(draw(servers), draw(hosts)) for _ in range(5)}
+    # One host hears from no server of the other region.
+    deaf = draw(hosts)
+    region = {(entry.server, deaf) for entry in fleet.entries if entry.data_centre[:2] != deaf[:2]}
+    return between | forth | back | region
+
+
+def _pause_hosts(fleet: stepped_fleet.Fleet) -> None:
+    for second in range(1, 50, 4):
+        host = fleet.hosts[fleet.rng.choice(sorted(fleet.hosts))]
+        pause = functools.partial(_pause, fleet, host)
+        fleet.after(second * 1000.0, pause)
+
+
+def _pause(fleet: stepped_fleet.Fleet, host: stepped_fleet.FleetHost) -> None:
+    host.paused_until_ms = fleet.clock.now_ms() + _PAUSE_MS
 
 
 def _no_delay(sender: str, to: str) -> float:
--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -30,8 +30,11 @@
 FAR_MS = 30.0
 SLOTS = 3
 CRASH_AFTER_MS = 10.0
+CONNECT_TIMEOUT_MS = 1_000.0
 SERVICE = "svc"
 
+_ANSWERS = (ports.OutcomeKind.OK, ports.OutcomeKind.SERVER_ERROR)
+
 
 class StubServer:
     """Backend server with slots that takes a random time for each request.
@@ -381,6 +384,10 @@
             distance_ms=self._server_distance_ms(sink.host, order.server),
         )
         sink.attempts[order.lease] = attempt
+        if (sink.host.row.host, server.name) in self.cut:
+            lost = ports.OutcomeKind.CONNECT_FAILED
+            self.after(CONNECT_TIMEOUT_MS, lambda: self.end(attempt, lost))
+            return
         if server.down:
             refused = ports.OutcomeKind.CONNECT_FAILED
             self.after(attempt.distance_ms, lambda: self.end(attempt, refused))
@@ -403,15 +410,19 @@
         """Tell the entry host how an attempt ended."""
         if attempt.ended:
             return
-        attempt.ended = True
         sink, server = attempt.sink, attempt.server
+        if self.clock.now_ms() < sink.host.paused_until_ms:
+            self.at(sink.host.paused_until_ms, lambda: self.end(attempt, kind))
+            return
+        if (server.name, sink.host.row.host) in self.cut and kind in _ANSWERS:
+            return
+        attempt.ended = True
         sink.attempts.pop(attempt.order.lease, None)
         self._leave(attempt)
         held_ms = self.clock.now_ms() - attempt.started_ms
         self.used_ms += held_ms
         request, lease = attempt.order.request, attempt.order.lease
-        answered = kind in (ports.OutcomeKind.OK, ports.OutcomeKind.SERVER_ERROR)
-        if answered and sink.host.pipeline.commit(request, lease):
+        if kind in _ANSWERS and sink.host.pipeline.commit(request, lease):
             sink.log.ok = kind is ports.OutcomeKind.OK
             sink.log.ended_ms = self.clock.now_ms()
         else:
--- a/verbenadrum/health/evidence.py
+++ b/verbenadrum/health/evidence.py
@@ -55,14 +55,14 @@
 class Verdict(msgspec.Struct, frozen=True, kw_only=True):
     """Suspicion of one server, with the weight of the evidence.
 
-    ``observer`` is set for `VerdictKind.PATH`: only this entry host fails to use the server.
+    ``observers`` is set for `VerdictKind.PATH`: only these entry hosts fail to use the server.
     """
 
     kind: VerdictKind
     server: ids.ServerId
     reason: str
     score: float
-    observer: ids.HostId = ids.HostId("")
+    observers: tuple[ids.HostId, ...] = ()
 
 
 class Judge(typing.Protocol):
--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -29,8 +29,10 @@
 _MIN_SAMPLES = 200
 
 _WINDOW_MS = 10_000.0
-_WINDOW_EVENTS = 64
+_WINDOW_EVENTS = 128
 _SHARED_FRACTION = 0.34
+_MIN_ACCUSERS = 3
+_MIN_ACCUSER_SHARE = 0.25
 _RATE_DECAY = 0.999
 
 _FAILURES = (
@@ -40,13 +42,13 @@
     ports.OutcomeKind.CROSSED,
 )
 _BREAKS = (ports.OutcomeKind.RESET, ports.OutcomeKind.TRUNCATED)
-_NOBODY = ids.HostId("")
 _SAME_CRASH_MS = 100.0
 _SAME_CRASH_WEIGHT = 0.25
 
 
 class _Event(msgspec.Struct, frozen=True):
     at_ms: float
+    started_ms: float
     observer: ids.HostId
     group: ids.DataCentreId
     score: float
@@ -97,7 +99,10 @@
             else:
                 row.broken_ms = evidence.at_ms
         row.score = max(0.0, row.score + score)
-        row.events.append(_Event(evidence.at_ms, evidence.observer, evidence.group, score))
+        started_ms = evidence.at_ms - evidence.latency_ms
+        row.events.append(
+            _Event(evidence.at_ms, started_ms, evidence.observer, evidence.group, score)
+        )
 
     def review(
         self, *, now_ms: float, flights: Iterable[evidence.Flight]
@@ -167,7 +172,8 @@
         for flight in flights:
             score = self._wait_score(flight.group, flight.waited_ms)
             if score > 0.0:
-                event = _Event(now_ms, flight.observer, flight.group, score)
+                started_ms = now_ms - flight.waited_ms
+                event = _Event(now_ms, started_ms, flight.observer, flight.group, score)
                 waiting[flight.server].append(event)
         return waiting
 
@@ -197,12 +203,17 @@
         if score < _SICK_SCORE:
             return None
         trusted = [event for event in events if not self._failing_elsewhere(server, event)]
+        counted = _cap_each_observer(trusted)
         if _cumulated(trusted) < _SICK_SCORE:
             return _verdict(evidence.VerdictKind.SHARED, server, "fault-shared", score)
+        trusted = _since_change(trusted)
         accusers = {event.observer for event in trusted if event.score > 0.0}
-        if len(accusers) == 1 and len(self._observers) > 1:
-            (observer,) = accusers
-            return _verdict(evidence.VerdictKind.PATH, server, "one-observer-only", score, observer)
+        doubted = _cumulated(counted) < _SICK_SCORE or _contradicted(trusted, accusers)
+        if doubted and len(self._observers) > 1:
+            observers = tuple(sorted(accusers))
+            return _verdict(
+                evidence.VerdictKind.PATH, server, "few-observers-only", score, observers
+            )
         return _verdict(evidence.VerdictKind.SICK, server, "worse-than-its-pool", score)
 
     def _failing_elsewhere(self, server: ids.ServerId, event: _Event) -> bool:
@@ -227,10 +238,10 @@
     server: ids.ServerId,
     reason: str,
     score: float,
-    observer: ids.HostId = _NOBODY,
+    observers: tuple[ids.HostId, ...] = (),
 ) -> evidence.Verdict:
     return evidence.Verdict(
-        kind=kind, server=server, reason=reason, score=round(score, 2), observer=observer
+        kind=kind, server=server, reason=reason, score=round(score, 2), observers=observers
     )
 
 
@@ -238,10 +249,52 @@
     return min(_MAX_ATTEMPT_SCORE, math.log(_SICK_RATE / chance)) if chance < _SICK_RATE else 0.0
 
 
+def _contradicted(events: list[_Event], accusers: set[ids.HostId]) -> bool:
+    """Return whether so many others are well served that the paths must be at fault."""
+    onset_ms = min(event.started_ms for event in events if event.score > 0.0)
+    served = {
+        event.observer for event in events if event.score < 0.0 and event.started_ms >= onset_ms
+    }
+    content = served - accusers
+    if not content:
+        return len(accusers) < 2
+    share = len(accusers) / (len(accusers) + len(content))
+    return len(accusers) < _MIN_ACCUSERS or share < _MIN_ACCUSER_SHARE
+
+
+def _cap_each_observer(events: list[_Event]) -> list[_Event]:
+    """Leave out what an observer that is never served adds beyond one attempt.
+
+    Such an observer tells of its path to the server as much as of the server.
+    """
+    served = {event.observer for event in events if event.score < 0.0}
+    left: dict[ids.HostId, float] = collections.defaultdict(lambda: _MAX_ATTEMPT_SCORE)
+    counted = []
+    for event in events:
+        if event.score <= 0.0 or event.observer in served:
+            counted.append(event)
+        elif left[event.observer] > 0.0:
+            score = min(event.score, left[event.observer])
+            left[event.observer] -= score
+            counted.append(msgspec.structs.replace(event, score=score))
+    return counted
+
+
 def _total(events: Iterable[_Event]) -> float:
     return sum(event.score for event in events)
 
 
+def _since_change(events: list[_Event]) -> list[_Event]:
+    """Return the events since the sum was last zero: the likeliest time of the change."""
+    score = 0.0
+    start = 0
+    for index, event in enumerate(events):
+        score = max(0.0, score + event.score)
+        if score == 0.0:
+            start = index + 1
+    return events[start:]
+
+
 def _cumulated(events: Iterable[_Event]) -> float:
     score = 0.0
     for event in events:
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -512,19 +512,20 @@
         verdicts = self._judge.review(now_ms=now_ms, flights=flights)
         for verdict in verdicts:
             if verdict.kind is evidence.VerdictKind.PATH:
-                self._avoid_path(verdict, now_ms)
+                self._avoid_paths(verdict, now_ms)
         self._ejector.consider(verdicts)
         self._ejector.review()
 
-    def _avoid_path(self, verdict: evidence.Verdict, now_ms: float) -> None:
-        if self._servers.avoid_pair(verdict.observer, verdict.server, now_ms):
-            self._context.decide(
-                ring.DecisionKind.EJECT,
-                "path-avoided",
-                verdict.reason,
-                subject=verdict.server,
-                detail={"observer": verdict.observer, "score": verdict.score},
-            )
+    def _avoid_paths(self, verdict: evidence.Verdict, now_ms: float) -> None:
+        for observer in verdict.observers:
+            if self._servers.avoid_pair(observer, verdict.server, now_ms):
+                self._context.decide(
+                    ring.DecisionKind.EJECT,
+                    "path-avoided",
+                    verdict.reason,
+                    subject=verdict.server,
+                    detail={"observer": observer, "score": verdict.score},
+                )
 
     def _end_silent(self, now_ms: float) -> None:
         silent = [lease for lease in self._leases.values() if now_ms - lease.heard_ms >= _LEASE_MS]
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -15,6 +15,8 @@
 
 _CONNECTION_IDLE_MS = 60_000.0
 _PAIR_AVOID_MS = 5_000.0
+_MAX_PAIR_AVOID_MS = 60_000.0
+_NEVER = (0.0, 0.0)
 # A warm connection weighs as much as this part of a server's slots.
 _WARM_BONUS = 0.3
 
@@ -62,7 +64,7 @@
         self._in_use: collections.Counter[ids.ServerId] = collections.Counter()
         self._by_pair: collections.Counter[tuple[ids.HostId, ids.ServerId]] = collections.Counter()
         self._connections: dict[ids.ServerId, dict[ids.HostId, tuple[int, float]]] = {}
-        self._pairs: dict[tuple[ids.HostId, ids.ServerId], float] = {}
+        self._pairs: dict[tuple[ids.HostId, ids.ServerId], tuple[float, float]] = {}
         self._draining: set[ids.ServerId] = set()
 
     @property
@@ -113,9 +115,12 @@
 
     def avoid_pair(self, observer: ids.HostId, server: ids.ServerId, now_ms: float) -> bool:
         """Keep one entry host from one server for a while; return whether that is news."""
-        news = self._pairs.get((observer, server), 0.0) <= now_ms
-        self._pairs[observer, server] = now_ms + _PAIR_AVOID_MS
-        return news
+        until_ms, wait_ms = self._pairs.get((observer, server), (0.0, _PAIR_AVOID_MS / 2.0))
+        if until_ms > now_ms:
+            return False
+        wait_ms = min(_MAX_PAIR_AVOID_MS, wait_ms * 2.0)
+        self._pairs[observer, server] = (now_ms + wait_ms, wait_ms)
+        return True
 
     def take(self, server: ids.ServerId, observer: ids.HostId, now_ms: float) -> None:
         """Count a slot as used by an entry host."""
@@ -154,7 +159,11 @@
             idle = [host for host, (_, at) in used.items() if now_ms - at > _CONNECTION_IDLE_MS]
             for host in idle:
                 del used[host]
-        ended = [pair for pair, until_ms in self._pairs.items() if until_ms <= now_ms]
+        ended = [
+            pair
+            for pair, (until_ms, wait_ms) in self._pairs.items()
+            if until_ms + 2.0 * wait_ms <= now_ms
+        ]
         for pair in ended:
             del self._pairs[pair]
 
@@ -177,7 +186,7 @@
             return math.inf
         if self._ejector.avoided(server):
             cost += 100.0
-        if self._pairs and self._pairs.get((observer, server), 0.0) > now_ms:
+        if self._pairs and self._pairs.get((observer, server), _NEVER)[0] > now_ms:
             cost += 200.0
         if server in excluded:
             cost += 1000.0
