--- a/verbenadrum/health/ejection.py
+++ b/verbenadrum/health/ejection.py
@@ -22,6 +22,7 @@
 _PROBE_LOST_MS = 2_000.0
 _AVOID_MS = 1_000.0
 _EXCUSE_MS = 5_000.0
+_STALE_MS = 100.0
 
 
 class ServerHealth(enum.Enum):
@@ -102,6 +103,7 @@
         self._rows: dict[ids.ServerId, ServerRow] = {}
         self._floor = 0.0
         self._wants_permits = False
+        self._reviewed_ms = -math.inf
 
     @property
     def rows(self) -> dict[ids.ServerId, ServerRow]:
@@ -136,6 +138,9 @@
 
     def slots(self, server: ids.ServerId, full: int) -> int:
         """Return how many of a server's slots may be used now."""
+        # A process that wakes late may rely on permits that have ended.
+        if self._context.now_ms() - self._reviewed_ms >= _STALE_MS:
+            self.review()
         row = self._rows[server]
         if row.state is ServerHealth.EJECTED:
             return 0
@@ -179,7 +184,7 @@
 
     def review(self) -> None:
         """End slow starts, and give up ejections that are no longer backed."""
-        now_ms = self._context.now_ms()
+        now_ms = self._reviewed_ms = self._context.now_ms()
         for row in self._rows.values():
             elapsed_ms = now_ms - row.since_ms
             if row.state is ServerHealth.SLOW_START and elapsed_ms >= _SLOW_START_MS:
--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -195,6 +195,10 @@
     def __init__(self, events: dict[ids.ServerId, list[_Event]]) -> None:
         self._events = events
         self._observers = {event.observer for each in events.values() for event in each}
+        self._by_name: dict[str, dict[ids.ServerId, list[_Event]]] = collections.defaultdict(
+            lambda: collections.defaultdict(list)
+        )
+        self._reached: dict[str, tuple[set[ids.ServerId], set[ids.ServerId]]] = {}
 
     def verdict(self, server: ids.ServerId) -> evidence.Verdict | None:
         """Return what is at fault, or None if the recent evidence is too weak."""
@@ -218,19 +222,36 @@
 
     def _failing_elsewhere(self, server: ids.ServerId, event: _Event) -> bool:
         return event.score > 0.0 and (
-            self._fails_widely(server, "observer", event.observer)
-            or self._fails_widely(server, "group", event.group)
+            self._fails_widely(server, "observer:" + event.observer)
+            or self._fails_widely(server, "group:" + event.group)
         )
 
-    def _fails_widely(self, server: ids.ServerId, field: str, name: str) -> bool:
-        judged = failing = 0
-        for other, events in self._events.items():
-            if other == server:
-                continue
-            own = [event for event in events if getattr(event, field) == name]
-            judged += bool(own)
-            failing += _cumulated(own) >= _SICK_SCORE / 3.0
-        return judged > 0 and failing / judged >= _SHARED_FRACTION
+    def _fails_widely(self, server: ids.ServerId, name: str) -> bool:
+        judged, failing = self._reach(name)
+        others = len(judged) - (server in judged)
+        failing_others = len(failing) - (server in failing)
+        return others > 0 and failing_others / others >= _SHARED_FRACTION
+
+    def _reach(self, name: str) -> tuple[set[ids.ServerId], set[ids.ServerId]]:
+        """Return the servers that an observer, or a group, has used and those that fail it."""
+        if not self._by_name:
+            self._gather()
+        found = self._reached.get(name)
+        if found is None:
+            judged = set(self._by_name[name])
+            failing = {
+                server
+                for server, events in self._by_name[name].items()
+                if _cumulated(events) >= _SICK_SCORE / 3.0
+            }
+            found = self._reached[name] = (judged, failing)
+        return found
+
+    def _gather(self) -> None:
+        for server, events in self._events.items():
+            for event in events:
+                for name in ("observer:" + event.observer, "group:" + event.group):
+                    self._by_name[name][server].append(event)
 
 
 def _verdict(
--- /dev/null
+++ b/verbenadrum/placement/tests/test_pool_home.py
@@ -0,0 +1,250 @@
+"""Tests of whole fleets on stepped time: slots, fairness, failures, poison and budgets."""
+
+import collections
+
+import pytest
+
+from standins import stepped_fleet
+from verbenadrum.core import behaviours
+from verbenadrum.decisions import ring
+from verbenadrum.records import types
+
+assert behaviours
+
+CENTRES = ("r1a", "r1b", "r2a", "r2b")
+
+
+def make_fleet(*, servers=8, hosts=2, **fields):
+    centres = {f"s{index}": CENTRES[index % 4] for index in range(servers)}
+    return stepped_fleet.Fleet(hosts=stepped_fleet.two_regions(hosts), servers=centres, **fields)
+
+
+def one_region(*, servers=6, hosts=4, **fields):
+    rows = stepped_fleet.two_regions(hosts)[:hosts]
+    centres = {f"s{index}": "r1a" for index in range(servers)}
+    return stepped_fleet.Fleet(hosts=rows, servers=centres, **fields)
+
+
+def fresh_paths(fleet):
+    return lambda: f"/item/{fleet.rng.randrange(10_000)}"
+
+
+def test_slots_are_never_exceeded_under_overload():
+    fleet = make_fleet()
+    fleet.load(workspace="w", per_s=1_000.0, path=fresh_paths(fleet))
+    fleet.run(4_000.0)
+    assert max(server.most_busy for server in fleet.servers.values()) == stepped_fleet.SLOTS
+
+
+def test_baseline_exceeds_slots_under_the_same_load():
+    fleet = make_fleet(placement="power_of_two", health="consecutive")
+    fleet.load(workspace="w", per_s=1_000.0, path=fresh_paths(fleet))
+    fleet.run(4_000.0)
+    assert max(server.most_busy for server in fleet.servers.values()) > stepped_fleet.SLOTS
+
+
+def served(fleet, workspace):
+    return sum(log.ok and log.workspace == workspace for log in fleet.logs)
+
+
+def test_each_workspace_gets_its_share_beside_one_at_five_times():
+    names = [f"w{index}" for index in range(4)]
+    fleet = one_region(weights=dict.fromkeys(names, 1.0), sigma=0.3)
+    capacity = 6 * 3 / 0.042
+    share = capacity / 4
+    for name in names[1:]:
+        fleet.load(workspace=name, per_s=share * 0.9, path=fresh_paths(fleet))
+    fleet.load(workspace="w0", per_s=share * 5, path=fresh_paths(fleet))
+    fleet.run(10_000.0)
+    for name in names[1:]:
+        sent = sum(log.workspace == name and log.sent_ms < 9_500 for log in fleet.logs)
+        assert served(fleet, name) >= 0.95 * sent
+
+
+def test_attempts_stay_within_budget_when_every_server_fails():
+    fleet = make_fleet()
+    for server in fleet.servers.values():
+        server.error_fraction = 1.0
+        server.down = server.name < "s4"
+    fleet.load(workspace="w", per_s=300.0, path=fresh_paths(fleet))
+    fleet.run(10_000.0)
+    assert fleet.counts["requests"] > 2_000
+    assert fleet.counts["attempts"] <= 1.2 * fleet.counts["requests"]
+
+
+def test_floor_holds_when_every_server_is_down():
+    fleet = one_region()
+    fleet.load(workspace="w", per_s=100.0, path=fresh_paths(fleet))
+    fleet.run(5_000.0)
+    for server in fleet.servers.values():
+        server.down = True
+    for _ in range(200):
+        fleet.run(50.0)
+        assert len(fleet.ejected()) <= 3
+
+
+@pytest.mark.parametrize(
+    ("fault", "limit_ms"), [("gray", 5_000), ("stalled", 1_500), ("dead", 1_000)]
+)
+def test_sick_server_is_ejected_soon_and_alone(fault, limit_ms):
+    fleet = make_fleet(seed=3)
+    fleet.load(workspace="w", per_s=260.0, path=fresh_paths(fleet))
+    fleet.run(8_000.0)
+    server = fleet.servers["s1"]
+    server.down = fault == "dead"
+    server.stall_fraction = {"gray": 0.3, "stalled": 1.0, "dead": 0.0}[fault]
+    found = set()
+    for _ in range(limit_ms // 50):
+        fleet.run(50.0)
+        found |= fleet.ejected()
+    assert found == {"s1"}
+
+
+def test_ejected_server_returns_by_probes_and_slow_start():
+    fleet = make_fleet(seed=4)
+    fleet.load(workspace="w", per_s=200.0, path=fresh_paths(fleet))
+    fleet.run(8_000.0)
+    fleet.servers["s1"].down = True
+    fleet.run(2_000.0)
+    assert fleet.ejected() == {"s1"}
+    fleet.servers["s1"].down = False
+    before = fleet.servers["s1"].received
+    fleet.run(12_000.0)
+    assert fleet.ejected() == set()
+    assert fleet.counts["probes"] >= 3
+    assert fleet.servers["s1"].received > before
+
+
+def reasons(fleet, kind):
+    return collections.Counter(
+        decision.reason
+        for host in fleet.hosts.values()
+        for decision in host.decisions.newest(2_000)
+        if decision.kind is kind
+    )
+
+
+def test_broken_path_keeps_the_server_and_avoids_the_pair():
+    fleet = make_fleet(seed=5)
+    fleet.load(workspace="w", per_s=200.0, path=fresh_paths(fleet))
+    fleet.run(5_000.0)
+    fleet.cut.add(("r1a-h0", "s0"))
+    ejected = set()
+    for _ in range(300):
+        fleet.run(50.0)
+        ejected |= fleet.ejected()
+    assert not ejected
+    assert reasons(fleet, ring.DecisionKind.EJECT)["few-observers-only"]
+
+
+def test_consecutive_baseline_ejects_for_a_broken_path():
+    fleet = make_fleet(seed=5, placement="power_of_two", health="consecutive")
+    fleet.load(workspace="w", per_s=200.0, path=fresh_paths(fleet))
+    fleet.run(5_000.0)
+    fleet.cut.add(("r1a-h0", "s0"))
+    ejected = set()
+    for _ in range(300):
+        fleet.run(50.0)
+        ejected |= fleet.ejected()
+    assert ejected == {"s0"}
+
+
+def test_slow_link_and_paused_host_eject_nobody():
+    fleet = make_fleet(seed=6)
+    fleet.load(workspace="w", per_s=200.0, path=fresh_paths(fleet))
+    fleet.run(5_000.0)
+    fleet.extra_ms = lambda sender, to: 700.0 if sender[:2] != to[-2:] and ":" in to else 0.0
+    fleet.hosts["r1a-h1"].paused_until_ms = fleet.clock.now_ms() + 2_500.0
+    ejected = set()
+    for _ in range(200):
+        fleet.run(50.0)
+        ejected |= fleet.ejected()
+    assert not ejected
+
+
+def test_dead_home_is_replaced_and_knows_what_is_under_way():
+    fleet = make_fleet(seed=7, hosts=3)
+    fleet.load(workspace="w", per_s=200.0, path=fresh_paths(fleet))
+    fleet.run(3_000.0)
+    homes = [name for name, host in fleet.hosts.items() if host.placer.homes]
+    fleet.fail_host(homes[0])
+    start_ms = fleet.clock.now_ms()
+    fleet.run(5_000.0)
+    later = [log for log in fleet.logs if log.sent_ms > start_ms and log.host != homes[0]]
+    settled = [log for log in later if log.sent_ms < start_ms + 4_000.0]
+    assert all(log.ok for log in settled)
+    assert max(server.most_busy for server in fleet.servers.values()) <= stepped_fleet.SLOTS + 2
+
+
+def test_without_any_home_the_entry_host_places_alone():
+    fleet = one_region(hosts=8, seed=8)
+    for name in fleet.hosts:
+        fleet.cut.update((name, other) for other in fleet.hosts if other != name)
+    for host in fleet.hosts:
+        fleet.request(host)
+    fleet.run(1_000.0)
+    assert all(log.ok for log in fleet.logs)
+    assert reasons(fleet, ring.DecisionKind.PLACE)["no-home-answered"]
+
+
+def test_leaving_and_draining_servers_get_no_new_work():
+    fleet = make_fleet(seed=9)
+    fleet.load(workspace="w", per_s=200.0, path=fresh_paths(fleet))
+    fleet.run(2_000.0)
+    fleet.servers["s1"].draining = True
+    entries = tuple(
+        types.ServerEntry(
+            server=entry.server,
+            address=entry.address,
+            data_centre=entry.data_centre,
+            state=types.ServerState.LEAVING if entry.server == "s0" else types.ServerState.LIVE,
+        )
+        for entry in fleet.entries
+    )
+    fleet.publish(entries)
+    fleet.run(500.0)
+    before = [fleet.servers[name].received for name in ("s0", "s1")]
+    fleet.run(10_000.0)
+    assert [fleet.servers[name].received for name in ("s0", "s1")] == before
+
+
+def poison_deaths(fleet, *, together):
+    fleet.load(workspace="w", per_s=150.0, path=fresh_paths(fleet))
+    fleet.run(6_000.0)
+    for server in fleet.servers.values():
+        server.crashes_on = "/poison"
+    for number in range(30):
+        hosts = (
+            sorted(fleet.hosts)[:together] if together else [fleet.rng.choice(sorted(fleet.hosts))]
+        )
+        for host in hosts:
+            if fleet.hosts[host].alive:
+                fleet.request(host, path="/poison")
+        fleet.run(400.0)
+        if number == 3:
+            home = next(name for name, host in fleet.hosts.items() if host.placer.homes)
+            fleet.fail_host(home)
+    return sum(server.crashes for server in fleet.servers.values())
+
+
+@pytest.mark.parametrize("together", [0, 8])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_poison_request_takes_down_two_servers_at_most(seed, together):
+    fleet = make_fleet(seed=seed)
+    assert poison_deaths(fleet, together=together) <= 2
+    refused = [log.refusal for log in fleet.logs if log.path == "/poison"]
+    assert refused.count("poison-request") > 10
+
+
+def test_popular_request_is_not_blocked_by_servers_that_die_under_it():
+    fleet = make_fleet(seed=10)
+    fleet.load(workspace="w", per_s=150.0, path=lambda: "/popular")
+    fleet.run(4_000.0)
+    for name in ("s0", "s1", "s4"):
+        fleet.crash(fleet.servers[name])
+        fleet.run(300.0)
+    fleet.run(2_000.0)
+    start_ms = fleet.clock.now_ms()
+    fleet.run(2_000.0)
+    late = [log for log in fleet.logs if start_ms <= log.sent_ms < start_ms + 1_500.0]
+    assert late and all(log.ok for log in late)
