--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -33,7 +33,7 @@
     """Names of the behaviours to run, each in its register."""
 
     limits: str = "escrow"
-    claims: str = "local"
+    claims: str = "witnessed"
     epochs: str = "vouched"
     placement: str = "pool_home"
     health: str = "sequential"
