First start of a fleet: keys of unknown age need no wait

Ruled out: a shorter lifetime, which only shortens the outage and narrows the protection. Change: the fleet record can state first_start; hosts that start generation 1's first epochs then know every claim ever made. A host that restarts, or joins later, abstains as before.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -210,7 +210,7 @@
             }
             for (region, data_centre), weight in weights.items()
         ]
-        self.publish("fleet", "fleet", {"data_centres": shares})
+        self.publish("fleet", "fleet", {"data_centres": shares, "first_start": True})
 
     def platform_fault(self, fault: platform.ReaderFault | None) -> None:
         """Set a fault of the platform, or heal it for None."""
--- a/verbenadrum/claims/homes.py
+++ b/verbenadrum/claims/homes.py
@@ -20,15 +20,24 @@
         self._named: dict[ids.WorkspaceId, str] = {}
         self._moved_wall_ms: dict[ids.WorkspaceId, float] = {}
         self._started_wall_ms = context.clock.wall_ms() + _SPREAD_MS
-        self._all_moved_wall_ms = self._started_wall_ms
-
-    def settled_since_wall_ms(self, workspace: ids.WorkspaceId) -> float:
-        """Return the wall time from which every claim was made in the present home."""
+        self._all_moved_wall_ms = 0.0
+
+    def settled_since_wall_ms(self, workspace: ids.WorkspaceId, *, from_first: bool) -> float:
+        """Return the wall time from which every claim was made in the present home.
+
+        Parameters
+        ----------
+        workspace : WorkspaceId
+            Whose home is meant.
+        from_first : bool
+            Whether this host has been a witness since the fleet's first start, so that no claim
+            was made before it began to watch.
+        """
         self.follow()
-        own = self._moved_wall_ms.get(workspace, 0.0)
-        if self._named.get(workspace):
-            return max(own, self._started_wall_ms)
-        return max(own, self._all_moved_wall_ms)
+        moved_ms = self._moved_wall_ms.get(workspace, 0.0)
+        if not self._named.get(workspace):
+            moved_ms = max(moved_ms, self._all_moved_wall_ms)
+        return moved_ms if from_first else max(moved_ms, self._started_wall_ms)
 
     def follow(self) -> None:
         """Compare the records with those seen before, if they have changed."""
--- a/verbenadrum/claims/register.py
+++ b/verbenadrum/claims/register.py
@@ -132,7 +132,9 @@
         # An earlier claim was made at most one margin before the key's time, by a clock that
         # differs from this host's by at most another.
         latest_ms = created_ms - 2 * _CLOCK_MARGIN_MS
-        if latest_ms <= self._homes.settled_since_wall_ms(message.workspace):
+        from_first = epoch.known_since_wall_ms <= 0.0
+        settled_ms = self._homes.settled_since_wall_ms(message.workspace, from_first=from_first)
+        if latest_ms <= settled_ms:
             return messages.Verdict.ABSTAINS
         if not self._witness_since(message, epoch, latest_ms):
             return messages.Verdict.ABSTAINS
--- a/verbenadrum/claims/tests/callers.py
+++ b/verbenadrum/claims/tests/callers.py
@@ -119,7 +119,9 @@
         """Send a new key, or an old one again, through one to three hosts at once."""
         group = self.fleet
         if not self.keys or self.rng.random() < 0.5:
-            self.keys.append(group.key(self.rng.uniform(-3_000.0, 1_000.0)))
+            opaque = group.first_start and self.rng.random() < 0.5
+            timed = group.key(self.rng.uniform(-3_000.0, 1_000.0))
+            self.keys.append(f"opaque-{len(self.keys)}" if opaque else timed)
         key = self.rng.choice(self.keys[-6:])
         names = sorted(group.hosts)
         for name in self.rng.sample(names, min(len(names), self.rng.choice((1, 1, 2, 3)))):
--- a/verbenadrum/claims/tests/test_witnessed.py
+++ b/verbenadrum/claims/tests/test_witnessed.py
@@ -162,6 +162,20 @@
     assert claim(group, "a-1", "refund-1").claim.state is WON
 
 
+def test_first_start_needs_no_wait():
+    group = callers.ClaimFleet(seed=2, hosts=names(3), first_start=True)
+    group.advance(fleet.WINDOW_MS / 2, group.check)
+    assert claim(group, "a-1", "refund-1", win=group.run).claim.state is WON
+    for name in names(2):
+        group.start(name)
+        group.advance(fleet.WINDOW_MS, group.check)
+    assert claim(group, "a-3", "refund-2").claim.reason == "witnesses-too-new"
+
+
+def test_opaque_keys_have_one_winner_after_a_first_start():
+    assert problems(range(10), first_start=True) == 0
+
+
 @pytest.mark.parametrize("abstaining", [True, False])
 def test_witnesses_that_forgot_abstain(monkeypatch, abstaining):
     if not abstaining:
--- a/verbenadrum/epochs/tests/fleet.py
+++ b/verbenadrum/epochs/tests/fleet.py
@@ -58,10 +58,11 @@
 class Fleet:
     """Hosts by name; time, faults and host lists are moved by the test."""
 
-    def __init__(self, *, seed, behaviour="vouched", hosts=(), skew_ms=500.0):
+    def __init__(self, *, seed, behaviour="vouched", hosts=(), skew_ms=500.0, first_start=False):
         self.rng = random.Random(seed)
         self.behaviour = behaviour
         self.skew_ms = skew_ms
+        self.first_start = first_start
         self.now_ms = 0.0
         self.loss = self.repeat = 0.0
         self.delay_ms = (1.0, 5.0)
@@ -109,7 +110,7 @@
             )
             for name, (number, until) in sorted(self.generation.items())
         )
-        spec = types.FleetSpec(data_centres=shares)
+        spec = types.FleetSpec(data_centres=shares, first_start=self.first_start)
         host.records.put(
             types.Record(
                 kind=types.RecordKind.FLEET,
--- a/verbenadrum/epochs/vouched.py
+++ b/verbenadrum/epochs/vouched.py
@@ -153,6 +153,7 @@
         if self._chain.promised_revision == message.first.revision:
             self._certificate = message
             self._begin_chain(message.first, "started-by-peer")
+            self._note_first_start()
 
     def _reset(self, generation: int) -> None:
         self._generation = generation
@@ -343,6 +344,7 @@
         for host in others:
             self._context.send(host, self._certificate)
         self._begin_chain(first, "all-without-memory")
+        self._note_first_start()
 
     def _ready(self, row: voters.VoterRow, first: messages.HostList, now_ms: float) -> bool:
         vouch = row.vouch
@@ -369,6 +371,12 @@
         self._poll_soon(self._context.now_ms())
         self._decide("joined", reason)
 
+    def _note_first_start(self) -> None:
+        fleet = self._records.fleet()
+        if fleet is not None and fleet.first_start and self._generation == 1:
+            # Nothing was in force before, so every list that ever was is known here.
+            self._known_wall_ms = 0.0
+
     def _known_from_here(self) -> None:
         self._base_wall_ms = self._context.clock.wall_ms()
         self._known_wall_ms = self._base_wall_ms
--- a/verbenadrum/records/types.py
+++ b/verbenadrum/records/types.py
@@ -122,9 +122,15 @@
 
 
 class FleetSpec(msgspec.Struct, frozen=True, kw_only=True):
-    """Data centres of the fleet and their shares; there is one record, named ``fleet``."""
+    """Data centres of the fleet and their shares; there is one record, named ``fleet``.
+
+    ``first_start`` states that no caller was served before the first epochs of generation 1: then
+    the hosts that start those epochs know of every claim ever made, and need not wait until
+    idempotency keys of an unknown age have expired.
+    """
 
     data_centres: tuple[DataCentreShare, ...]
+    first_start: bool = False
 
 
 Spec = RouteSpec | WorkspaceSpec | KeySpec | PoolSpec | FleetSpec
