--- a/standins/caller.py
+++ b/standins/caller.py
@@ -152,16 +152,17 @@
 
     def _request(self, number: int) -> None:
         key = str(uuid.uuid4()) if self.load.keyed else ""
+        # A resend repeats the very same request, so that its key names the same work.
+        path = self._path(uuid.uuid4().hex)
         tries = _RESEND_TRIES if self.load.resend else 1
         for _ in range(tries):
-            row = self._send(number, key)
+            row = self._send(number, key, path)
             self.rows.append(row)
             if row.verdict is Verdict.WHOLE:
                 return
             gevent.sleep(_RESEND_PAUSE_S if tries > 1 else 0)
 
-    def _send(self, number: int, key: str) -> Row:
-        path = self._path(uuid.uuid4().hex)
+    def _send(self, number: int, key: str, path: str) -> Row:
         headers = self._headers(number, key)
         started_ms = time.time() * 1000.0
         start_s = time.monotonic()
