--- a/verbenadrum/daemon/logs.py
+++ b/verbenadrum/daemon/logs.py
@@ -5,7 +5,7 @@
 
 import gevent
 import msgspec
-from pythonjsonlogger import json as json_formatter
+from pythonjsonlogger import msgspec as json_formatter
 
 from verbenadrum.decisions import ring
 
@@ -19,7 +19,7 @@
     """Send log records of ``level`` and above to standard error as JSON lines."""
     handler = logging.StreamHandler()
     handler.setFormatter(
-        json_formatter.JsonFormatter(
+        json_formatter.MsgspecFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
             rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
         )
