Stand-in callers send UUIDv7 idempotency keys

Cause: with witnessed claims, keys that are no UUIDv7 count as 15 minutes old, so that a fleet that has just started refuses them all: 560 of 560 keyed posts of the demo's script were refused as witnesses-too-new.

Change: claims/keys.py makes UUIDv7 keys; standins/caller.py (shared) uses it.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -6,6 +6,7 @@
 
 import enum
 import itertools
+import random
 import time
 import uuid
 from collections.abc import Callable
@@ -18,6 +19,8 @@
 from gevent import pool as gevent_pool
 from hdrh import histogram
 
+from verbenadrum.claims import keys as claim_keys
+
 __all__ = ["Load", "LoadRun", "Row", "Verdict", "summary"]
 
 _MAX_CONNECTIONS = 256
@@ -125,6 +128,7 @@
         self.done = event.Event()
         self._avoided = avoided
         self._turns = itertools.count()
+        self._rng = random.SystemRandom()
         size = 1 if load.one_connection else _MAX_CONNECTIONS
         self._pools = {
             target: urllib3.HTTPConnectionPool(
@@ -151,7 +155,7 @@
         self.done.set()
 
     def _request(self, number: int) -> None:
-        key = str(uuid.uuid4()) if self.load.keyed else ""
+        key = claim_keys.new_key(time.time() * 1000.0, self._rng) if self.load.keyed else ""
         tries = _RESEND_TRIES if self.load.resend else 1
         for _ in range(tries):
             row = self._send(number, key)
--- a/verbenadrum/claims/keys.py
+++ b/verbenadrum/claims/keys.py
@@ -1,18 +1,20 @@
 """What an idempotency key and the records say about where and how long it is claimed."""
 
+import random
 import uuid
 
 from verbenadrum import ids
 from verbenadrum.core import ports
 from verbenadrum.utils import hashing
 
-__all__ = ["LIFETIME_MS", "WITNESSES", "created_ms", "home_data_centre", "witnesses"]
+__all__ = ["LIFETIME_MS", "WITNESSES", "created_ms", "home_data_centre", "new_key", "witnesses"]
 
 LIFETIME_MS = 15 * 60_000.0
 WITNESSES = 3
 _UUID_LENGTH = 36
 _UUID_TIME_SHIFT = 80
 _TIME_VERSION = 7
+_TIME_MASK = (1 << 48) - 1
 
 
 def created_ms(key: str) -> float | None:
@@ -36,6 +38,20 @@
     return float(parsed.int >> _UUID_TIME_SHIFT)
 
 
+def new_key(wall_ms: float, rng: random.Random) -> ids.IdempotencyKey:
+    """Return a UUIDv7 key for a wall time in milliseconds.
+
+    Examples
+    --------
+    >>> created_ms(new_key(1_700_000_000_000.0, random.Random(1)))
+    1700000000000.0
+    """
+    value = (int(wall_ms) & _TIME_MASK) << _UUID_TIME_SHIFT | rng.getrandbits(_UUID_TIME_SHIFT)
+    value = value & ~(0xF << 76) | _TIME_VERSION << 76
+    value = value & ~(0x3 << 62) | 0x2 << 62
+    return ids.IdempotencyKey(str(uuid.UUID(int=value)))
+
+
 def witnesses(
     workspace: ids.WorkspaceId, key: ids.IdempotencyKey, members: tuple[ids.HostId, ...]
 ) -> tuple[ids.HostId, ...]:
--- a/verbenadrum/claims/tests/callers.py
+++ b/verbenadrum/claims/tests/callers.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from verbenadrum import ids
-from verbenadrum.claims import messages, registry
+from verbenadrum.claims import keys, messages, registry
 from verbenadrum.core import ports
 from verbenadrum.epochs.tests import fleet
 
@@ -43,10 +43,7 @@
 
     def key(self, skew_ms=0.0):
         """Return a new UUIDv7 key."""
-        wall_ms = int(fleet.START_WALL_MS + self.now_ms + skew_ms)
-        digits = f"{wall_ms:012x}7{self.rng.getrandbits(12):03x}8{self.rng.getrandbits(60):015x}"
-        parts = (digits[:8], digits[8:12], digits[12:16], digits[16:20], digits[20:])
-        return ids.IdempotencyKey("-".join(parts))
+        return keys.new_key(fleet.START_WALL_MS + self.now_ms + skew_ms, self.rng)
 
     def claim(self, name, key, *, fingerprint="f", win=None, deadline_ms=DEADLINE_MS):
         """Claim a key at a host; ``win`` is called with host and request once it is won."""
