Membership: failure hints from random probes, and leaving hosts that say so

Nothing set HostTable.suspect, so a dead or cut host stayed first home of its keys until the list caught up. Each host now probes one random peer every 500 ms, checks through three others before it suspects, and passes suspicion on as a rumor that ends by itself; the suspected host refutes it. A fault that only the own path has stays local. A host that was paused drops its open probes, and one whose own probes mostly fail tells nobody. Engine.leave tells every peer, which gives it no new work; the daemon calls it first when it shuts down.

--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -17,6 +17,7 @@
 from verbenadrum.entry import pipeline
 from verbenadrum.epochs import registry as epoch_registry
 from verbenadrum.limits import registry as limit_registry
+from verbenadrum.membership import detector
 from verbenadrum.membership import table as host_table
 from verbenadrum.messages import base
 from verbenadrum.placement import registry as placement_registry
@@ -68,6 +69,9 @@
             peers=peers,
             hosts=self.host_spread,
         )
+        self.detector = detector.FailureDetector(
+            context=context, membership=self.membership, peers=peers
+        )
         self.duty = platform_duty.ReaderDuty(
             context=context,
             membership=self.membership,
@@ -105,6 +109,7 @@
         self._systems: tuple[system.System, ...] = (
             self.host_spread,
             self.record_spread,
+            self.detector,
             self.duty,
             self.epochs,
             self.limiter,
@@ -150,6 +155,10 @@
         """Return the message to send to a seed peer while `Duty.ask_seeds` is set."""
         return self.host_spread.pull_request()
 
+    def leave(self) -> None:
+        """Tell the peers that this host shuts down; they give it no new work."""
+        self.detector.leave()
+
     def apply_records(self, records: list[types.Record]) -> int:
         """Put records in force, and return how many were newer than those held."""
         return sum(self.records.put(record) for record in records)
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -111,6 +111,7 @@
 
     def _shut_down(self) -> None:
         _log.info("shutting down", extra={"in_flight": self._callers.in_flight})
+        self._engine.leave()
         self._caller_server.drain()
         # Requests that callers sent on open connections before they saw the end still arrive.
         gevent.sleep(_LINGER_S)
--- a/verbenadrum/membership/__init__.py
+++ b/verbenadrum/membership/__init__.py
@@ -1,3 +1,3 @@
 """Which hosts are listed, and which of them seem reachable from here."""
 
-__all__ = ["table"]
+__all__ = ["detector", "messages", "rumors", "suspicion", "table"]
--- a/verbenadrum/membership/table.py
+++ b/verbenadrum/membership/table.py
@@ -12,7 +12,7 @@
 
 
 class HostTable:
-    """Rows of the newest host list, with hints on which hosts are unreachable."""
+    """Rows of the newest host list, with hints on which hosts are unreachable or leaving."""
 
     def __init__(self) -> None:
         self._revision = 0
@@ -21,6 +21,7 @@
         self._by_region: dict[str, tuple[ports.HostRow, ...]] = {}
         self._all: tuple[ports.HostRow, ...] = ()
         self._suspected: set[ids.HostId] = set()
+        self._leaving: dict[ids.HostId, int] = {}
         self._contacts: collections.OrderedDict[ids.HostId, str] = collections.OrderedDict()
 
     @property
@@ -44,6 +45,7 @@
         self._by_data_centre = _group(self._all, "data_centre")
         self._by_region = _group(self._all, "region")
         self._suspected.intersection_update(self._rows)
+        self._leaving = {host: run for host, run in self._leaving.items() if host in self._rows}
         return True
 
     def hosts(
@@ -93,15 +95,42 @@
         else:
             self._suspected.discard(host)
 
+    def suspected(self) -> tuple[ids.HostId, ...]:
+        """Return the hosts that are believed unreachable from here, sorted."""
+        return tuple(sorted(self._suspected))
+
+    def mark_leaving(self, host: ids.HostId, incarnation: int) -> bool:
+        """Note that a run of a host says it is shutting down; return whether that is new."""
+        if host not in self._rows or self._leaving.get(host) == incarnation:
+            return False
+        self._leaving[host] = incarnation
+        return True
+
+    def mark_staying(self, host: ids.HostId, incarnation: int) -> None:
+        """Forget that an earlier run of a host was leaving."""
+        if self._leaving.get(host, incarnation) != incarnation:
+            del self._leaving[host]
+
+    def forget_leaving(self, host: ids.HostId) -> None:
+        """Forget that a host was leaving, whatever run of it said so."""
+        self._leaving.pop(host, None)
+
+    def leaving(self) -> tuple[ids.HostId, ...]:
+        """Return the hosts that said they are shutting down, sorted."""
+        return tuple(sorted(self._leaving))
+
     def homes(
         self, key: str, hosts: tuple[ports.HostRow, ...], count: int
     ) -> tuple[ids.HostId, ...]:
         """Return up to ``count`` live hosts in rendezvous order, unreachable ones last."""
-        live = [row.host for row in hosts if row.state is ports.HostState.LIVE]
+        live = [row.host for row in hosts if self._takes_work(row)]
         ranked = hashing.rank(key, live)
         ranked.sort(key=lambda host: host in self._suspected)
         return tuple(ranked[:count])
 
+    def _takes_work(self, row: ports.HostRow) -> bool:
+        return row.state is ports.HostState.LIVE and row.host not in self._leaving
+
 
 def _group(rows: tuple[ports.HostRow, ...], field: str) -> dict[str, tuple[ports.HostRow, ...]]:
     groups: dict[str, list[ports.HostRow]] = {}
