Command-line tool: check, status, explain, watch and key

Operators could only read JSON from the operators' ports by hand. Flags may stand anywhere in the line, results come as text or JSON, and the exit code says whether something was found, the arguments were wrong or a host did not answer. check names every fault with file and key path, and warns of routes and keys whose pool or workspace is not among the files. /status also tells refused records, suspected hosts and whether the host reads the platform.

The first load of a whole set of records is one decision and not one for each record.

--- /dev/null
+++ b/verbenadrum/cli/operators.py
@@ -0,0 +1,121 @@
+"""Reads the operators' ports of hosts."""
+
+import concurrent.futures
+import urllib.parse
+from collections.abc import Callable, Sequence
+from typing import Generic, TypeVar
+
+import msgspec
+import urllib3
+
+from verbenadrum.decisions import ring
+from verbenadrum.utils import errors
+
+__all__ = ["HostStatus", "OperatorsPortError", "Reply", "ask_all", "read_decisions", "read_status"]
+
+_MAX_PARALLEL = 32
+_MAX_DECISIONS = 10_000
+
+T = TypeVar("T")
+
+
+class OperatorsPortError(errors.VerbenadrumError):
+    """A host's operators' port gave no usable answer."""
+
+    code = "operators-port"
+
+
+class RejectedRecord(msgspec.Struct, kw_only=True):
+    """A record revision that a host refused."""
+
+    kind: str = ""
+    name: str = ""
+    revision: int = 0
+    faults: tuple[str, ...] = ()
+    accepted_revision: int = 0
+
+
+class SuspectedHost(msgspec.Struct, kw_only=True):
+    """A host that another one believes unreachable."""
+
+    host: str = ""
+    reason: str = ""
+
+
+class HostStatus(msgspec.Struct, kw_only=True):
+    """The fields of ``/status`` that the tool shows; others are ignored."""
+
+    host: str
+    data_centre: str = ""
+    region: str = ""
+    ready: bool = False
+    stopping: bool = False
+    in_flight: int = 0
+    record_revision: int = 0
+    host_list_revision: int = 0
+    platform_reader: str = ""
+    rejected_records: tuple[RejectedRecord, ...] = ()
+    suspected_hosts: tuple[SuspectedHost, ...] = ()
+
+
+class Reply(msgspec.Struct, Generic[T], kw_only=True):
+    """A host's answer, or the fault that kept it from coming."""
+
+    address: str
+    value: T | None = None
+    fault: str = ""
+
+
+def ask_all(
+    addresses: Sequence[str], read: Callable[[str, float], T], timeout_s: float
+) -> list[Reply[T]]:
+    """Read every address at the same time, and return the replies in the given order."""
+
+    def ask(address: str) -> Reply[T]:
+        try:
+            return Reply(address=address, value=read(address, timeout_s))
+        except OperatorsPortError as error:
+            return Reply(address=address, fault=error.message)
+
+    workers = max(1, min(_MAX_PARALLEL, len(addresses)))
+    with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+        return list(pool.map(ask, addresses))
+
+
+def read_status(address: str, timeout_s: float) -> HostStatus:
+    """Return the status of one host.
+
+    Raises
+    ------
+    OperatorsPortError
+        If the host does not answer, or not as expected.
+    """
+    return _get(address, "/status", timeout_s, HostStatus)
+
+
+def read_decisions(address: str, timeout_s: float, name: str) -> list[ring.Decision]:
+    """Return the decisions of one host about a name, oldest first.
+
+    Raises
+    ------
+    OperatorsPortError
+        If the host does not answer, or not as expected.
+    """
+    query = urllib.parse.urlencode({"name": name, "newest": _MAX_DECISIONS})
+    return _get(address, f"/decisions?{query}", timeout_s, list[ring.Decision])
+
+
+def _get(address: str, path: str, timeout_s: float, expected: type[T]) -> T:
+    base = address if "://" in address else f"http://{address}"
+    try:
+        response = urllib3.request(
+            "GET", base.rstrip("/") + path, timeout=timeout_s, retries=False, redirect=False
+        )
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        raise OperatorsPortError(f"no answer: {error}") from error
+    if response.status != 200:
+        raise OperatorsPortError(f"status {response.status}")
+    try:
+        return msgspec.json.decode(response.data, type=expected)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise OperatorsPortError(f"unreadable answer: {error}") from error
--- /dev/null
+++ b/verbenadrum/cli/tests/test_cli.py
@@ -0,0 +1,157 @@
+"""Tests of the subcommands against files and prepared operators' ports."""
+
+import io
+import socket
+import subprocess
+import sys
+
+import msgspec
+import pytest
+
+from standins import canned
+from verbenadrum.cli import main, options
+from verbenadrum.decisions import ring
+from verbenadrum.entry import keys
+from verbenadrum.records import envelope
+
+_STATUS = {"host": "h1", "region": "r", "data_centre": "d", "ready": True, "record_revision": 7}
+
+
+def run(*words, **chosen):
+    out, err = io.StringIO(), io.StringIO()
+    code = main.dispatch(words, options.Options(**chosen), out, err)
+    return code, out.getvalue(), err.getvalue()
+
+
+def operators_port(status, decisions=()):
+    def answer(path):
+        value = status if path.startswith("/status") else list(decisions)
+        return canned.Answer(msgspec.json.encode(value))
+
+    return canned.serving(answer)
+
+
+def write(folder, name, text):
+    (folder / name).write_text(text)
+
+
+def test_check_names_file_and_key_path_of_every_fault(tmp_path):
+    write(tmp_path, "a.json", '{"kind": "route", "name": "r", "spec": {"path_prefix": "x"}}')
+    write(tmp_path, "b.toml", 'kind = "workspace"\nname = "w"\n[spec]\nrate_per_s = 0\n')
+    write(tmp_path, "c.toml", '[host]\nid = "h"\n')
+    write(tmp_path, "d.json", "not json")
+    code, out, _ = run("check", str(tmp_path))
+    assert code is options.ExitCode.FOUND
+    assert "a.json: spec: 'service' is a required property" in out
+    assert "b.toml: spec.rate_per_s: " in out
+    assert "b.toml: spec: 'burst' is a required property" in out
+    assert "c.toml: (top level): 'callers' is a required property" in out
+    assert "d.json: " in out
+
+
+def test_check_of_good_records_warns_of_unknown_names_and_refuses_repeats(tmp_path):
+    route = '{"kind": "route", "name": "r", "schema": 1, "spec": {"path": "/", "service": "s"}}'
+    write(tmp_path, "a.json", route)
+    write(tmp_path, "gone.toml", 'kind = "key"\nname = "k"\n')
+    code, out, _ = run("check", str(tmp_path))
+    assert code is options.ExitCode.OK
+    assert "warning" in out and "no pool 's'" in out
+    write(tmp_path, "b.json", route)
+    code, out, _ = run("check", str(tmp_path), format=options.Format.JSON)
+    assert code is options.ExitCode.FOUND
+    findings = msgspec.json.decode(out)
+    assert {finding["severity"] for finding in findings} == {"error", "warning"}
+
+
+def test_check_of_an_empty_directory_or_missing_file_is_a_fault(tmp_path):
+    assert run("check", str(tmp_path))[0] is options.ExitCode.FOUND
+    assert run("check", str(tmp_path / "none.json"))[0] is options.ExitCode.FOUND
+
+
+def test_status_shows_lag_and_refused_records():
+    refused = {
+        "kind": "pool",
+        "name": "p",
+        "revision": 8,
+        "faults": ["spec.floor: 2"],
+        "accepted_revision": 3,
+    }
+    late = _STATUS | {"host": "h2", "record_revision": 5, "rejected_records": [refused]}
+    with operators_port(_STATUS) as first, operators_port(late) as second:
+        code, out, _ = run("status", first.address, second.address)
+    assert code is options.ExitCode.OK
+    assert "2 revisions behind" in out
+    assert "refused: pool 'p' revision 8; revision 3 stays in force" in out
+
+
+def test_status_exit_codes():
+    with operators_port(_STATUS | {"ready": False}) as waiting:
+        assert run("status", waiting.address)[0] is options.ExitCode.FOUND
+    with socket.socket() as deaf:
+        deaf.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{deaf.getsockname()[1]}"
+        assert run("status", address, timeout_s=1.0)[0] is options.ExitCode.UNREACHABLE
+    with canned.serving(lambda path: canned.Answer(b"[]")) as odd:
+        assert run("status", odd.address)[0] is options.ExitCode.UNREACHABLE
+
+
+def test_explain_merges_hosts_in_time_order():
+    placed = ring.Decision(
+        kind=ring.DecisionKind.PLACE, choice="s1", reason="least-loaded", request="q", at_ms=20.0
+    )
+    routed = ring.Decision(
+        kind=ring.DecisionKind.ROUTE, choice="svc", reason="longest-prefix", request="q", at_ms=10.0
+    )
+    other = _STATUS | {"host": "h2"}
+    with operators_port(_STATUS, [placed]) as first, operators_port(other, [routed]) as second:
+        hosts = (first.address, second.address)
+        code, out, _ = run("explain", "q", hosts=hosts)
+        assert run("explain", "q", hosts=hosts, format=options.Format.JSON)[0] == 0
+    assert code is options.ExitCode.OK
+    lines = out.splitlines()
+    assert "h2  routed request q" in lines[0]
+    assert "h1  placed request q" in lines[1] and "because least-loaded" in lines[1]
+
+
+def test_explain_without_a_decision_says_so():
+    with operators_port(_STATUS) as only:
+        code, out, _ = run("explain", "q", hosts=(only.address,))
+    assert code is options.ExitCode.FOUND
+    assert "no host holds a decision" in out
+
+
+def test_watch_repeats_count_times():
+    with operators_port(_STATUS) as only:
+        code, out, _ = run("watch", only.address, count=2, interval_s=0.0)
+    assert code is options.ExitCode.OK
+    assert out.count("1 of 1 hosts ready") == 2
+
+
+def test_key_prints_a_record_that_can_be_published():
+    code, out, _ = run("key", "board", format=options.Format.JSON)
+    made = msgspec.json.decode(out)
+    assert code is options.ExitCode.OK
+    record = envelope.parse(msgspec.json.encode(made["record"] | {"revision": 1}))
+    assert record.spec.sha256 == keys.hash_key(made["key"])
+    assert made["key"] not in msgspec.json.encode(made["record"]).decode()
+
+
+@pytest.mark.parametrize("words", [(), ("dance",), ("status",), ("explain", "q"), ("key",)])
+def test_wrong_arguments_print_help(words):
+    code, _, err = run(*words)
+    assert code is options.ExitCode.USAGE
+    assert err
+
+
+def test_flags_may_stand_anywhere_in_a_real_process(tmp_path):
+    write(tmp_path, "a.json", '{"kind": "key", "name": "k"}')
+    program = "from verbenadrum.cli import main; main.run()"
+    for words, code in (
+        (("check", str(tmp_path), "--format", "json"), 0),
+        (("--help",), 0),
+        (("check", "--bogus"), 2),
+    ):
+        done = subprocess.run(
+            [sys.executable, "-c", program, *words], capture_output=True, check=False, text=True
+        )
+        assert done.returncode == code, done.stderr
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -221,6 +221,10 @@
             "host_list_revision": self._engine.membership.revision,
             "hosts": [row.host for row in self._engine.membership.hosts()],
             "epoch": self._engine.epochs.active(),
+            "complete_revision": self._engine.record_spread.complete_to,
+            "rejected_records": self._engine.store.rejections(),
+            "suspected_hosts": self._engine.detector.suspicions(),
+            "platform_reader": self._engine.reader_duty().reason,
             "platform_calls": self._reader.calls,
             "peers": self._peers.counters,
         }
--- a/verbenadrum/daemon/tests/test_platform_reader.py
+++ b/verbenadrum/daemon/tests/test_platform_reader.py
@@ -1,14 +1,11 @@
 """Tests of the platform reader against a small HTTP server."""
 
-import contextlib
-import http.server
 import socket
-import threading
 
 import msgspec
 import pytest
 
-from standins import spreading
+from standins import canned, spreading
 from verbenadrum.core import ports
 from verbenadrum.daemon import platform_reader
 from verbenadrum.dissemination import duty
@@ -40,33 +37,8 @@
         self.failures.append(stream)
 
 
-@contextlib.contextmanager
 def serving(body, status=200):
-    """Answer every request alike, and yield the base URL and the requests seen."""
-    seen = []
-
-    class Handler(http.server.BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
-
-        def do_GET(self):
-            seen.append((self.path, self.headers["X-Reader"]))
-            self.send_response(status)
-            self.send_header("Content-Length", str(len(body)))
-            self.end_headers()
-            self.wfile.write(body)
-
-        def log_message(self, *args):
-            pass
-
-    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-    thread = threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True)
-    thread.start()
-    try:
-        yield f"http://127.0.0.1:{server.server_port}", seen
-    finally:
-        server.shutdown()
-        server.server_close()
-        thread.join()
+    return canned.serving(lambda path: canned.Answer(body, status))
 
 
 def make_reader(*urls):
@@ -78,18 +50,18 @@
 def test_records_come_as_raw_envelopes():
     raw = spreading.envelope_of("key", "k", 5, None)
     body = msgspec.json.encode({"revision": 5, "complete": False, "records": [msgspec.Raw(raw)]})
-    with serving(body) as (url, seen):
-        reader, fake = make_reader(url)
+    with serving(body) as server:
+        reader, fake = make_reader(server.url)
         assert reader.poll_once(duty.Stream.RECORDS) == 0.0
     assert fake.answers == [
         duty.RecordsAnswer(after=3, revision=5, complete=False, envelopes=(raw,))
     ]
-    assert seen == [("/v1/records?after=3&wait_ms=100", "h1")]
+    assert server.seen == [("/v1/records?after=3&wait_ms=100", "h1")]
 
 
 def test_host_list_is_typed():
-    with serving(msgspec.json.encode(_HOSTS)) as (url, _):
-        reader, fake = make_reader(url)
+    with serving(msgspec.json.encode(_HOSTS)) as server:
+        reader, fake = make_reader(server.url)
         reader.poll_once(duty.Stream.HOSTS)
     assert fake.answers[0].rows[0].state is ports.HostState.LIVE
 
@@ -98,8 +70,8 @@
     ("body", "status"), [(b"{}", 200), (b"not json", 200), (b"[" * 100_000, 200), (b"", 503)]
 )
 def test_unusable_answers_count_as_failures(body, status):
-    with serving(body, status) as (url, _):
-        reader, fake = make_reader(url)
+    with serving(body, status) as server:
+        reader, fake = make_reader(server.url)
         reader.poll_once(duty.Stream.RECORDS)
     assert (fake.answers, fake.failures) == ([], [duty.Stream.RECORDS])
 
@@ -110,9 +82,9 @@
         refused = f"http://127.0.0.1:{closed.getsockname()[1]}"
         stale = msgspec.json.encode({"revision": 1, "records": []})
         fresh = msgspec.json.encode({"revision": 9, "records": []})
-        with serving(stale) as (stale_url, _), serving(fresh) as (fresh_url, seen):
-            reader, fake = make_reader(refused, stale_url, fresh_url)
+        with serving(stale) as old, serving(fresh) as new:
+            reader, fake = make_reader(refused, old.url, new.url)
             for _ in range(4):
                 reader.poll_once(duty.Stream.RECORDS)
     assert [answer.revision for answer in fake.answers] == [1, 9, 9]
-    assert (len(fake.failures), len(seen)) == (1, 2)
+    assert (len(fake.failures), len(new.seen)) == (1, 2)
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -6,6 +6,7 @@
 
 from verbenadrum import ids
 from verbenadrum.core import context, system
+from verbenadrum.decisions import ring
 from verbenadrum.dissemination import host_lists, messages, progress, sampler
 from verbenadrum.membership import table as host_table
 from verbenadrum.records import envelope, store
@@ -160,10 +161,13 @@
     ) -> None:
         before = self.complete_to
         cursor = self._progress.cursor(source)
-        news = [raw for raw in envelopes if _is_news(self._store.offer(raw))]
+        quiet = not before
+        news = [raw for raw in envelopes if _is_news(self._store.offer(raw, quiet=quiet))]
         joined = self._progress.advance(source, after=after, to=to, final=final)
         if self.complete_to > before > 0:
             self._steps.append((self._context.now_ms(), before))
+        if self.complete_to > 0 == before:
+            self._decide_loaded(source)
         if news and final:
             self._pass_on(source, messages.RecordChanges(after, to, True, envelopes), before)
         if source == PLATFORM:
@@ -174,6 +178,12 @@
         elif to > self.complete_to:
             self._note_ahead(ids.HostId(source), to)
 
+    def _decide_loaded(self, source: str) -> None:
+        detail = {"records": len(self._store), "revision": self.complete_to}
+        self._context.decide(
+            ring.DecisionKind.RECORD, "loaded", "first-set", subject=source, detail=detail
+        )
+
     # Pushing
 
     def _pass_on(self, source: str, changes: messages.RecordChanges, before: int) -> None:
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -186,7 +186,7 @@
         self._index(record, None if previous is None else previous.spec)
         return True
 
-    def offer(self, raw):
+    def offer(self, raw, quiet=False):
         verdict = judge(self, raw)
         if verdict is store.Verdict.OLD and not is_bad(raw):
             record = envelope.parse(raw)
--- a/verbenadrum/records/envelope.py
+++ b/verbenadrum/records/envelope.py
@@ -164,7 +164,7 @@
     try:
         spec = msgspec.convert(lifted, expected)
     except msgspec.ValidationError as error:
-        found = [f"spec.{fault}" for fault in schema.faults(lifted, expected)]
+        found = [_below_spec(fault) for fault in schema.faults(lifted, expected)]
         raise _bad(header, found or [str(error)]) from error
     found = list(checks.faults(kind, header.name, spec))
     if found:
@@ -172,6 +172,10 @@
     return spec
 
 
+def _below_spec(fault: str) -> str:
+    return "spec" + fault.removeprefix("(top level)") if fault[0] == "(" else f"spec.{fault}"
+
+
 def _bad(header: EnvelopeHeader, faults: list[str]) -> BadRecordError:
     kept = [fault[:_MAX_FAULT_CHARS] for fault in faults[:_MAX_FAULTS]]
     if len(faults) > _MAX_FAULTS:
--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -78,8 +78,16 @@
     def __len__(self) -> int:
         return len(self._rows)
 
-    def offer(self, raw: bytes) -> Verdict:
-        """Judge one envelope; never raises, so that one fault does not block the next one."""
+    def offer(self, raw: bytes, *, quiet: bool = False) -> Verdict:
+        """Judge one envelope; never raises, so that one fault does not block the next one.
+
+        Parameters
+        ----------
+        raw : bytes
+            The envelope.
+        quiet : bool
+            Whether to take it without a decision, as in the first load of a whole set.
+        """
         try:
             header = envelope.read_header(raw)
         except envelope.UnreadableEnvelopeError as error:
@@ -96,7 +104,12 @@
             record = envelope.parse(raw)
         except Exception as error:
             return self._reject(key, header, raw, _faults_of(error))
-        return self._accept(key, record, raw)
+        self._accept(key, record, raw)
+        if not quiet:
+            reason = "withdrawn" if record.spec is None else "newer-revision"
+            detail = {"revision": record.revision, "kind": header.kind}
+            self._decide(Verdict.ACCEPTED, reason, record.name, detail)
+        return Verdict.ACCEPTED
 
     def after(self, revision: int, up_to: int | None = None) -> Iterator[tuple[int, bytes]]:
         """Yield revision and envelope of what was published after ``revision``, ascending."""
@@ -122,7 +135,7 @@
         """Return the refused revisions that no good one has replaced, newest last."""
         return tuple(sorted(self._rejections.values(), key=lambda entry: entry.revision))
 
-    def _accept(self, key: tuple[str, str], record: types.Record, raw: bytes) -> Verdict:
+    def _accept(self, key: tuple[str, str], record: types.Record, raw: bytes) -> None:
         row = self._rows.setdefault(key, _Row())
         self._records.put(record)
         if row.accepted_revision:
@@ -139,10 +152,6 @@
                 self._rejections[key], accepted_revision=record.revision
             )
         self._note(record.revision, key)
-        reason = "withdrawn" if record.spec is None else "newer-revision"
-        detail = {"revision": record.revision}
-        self._decide(Verdict.ACCEPTED, reason, record.name, detail | {"kind": key[0]})
-        return Verdict.ACCEPTED
 
     def _reject(
         self,
