--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -15,6 +15,8 @@
 # Scores are natural logarithms of likelihood ratios.
 _SICK_SCORE = 15.0
 _MAX_ATTEMPT_SCORE = 7.6
+# An answer that came, though late, says less than one that has not come.
+_MAX_LATE_SCORE = 2.5
 _SICK_RATE = 0.25
 _MIN_FAILURE_RATE = 0.002
 _MIN_ERROR_RATE = 0.01
@@ -142,7 +144,8 @@
             return _SHED_SCORE
         slow = self._wait_score(evidence.group, evidence.latency_ms)
         if slow > 0.0:
-            return slow
+            answered = evidence.kind is ports.OutcomeKind.OK
+            return min(slow, _MAX_LATE_SCORE) if answered else slow
         if evidence.kind is ports.OutcomeKind.OK:
             return _GOOD_SCORE
         return 0.0
@@ -279,10 +282,18 @@
     content = served - accusers
     if not content:
         return len(accusers) < 2
+    accusers = accusers - _never_served(events)
     share = len(accusers) / (len(accusers) + len(content))
     return len(accusers) < _MIN_ACCUSERS or share < _MIN_ACCUSER_SHARE
 
 
+def _never_served(events: list[_Event]) -> set[ids.HostId]:
+    """Return the observers with several failures and no good answer: their path is at fault."""
+    failures = collections.Counter(event.observer for event in events if event.score > 0.0)
+    served = {event.observer for event in events if event.score < 0.0}
+    return {name for name, count in failures.items() if count > 1 and name not in served}
+
+
 def _cap_each_observer(events: list[_Event]) -> list[_Event]:
     """Leave out what an observer that is never served adds beyond one attempt.
 
