--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -197,7 +197,6 @@
 
     def __init__(self, events: dict[ids.ServerId, list[_Event]]) -> None:
         self._events = events
-        self._observers = {event.observer for each in events.values() for event in each}
         self._by_name: dict[str, dict[ids.ServerId, list[_Event]]] = collections.defaultdict(
             lambda: collections.defaultdict(list)
         )
@@ -214,9 +213,8 @@
         if _cumulated(trusted) < _SICK_SCORE:
             return _verdict(evidence.VerdictKind.SHARED, server, "fault-shared", score)
         trusted = _since_change(trusted)
-        accusers = {event.observer for event in trusted if event.score > 0.0}
-        doubted = _cumulated(counted) < _SICK_SCORE or _contradicted(trusted, accusers)
-        if doubted and len(self._observers) > 1:
+        accusers = _accusers(trusted)
+        if _cumulated(counted) < _SICK_SCORE or _contradicted(trusted, accusers):
             observers = tuple(sorted(accusers))
             return _verdict(
                 evidence.VerdictKind.PATH, server, "few-observers-only", score, observers
@@ -287,6 +285,15 @@
     return len(accusers) < _MIN_ACCUSERS or share < _MIN_ACCUSER_SHARE
 
 
+def _accusers(events: list[_Event]) -> set[ids.HostId]:
+    """Return the observers with more against a server than an answer that came late."""
+    scores: dict[ids.HostId, float] = collections.defaultdict(float)
+    for event in events:
+        if event.score > 0.0:
+            scores[event.observer] += event.score
+    return {name for name, score in scores.items() if score > _MAX_LATE_SCORE}
+
+
 def _never_served(events: list[_Event]) -> set[ids.HostId]:
     """Return the observers with several failures and no good answer: their path is at fault."""
     failures = collections.Counter(event.observer for event in events if event.score > 0.0)
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -18,7 +18,7 @@
 _NEAR_TIMEOUT_MS = 100.0
 _FAR_TIMEOUT_MS = 250.0
 _QUEUED_RENEW_MS = 1_000.0
-_SLOW_HOME_MS = 2_000.0
+_SLOW_HOME_MS = 10_000.0
 _WAITING_AFTER_MS = 200.0
 _WAITING_EVERY_MS = 100.0
 _ANSWERED_EVERY_MS = 1_000.0
@@ -220,12 +220,16 @@
                 self._on_silence(row)
         self._say([row for row in self._held.values() if row.home and _due(row, now_ms)])
 
-    def _ask_part(self, row: _AskRow) -> None:
-        part = row.regions[0]
+    def homes(self, service: ids.ServiceId, region: ids.RegionId) -> list[ids.HostId]:
+        """Return the hosts to ask for a part; those that were silent lately come last."""
         now_ms = self._context.now_ms()
-        homes = list(self._table.homes(part.service, part.region))
+        homes = list(self._table.homes(service, region))
         homes.sort(key=lambda host: self._slow_homes.get(host, 0.0) > now_ms)
-        row.homes = homes
+        return homes
+
+    def _ask_part(self, row: _AskRow) -> None:
+        part = row.regions[0]
+        row.homes = self.homes(part.service, part.region)
         self._ask_home(row)
 
     def _ask_home(self, row: _AskRow) -> None:
--- a/verbenadrum/placement/pool_home.py
+++ b/verbenadrum/placement/pool_home.py
@@ -213,8 +213,11 @@
 
     @system.handles(health_messages.VouchAsk)
     def on_vouch_ask(self, sender: ids.HostId, message: health_messages.VouchAsk) -> None:
-        """Back a home's ejections, unless another home is backed."""
-        part = (message.service, message.region)
+        """Back a home's ejections if this host would ask it too and backs no other."""
+        part = (ids.ServiceId(message.service), ids.RegionId(message.region))
+        # A home that only a few cut-off hosts use gets no say over the servers of all.
+        if self._entry.homes(*part)[:1] != [sender]:
+            return
         if not self._voucher.consent(part=part, home=sender, now_ms=self._context.now_ms()):
             return
         reply = health_messages.VouchReply(
