Escrow: grant in batches under overload, stop homes asking each other without end

Cause: with every workspace sending five times its rate, homes of both regions lent each other parts of a token although each could fill whole ones, and every grant carried one or two tokens.

--- a/verbenadrum/limits/home.py
+++ b/verbenadrum/limits/home.py
@@ -28,6 +28,9 @@
 _BORROW_PATIENCE_MS = 300.0
 _BORROW_TIMEOUT_MS = 500.0
 _BORROW_PAUSE_MS = 50.0
+_BORROW_PAUSE_MAX_MS = 800.0
+_BATCH_MS = 50.0
+_BATCH_WAIT_MS = 100.0
 _LEAST_LOAN = 0.05
 _FORGET_MS = 10_000.0
 _MS_PER_S = 1000.0
@@ -150,7 +153,9 @@
             waiting.borrow_number = None
             if grant.count <= 0:
                 waiting.next_partner += 1
-                waiting.borrow_again_ms = now_ms + _BORROW_PAUSE_MS
+                self._pause_borrowing(waiting, now_ms)
+            else:
+                waiting.borrow_pause_ms = 0.0
         if grant.count > 0:
             self._keep_borrowed(grant, borrow, now_ms)
             if waiting is not None:
@@ -243,7 +248,7 @@
         borrowed = bucket.borrowed.total(now_ms=now_ms)
         own, life_ms = _longest(held, bucket, now_ms, needed=1.0 - borrowed)
         count = min(math.floor(own + borrowed + lots.EPSILON), row.ask.need)
-        if row.ask.need > 0 and count < 1:
+        if row.ask.need > 0 and count < self._least_batch(row, held, bucket, now_ms):
             return False
         spare = (own - max(0.0, count - borrowed)) / 2.0
         if alone and spare > 0:
@@ -259,6 +264,19 @@
         self._grant(row, bucket, count, grant)
         return True
 
+    def _least_batch(
+        self,
+        row: queue.AskRow,
+        held: leases.PartitionLeases,
+        bucket: home_bucket.HomeBucket,
+        now_ms: float,
+    ) -> float:
+        """Return the tokens that are worth a message, the more the busier the workspace is."""
+        if now_ms - row.received_ms >= _BATCH_WAIT_MS:
+            return 1.0
+        accrued = bucket.rate_per_s * held.share * _BATCH_MS / _MS_PER_S
+        return max(1.0, min(row.ask.need, math.floor(accrued)))
+
     def _serve_borrowers(
         self,
         waiting: queue.WaitQueue,
@@ -266,13 +284,14 @@
         bucket: home_bucket.HomeBucket,
         now_ms: float,
     ) -> None:
+        whole = bucket.burst * held.share >= 1.0
         for row in list(waiting.borrowers.values()):
-            # Two homes that each hold a part of one token would wait for each other.
-            if waiting.entries and row.ask.borrower >= self._homes.own_scope:
+            # Two homes that can each hold a part of one token only would wait for each other.
+            if waiting.entries and (whole or row.ask.borrower >= self._homes.own_scope):
                 continue
             least = min(row.ask.need, _LEAST_LOAN)
             own, life_ms = _longest(held, bucket, now_ms, needed=least)
-            if own < least or (waiting.entries and own >= 1.0):
+            if own < least:
                 continue
             count = min(own, row.ask.need)
             del waiting.borrowers[row.holder]
@@ -339,6 +358,13 @@
             self._borrows.pop(waiting.borrow_number, None)
             waiting.borrow_number = None
             waiting.next_partner += 1
+            self._pause_borrowing(waiting, now_ms)
+
+    def _pause_borrowing(self, waiting: queue.WaitQueue, now_ms: float) -> None:
+        # Scopes that are all over their share would ask each other without end.
+        doubled = max(_BORROW_PAUSE_MS, 2.0 * waiting.borrow_pause_ms)
+        waiting.borrow_pause_ms = min(doubled, _BORROW_PAUSE_MAX_MS)
+        waiting.borrow_again_ms = now_ms + waiting.borrow_pause_ms
 
     def _keep_borrowed(self, grant: messages.Grant, borrow: _Borrow, now_ms: float) -> None:
         until_ms = borrow.sent_ms + grant.life_ms * (1.0 - CLOCK_DRIFT)
--- a/verbenadrum/limits/queue.py
+++ b/verbenadrum/limits/queue.py
@@ -30,6 +30,8 @@
         Number of this home's own request to another scope's home, while one is open.
     borrow_again_ms : float
         Time before which no further request is sent.
+    borrow_pause_ms : float
+        Length of the last such pause; it doubles while every scope's answer is empty.
     next_partner : int
         Which scope's home is asked next.
     """
@@ -39,6 +41,7 @@
         self.borrowers: dict[ids.HostId, AskRow] = {}
         self.borrow_number: int | None = None
         self.borrow_again_ms = 0.0
+        self.borrow_pause_ms = 0.0
         self.next_partner = 0
 
     @property
