--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -20,7 +20,7 @@
 
 __all__ = ["BEHAVIOURS", "DEPLOYMENTS", "measure_in_rate", "measure_over_rate"]
 
-_WARM_MS = 8_000.0
+_WARM_MS = 15_000.0
 _RUN_MS = 60_000.0
 _TAIL_MS = 3_000.0
 _LOAD = 0.8
@@ -33,6 +33,8 @@
 _MS_PER_S = 1000.0
 _SIDES = {"cut": ("r0", "r1"), "one-sided": ("r0",)}
 
+_ON_VOUCHED = "escrow on vouched epochs"
+
 # Rate and burst of each workspace.
 DEPLOYMENTS: dict[str, tuple[tuple[float, float], ...]] = {
     "board": ((200, 400), (120, 240), (60, 120), (20, 40), (10, 20), (5, 10), (2, 4), (2, 4)),
@@ -46,6 +48,7 @@
 
 BEHAVIOURS: dict[str, Callable[..., ports.Limiter] | str] = {
     "escrow": "escrow",
+    _ON_VOUCHED: "escrow",
     "escrow, data centre homes": _data_centre_escrow,
     "static_split": "static_split",
     "global_owner": "global_owner",
@@ -179,10 +182,16 @@
 def _make_fleet(
     behaviour: str, limits: tuple[tuple[float, float], ...], seed: int
 ) -> limits_fleet.Fleet:
-    fleet = limits_fleet.Fleet(seed=seed, make=BEHAVIOURS[behaviour])
+    epochs = "vouched" if behaviour == _ON_VOUCHED else ""
+    fleet = limits_fleet.Fleet(seed=seed, make=BEHAVIOURS[behaviour], epochs=epochs)
     rows = limits_fleet.layout(2, 2, 10)
     centres = sorted({(row.data_centre, row.region) for row in rows})
-    shares = tuple(types.DataCentreShare(data_centre=name, region=at) for name, at in centres)
+    shares = tuple(
+        types.DataCentreShare(
+            data_centre=name, region=at, start_until_wall_ms=limits_fleet.WALL_MS + _WARM_MS
+        )
+        for name, at in centres
+    )
     fleet.publish(types.RecordKind.FLEET, "fleet", types.FleetSpec(data_centres=shares))
     for index, (rate, burst) in enumerate(limits):
         spec = types.WorkspaceSpec(rate_per_s=rate, burst=burst)
--- a/benchmarks/limits_fleet.py
+++ b/benchmarks/limits_fleet.py
@@ -15,6 +15,7 @@
 from verbenadrum import ids
 from verbenadrum.core import behaviours, context, engine, ports, system
 from verbenadrum.decisions import ring
+from verbenadrum.epochs import registry as epoch_registry
 from verbenadrum.limits import registry
 from verbenadrum.membership import table as host_table
 from verbenadrum.messages import base, codec
@@ -23,8 +24,9 @@
 
 assert behaviours
 
-__all__ = ["EpochBook", "Faults", "Fleet", "Host", "RequestLog", "layout"]
+__all__ = ["EpochBook", "Faults", "Fleet", "Host", "RequestLog", "WALL_MS", "layout"]
 
+WALL_MS = 1.7e12
 _SAME_DATA_CENTRE_MS = 0.25
 _SAME_REGION_MS = 0.5
 _OTHER_REGION_MS = 15.0
@@ -47,7 +49,7 @@
 
     def wall_ms(self) -> float:
         """Return the wall time, which is the same on every host."""
-        return self._fleet.now_ms + 1.7e12
+        return self._fleet.now_ms + WALL_MS
 
 
 class Faults(msgspec.Struct, kw_only=True):
@@ -134,6 +136,7 @@
         make: Callable[..., ports.Limiter],
         seed: int,
         incarnation: int,
+        epochs: str = "",
     ) -> None:
         rng = random.Random(seed)
         self._fleet = fleet
@@ -155,14 +158,25 @@
             send=lambda to, message: fleet.send(self, to, message),
             decisions=ring.DecisionRing(wall_ms=self.clock.wall_ms),
         )
+        self.systems: list[system.System] = []
+        source: ports.EpochPort = self
+        if epochs:
+            source = epoch_registry.epoch_systems.get(epochs)(
+                context=self.context, records=self.records, membership=self.membership
+            )
+            self.systems.append(source)
         self.limiter = make(
             context=self.context,
             records=self.records,
             membership=self.membership,
-            epochs=self,
+            epochs=source,
         )
-        assert isinstance(self.limiter, system.System)
-        self.handlers = dict(self.limiter.handlers())
+        self.systems.append(self.limiter)
+        self.handlers = {
+            message_type: handler
+            for each in self.systems
+            for message_type, handler in each.handlers()
+        }
 
     def active(self) -> ports.Epoch | None:
         """Return the epoch while it is valid."""
@@ -180,9 +194,14 @@
         Seed of the channel and of every host.
     make : callable or str
         Limiter class, or its registered name.
+    epochs : str
+        Registered name of the epoch system, or empty for the fake epochs of `EpochBook`.
     """
 
-    def __init__(self, *, seed: int, make: Callable[..., ports.Limiter] | str) -> None:
+    def __init__(
+        self, *, seed: int, make: Callable[..., ports.Limiter] | str, epochs: str = ""
+    ) -> None:
+        self._epochs = epochs
         self._rng = random.Random(seed)
         self._make = registry.limiters.get(make) if isinstance(make, str) else make
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -225,6 +244,7 @@
             make=self._make,
             seed=self._rng.getrandbits(32),
             incarnation=self._rng.getrandbits(48),
+            epochs=self._epochs,
         )
         self.hosts[row.host] = host
         for record in self._specs.values():
@@ -334,7 +354,8 @@
         if host.awake_ms > self.now_ms:
             self.at(host.awake_ms, lambda: self._tick(host))
             return
-        host.limiter.on_tick()
+        for each in host.systems:
+            each.on_tick()
         self.at(self.now_ms + engine.TICK_MS, lambda: self._tick(host))
 
     def _renew(self, host: Host) -> None:
