--- /dev/null
+++ b/benchmarks/control_bus.py
@@ -0,0 +1,268 @@
+"""Runs the real engines of several hosts in stepped time, and counts what control costs each.
+
+Messages pass through the real codec. A backend server is a fixed delay and the platform is the
+list of records given at the start: this measures the hosts, and models nothing else.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+import time
+
+import msgspec
+
+from standins import spreading
+from verbenadrum import ids
+from verbenadrum.core import behaviours, context, engine, ports
+from verbenadrum.decisions import ring
+from verbenadrum.dissemination import duty
+from verbenadrum.entry import keys
+from verbenadrum.messages import codec
+from verbenadrum.utils import clock
+
+__all__ = ["ControlBus", "HostCost", "Layout"]
+
+assert behaviours
+
+_NEAR_MS = 1.0
+_FAR_MS = 30.0
+_SERVICE_MS = 20.0
+_KEY = "bench-key"
+_SERVICE = "svc"
+_MS_PER_S = 1000.0
+
+
+class Layout(msgspec.Struct, frozen=True, kw_only=True):
+    """Hosts, data centres, backend servers and active workspaces of one run."""
+
+    hosts: int
+    data_centres: int = 4
+    regions: int = 2
+    servers: int = 40
+    workspaces: int = 8
+
+
+class HostCost(msgspec.Struct, frozen=True, kw_only=True):
+    """What one host spends on average, each second of simulated time.
+
+    Attributes
+    ----------
+    cpu_ms : float
+        Processor time of ticks, handlers and codec.
+    bytes_sent, messages_sent : float
+        Traffic to other hosts.
+    far_bytes_sent : float
+        Traffic to hosts of another region.
+    by_type : dict of str to float
+        Bytes sent by message type.
+    """
+
+    cpu_ms: float
+    bytes_sent: float
+    messages_sent: float
+    far_bytes_sent: float
+    by_type: dict[str, float]
+
+
+class _Sink:
+    """Answers each dispatched attempt after a fixed delay."""
+
+    def __init__(self, bus: "ControlBus", host: ids.HostId) -> None:
+        self._bus = bus
+        self._host = host
+
+    def dispatch(self, order: ports.DispatchOrder) -> None:
+        self._bus.after(_SERVICE_MS, lambda: self._bus.answer(self._host, order))
+
+    def refuse(self, refusal: ports.Refusal) -> None:
+        self._bus.refused[refusal.code] += 1
+
+    def replay(self, answer: ports.StoredAnswer) -> None:
+        self._bus.refused["replayed"] += 1
+
+    def cancel(self, lease: ids.LeaseId) -> None:
+        pass
+
+
+class ControlBus:
+    """Engines of all hosts of a layout on one stepped clock."""
+
+    def __init__(self, *, layout: Layout, seed: int) -> None:
+        self._layout = layout
+        self._rng = random.Random(seed)
+        self._clock = clock.SteppedClock()
+        self._queue: list = []
+        self._order = itertools.count()
+        self._cpu_s = 0.0
+        self._sent_bytes: collections.Counter[str] = collections.Counter()
+        self._sent_messages = 0
+        self._far_bytes = 0
+        self._requests = itertools.count()
+        self.refused: collections.Counter[str] = collections.Counter()
+        self.answered = 0
+        self._rows = [self._row(number) for number in range(layout.hosts)]
+        self._records = self._publish()
+        self._region = {row.host: row.region for row in self._rows}
+        self._engines = {row.host: self._make(row) for row in self._rows}
+        for number, core in enumerate(self._engines.values()):
+            self._start(core, number)
+
+    def run(self, span_ms: float, *, requests_per_s: float = 0.0) -> HostCost:
+        """Advance time, with requests at a rate of each host, and return the mean cost."""
+        self._reset()
+        end_ms = self._clock.now_ms() + span_ms
+        if requests_per_s > 0:
+            for host in self._engines:
+                self._load(host, requests_per_s, end_ms)
+        while self._queue and self._queue[0][0] <= end_ms:
+            due_ms, _, action = heapq.heappop(self._queue)
+            self._clock.advance(max(0.0, due_ms - self._clock.now_ms()))
+            action()
+        self._clock.advance(end_ms - self._clock.now_ms())
+        return self._cost(span_ms)
+
+    def after(self, delay_ms: float, action) -> None:
+        """Run an action later."""
+        due_ms = self._clock.now_ms() + delay_ms
+        heapq.heappush(self._queue, (due_ms, next(self._order), action))
+
+    def answer(self, host: ids.HostId, order: ports.DispatchOrder) -> None:
+        """End an attempt well."""
+        outcome = ports.Outcome(
+            kind=ports.OutcomeKind.OK, latency_ms=_SERVICE_MS, bytes_sent=True, status=200
+        )
+        core = self._engines[host]
+        started_s = time.perf_counter()
+        if core.commit(order.request, order.lease):
+            self.answered += 1
+        core.outcome(order.request, order.lease, outcome)
+        self._cpu_s += time.perf_counter() - started_s
+
+    def _row(self, number: int) -> ports.HostRow:
+        centre = number % self._layout.data_centres
+        return ports.HostRow(
+            host=ids.HostId(f"h{number:04d}"),
+            address=f"127.0.0.1:{20_000 + number}",
+            data_centre=ids.DataCentreId(f"d{centre}"),
+            region=ids.RegionId(f"r{centre % self._layout.regions}"),
+        )
+
+    def _make(self, row: ports.HostRow) -> engine.Engine:
+        made = context.Context(
+            host=row.host,
+            data_centre=row.data_centre,
+            region=row.region,
+            incarnation=1,
+            clock=self._clock,
+            rng=random.Random(self._rng.random()),
+            send=lambda to, message: self._send(row.host, to, message),
+            decisions=ring.DecisionRing(wall_ms=self._clock.wall_ms, size=64),
+        )
+        return engine.Engine(context=made, choices=engine.Choices(), address=row.address)
+
+    def _start(self, core: engine.Engine, number: int) -> None:
+        core.on_platform_hosts(duty.HostsAnswer(after=0, revision=1, rows=tuple(self._rows)))
+        core.on_platform_records(self._records)
+        self.after(engine.TICK_MS * number / len(self._rows), lambda: self._tick(core))
+
+    def _publish(self) -> duty.RecordsAnswer:
+        layout = self._layout
+        servers = [
+            {
+                "server": f"s{number}",
+                "address": f"127.0.0.1:{40_000 + number}",
+                "data_centre": f"d{number % layout.data_centres}",
+            }
+            for number in range(layout.servers)
+        ]
+        shares = [
+            {
+                "data_centre": f"d{number}",
+                "region": f"r{number % layout.regions}",
+                "start_until_wall_ms": self._clock.wall_ms() + 600_000.0,
+            }
+            for number in range(layout.data_centres)
+        ]
+        specs: list[tuple[str, str, dict]] = [
+            ("fleet", "fleet", {"data_centres": shares, "first_start": True}),
+            ("route", "all", {"path_prefix": "/", "service": _SERVICE}),
+            ("pool", _SERVICE, {"servers": servers}),
+        ]
+        for number in range(layout.workspaces):
+            name = f"w{number}"
+            sha256 = keys.hash_key(f"{_KEY}{number}")
+            specs.append(("workspace", name, {"rate_per_s": 10_000.0, "burst": 10_000.0}))
+            specs.append(("key", name, {"workspace": name, "sha256": sha256}))
+        return duty.RecordsAnswer(
+            after=0,
+            revision=len(specs),
+            complete=True,
+            envelopes=tuple(
+                spreading.envelope_of(kind, name, revision, spec)
+                for revision, (kind, name, spec) in enumerate(specs, start=1)
+            ),
+        )
+
+    def _tick(self, core: engine.Engine) -> None:
+        started_s = time.perf_counter()
+        core.on_tick()
+        self._cpu_s += time.perf_counter() - started_s
+        self.after(engine.TICK_MS, lambda: self._tick(core))
+
+    def _send(self, sender: ids.HostId, to: ids.HostId, message: object) -> None:
+        data = codec.encode(sender, message)
+        if to not in self._engines:
+            return
+        if to != sender:
+            self._sent_messages += 1
+            self._sent_bytes[type(message).__name__] += len(data)
+        far = self._region[sender] != self._region[to]
+        self._far_bytes += len(data) if far else 0
+        self.after(_FAR_MS if far else _NEAR_MS, lambda: self._deliver(to, data))
+
+    def _deliver(self, to: ids.HostId, data: bytes) -> None:
+        started_s = time.perf_counter()
+        envelope = codec.decode(data)
+        self._engines[to].on_message(ids.HostId(envelope.sender), envelope.message)
+        self._cpu_s += time.perf_counter() - started_s
+
+    def _load(self, host: ids.HostId, rate_per_s: float, end_ms: float) -> None:
+        if self._clock.now_ms() >= end_ms:
+            return
+        self.after(
+            self._rng.expovariate(rate_per_s) * _MS_PER_S,
+            lambda: self._request(host, rate_per_s, end_ms),
+        )
+
+    def _request(self, host: ids.HostId, rate_per_s: float, end_ms: float) -> None:
+        number = next(self._requests)
+        head = ports.RequestHead(
+            request=ids.RequestId(f"{number:032x}"),
+            method="GET",
+            host="any",
+            path=f"/item/{number}",
+            key=f"{_KEY}{number % self._layout.workspaces}",
+        )
+        started_s = time.perf_counter()
+        self._engines[host].begin(head, _Sink(self, host))
+        self._cpu_s += time.perf_counter() - started_s
+        self._load(host, rate_per_s, end_ms)
+
+    def _reset(self) -> None:
+        self._cpu_s = 0.0
+        self._sent_bytes.clear()
+        self._sent_messages = 0
+        self._far_bytes = 0
+        self.answered = 0
+        self.refused.clear()
+
+    def _cost(self, span_ms: float) -> HostCost:
+        host_seconds = len(self._rows) * span_ms / _MS_PER_S
+        return HostCost(
+            cpu_ms=self._cpu_s * _MS_PER_S / host_seconds,
+            bytes_sent=self._sent_bytes.total() / host_seconds,
+            messages_sent=self._sent_messages / host_seconds,
+            far_bytes_sent=self._far_bytes / host_seconds,
+            by_type={name: count / host_seconds for name, count in self._sent_bytes.items()},
+        )
