Index routes by prefix, and key hashes without a table each

Cause: a look-up walked every route (3,800 at the stated size), and each key's hash held a table of its own. Change: prefixes that end at a segment are looked up longest first; a hash holds a tuple of names; records are not tracked by the cycle collector.

--- a/verbenadrum/records/table.py
+++ b/verbenadrum/records/table.py
@@ -1,6 +1,6 @@
 """Table of the records in force on one host."""
 
-import collections
+from collections.abc import Iterator
 
 from verbenadrum import ids
 from verbenadrum.records import checks, types
@@ -18,10 +18,12 @@
     def __init__(self) -> None:
         self._rows: dict[tuple[types.RecordKind, str], types.Record] = {}
         self._revision = 0
-        self._routes: dict[str, list[tuple[str, str, types.RouteSpec]]] = {}
+        # Routes by host name, path prefix and record name.
+        self._routes: dict[str, dict[str, dict[str, types.RouteSpec]]] = {}
         self._workspaces: dict[ids.WorkspaceId, types.WorkspaceSpec] = {}
         self._pools: dict[ids.ServiceId, types.PoolSpec] = {}
-        self._keys: dict[str, dict[str, ids.WorkspaceId]] = collections.defaultdict(dict)
+        # Names of the key records that hold each hash; nearly always one.
+        self._key_holders: dict[str, tuple[str, ...]] = {}
         self._fleet: types.FleetSpec | None = None
 
     @property
@@ -57,9 +59,11 @@
     def route(self, host: str, path: str) -> tuple[str, types.RouteSpec] | None:
         """Return name and spec of the longest matching route; a host name match goes first."""
         for routes in (self._routes.get(host), self._routes.get("")):
-            for prefix, name, spec in routes or ():
-                if _matches(path, prefix):
-                    return name, spec
+            for prefix in _prefixes(path) if routes else ():
+                named = routes.get(prefix)
+                if named:
+                    name = min(named)
+                    return name, named[name]
         return None
 
     def workspace(self, workspace: ids.WorkspaceId) -> types.WorkspaceSpec | None:
@@ -72,10 +76,11 @@
 
     def key_workspace(self, sha256: str) -> ids.WorkspaceId | None:
         """Return the workspace that a key's hash opens, or None if the key is not in force."""
-        holders = self._keys.get(sha256)
+        holders = self._key_holders.get(sha256)
         if not holders:
             return None
-        return holders[max(holders)]
+        row = self._rows[types.RecordKind.KEY, max(holders)]
+        return ids.WorkspaceId(row.spec.workspace)
 
     def pool(self, service: ids.ServiceId) -> types.PoolSpec | None:
         """Return a service's pool, or None if it is unknown."""
@@ -105,29 +110,33 @@
         self, name: str, previous: types.RouteSpec | None, spec: types.RouteSpec | None
     ) -> None:
         if previous is not None:
-            routes = self._routes[previous.host]
-            routes[:] = [route for route in routes if route[1] != name]
+            self._routes[previous.host][previous.path_prefix].pop(name, None)
         if spec is not None:
-            routes = self._routes.setdefault(spec.host, [])
-            routes.append((spec.path_prefix, name, spec))
-            routes.sort(key=lambda route: (-len(route[0]), route[1]))
+            prefixes = self._routes.setdefault(spec.host, {})
+            prefixes.setdefault(spec.path_prefix, {})[name] = spec
 
     def _index_key(
         self, name: str, previous: types.KeySpec | None, spec: types.KeySpec | None
     ) -> None:
         if previous is not None:
-            self._keys[previous.sha256].pop(name, None)
+            left = tuple(each for each in self._key_holders[previous.sha256] if each != name)
+            _replace(self._key_holders, previous.sha256, left or None)
         if spec is not None:
-            self._keys[spec.sha256][name] = ids.WorkspaceId(spec.workspace)
+            holders = self._key_holders.get(spec.sha256, ())
+            self._key_holders[spec.sha256] = (*holders, name)
 
 
-def _matches(path: str, prefix: str) -> bool:
-    if not path.startswith(prefix):
-        return False
-    return prefix.endswith("/") or len(path) == len(prefix) or path[len(prefix)] in "/?"
+def _prefixes(path: str) -> Iterator[str]:
+    """Yield the prefixes that cover a path, longest first: they end at a segment's end."""
+    yield path
+    end = len(path)
+    while (end := path.rfind("/", 0, end)) >= 0:
+        yield path[: end + 1]
+        if end > 0:
+            yield path[:end]
 
 
-def _replace(table: dict, name: str, spec: types.Spec | None) -> None:
+def _replace(table: dict, name: str, spec: object) -> None:
     if spec is None:
         table.pop(name, None)
     else:
--- a/verbenadrum/records/types.py
+++ b/verbenadrum/records/types.py
@@ -47,7 +47,7 @@
     LEAVING = "leaving"
 
 
-class RouteSpec(msgspec.Struct, frozen=True, kw_only=True):
+class RouteSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """Maps a host name and path prefix to a service.
 
     ``public`` routes need no key. ``timeout_ms`` bounds the whole request. Methods in
@@ -62,7 +62,7 @@
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS", "TRACE")
 
 
-class WorkspaceSpec(msgspec.Struct, frozen=True, kw_only=True):
+class WorkspaceSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """Limits of one workspace, summed over the whole fleet.
 
     ``rate_per_s`` and ``burst`` count requests; ``weight`` is its share of a pool under load;
@@ -75,14 +75,14 @@
     home_data_centre: str = ""
 
 
-class KeySpec(msgspec.Struct, frozen=True, kw_only=True):
+class KeySpec(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """Hash of a caller's key and the workspace that it opens."""
 
     workspace: Name
     sha256: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
 
 
-class ServerEntry(msgspec.Struct, frozen=True, kw_only=True):
+class ServerEntry(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """One backend server of a pool."""
 
     server: Name
@@ -91,7 +91,7 @@
     state: ServerState = ServerState.LIVE
 
 
-class PoolSpec(msgspec.Struct, frozen=True, kw_only=True):
+class PoolSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """The backend servers of one service; the record's name is the service.
 
     ``floor`` is the fraction of live servers that ejection must leave in service. An answer
@@ -106,7 +106,7 @@
     echoes_request_id: bool = True
 
 
-class DataCentreShare(msgspec.Struct, frozen=True, kw_only=True):
+class DataCentreShare(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """Weight of one data centre in every workspace's rate and burst.
 
     Raising ``generation`` states that every earlier host of the data centre is gone. Hosts with
@@ -121,7 +121,7 @@
     start_until_wall_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
-class FleetSpec(msgspec.Struct, frozen=True, kw_only=True):
+class FleetSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """Data centres of the fleet and their shares; there is one record, named ``fleet``.
 
     ``first_start`` states that no caller was served before the first epochs of generation 1: then
@@ -136,7 +136,7 @@
 Spec = RouteSpec | WorkspaceSpec | KeySpec | PoolSpec | FleetSpec
 
 
-class Record(msgspec.Struct, frozen=True, kw_only=True):
+class Record(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """An accepted record.
 
     Attributes
