First start of a fleet: no claim before a published time

Cause: with first_start in the fleet record, all hosts of a data centre that restart within the start window (10 minutes in the stand-ins) took their epoch for the first one again and forgot the claims made before: a key ran twice (test_first_start_is_not_believed_twice failed on the earlier code).

Change: FleetSpec.serve_from_wall_ms replaces first_start (shared: records/types.py, standins/fleet.py). No key is claimed until 2 s after it, and only hosts whose first epoch of generation 1 begins by then know of every claim. test_first_start_needs_no_wait keeps its assertions.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,7 @@
 _TRY_PAUSE_S = 0.1
 _START_ATTEMPTS = 3
 _SHARE_START_MS = 600_000.0
+_SERVE_AFTER_MS = 8_000.0
 _SETTINGS = """\
 [host]
 id = "{spec.host}"
@@ -210,7 +211,9 @@
             }
             for (region, data_centre), weight in weights.items()
         ]
-        self.publish("fleet", "fleet", {"data_centres": shares, "first_start": True})
+        serve_from_ms = time.time() * 1000.0 + _SERVE_AFTER_MS
+        content = {"data_centres": shares, "serve_from_wall_ms": serve_from_ms}
+        self.publish("fleet", "fleet", content)
 
     def platform_fault(self, fault: platform.ReaderFault | None) -> None:
         """Set a fault of the platform, or heal it for None."""
--- a/verbenadrum/claims/register.py
+++ b/verbenadrum/claims/register.py
@@ -94,7 +94,7 @@
 
     def _decide(self, row: _Row | None, message: messages.ClaimAsk) -> messages.ClaimAnswer:
         epoch = self._epochs.active()
-        if epoch is None or not self._is_home(message.workspace):
+        if epoch is None or not self._is_home(message.workspace) or not self._serves():
             return _answer(message, messages.Verdict.NOT_NOW)
         current = _witnesses(message, epoch.members)
         if any(_witnesses(message, each) != current for each in _later_lists(epoch)):
@@ -119,6 +119,12 @@
     def _is_home(self, workspace: ids.WorkspaceId) -> bool:
         return keys.home_data_centre(self._records, workspace) == self._context.data_centre
 
+    def _serves(self) -> bool:
+        """Return whether the time before which no key is claimed is over on every host."""
+        fleet = self._records.fleet()
+        from_ms = 0.0 if fleet is None else fleet.serve_from_wall_ms
+        return from_ms == 0.0 or self._context.clock.wall_ms() >= from_ms + _CLOCK_MARGIN_MS
+
     def _refusal(self, message: messages.ClaimAsk, epoch: ports.Epoch) -> messages.Verdict | None:
         """Return why a claim cannot be accepted on account of the key's age, or None."""
         wall_ms = self._context.clock.wall_ms()
--- a/verbenadrum/claims/tests/test_witnessed.py
+++ b/verbenadrum/claims/tests/test_witnessed.py
@@ -273,3 +273,16 @@
     group = callers.ClaimFleet(seed=4, hosts=names(3))
     group.advance(fleet.WINDOW_MS, group.check)
     assert claim(group, "a-1", group.key()).claim.state is WON
+
+
+@pytest.mark.parametrize("restart_ms", [1_000.0, 10_000.0])
+def test_first_start_is_not_believed_twice(restart_ms):
+    group = callers.ClaimFleet(seed=2, hosts=names(3), first_start=True)
+    group.advance(restart_ms, group.check)
+    claim(group, "a-1", "refund-1", win=group.run)
+    for name in names(3):
+        group.start(name)
+    group.advance(fleet.WINDOW_MS - 1_000.0 - group.now_ms, group.check)
+    assert len(group.epochs()) == 3
+    claim(group, "a-1", "refund-1", win=group.run)
+    assert group.runs["refund-1"] == 1
--- a/verbenadrum/epochs/tests/fleet.py
+++ b/verbenadrum/epochs/tests/fleet.py
@@ -18,6 +18,7 @@
 TICK_MS = 100.0
 START_WALL_MS = 1.7e12
 WINDOW_MS = 20_000.0
+SERVE_MS = 7_000.0
 
 
 class Host:
@@ -110,7 +111,8 @@
             )
             for name, (number, until) in sorted(self.generation.items())
         )
-        spec = types.FleetSpec(data_centres=shares, first_start=self.first_start)
+        serve_ms = START_WALL_MS + SERVE_MS if self.first_start else 0.0
+        spec = types.FleetSpec(data_centres=shares, serve_from_wall_ms=serve_ms)
         host.records.put(
             types.Record(
                 kind=types.RecordKind.FLEET,
--- a/verbenadrum/epochs/vouched.py
+++ b/verbenadrum/epochs/vouched.py
@@ -373,9 +373,13 @@
 
     def _note_first_start(self) -> None:
         fleet = self._records.fleet()
-        if fleet is not None and fleet.first_start and self._generation == 1:
-            # Nothing was in force before, so every list that ever was is known here.
+        if fleet is None or self._generation != 1:
+            return
+        if self._context.clock.wall_ms() <= fleet.serve_from_wall_ms:
+            # Nobody claims a key before that time, not even hosts that have restarted since, so
+            # every list that could matter is known here.
             self._known_wall_ms = 0.0
+            self._forget_epoch()
 
     def _known_from_here(self) -> None:
         self._base_wall_ms = self._context.clock.wall_ms()
--- a/verbenadrum/records/types.py
+++ b/verbenadrum/records/types.py
@@ -124,13 +124,14 @@
 class FleetSpec(msgspec.Struct, frozen=True, kw_only=True):
     """Data centres of the fleet and their shares; there is one record, named ``fleet``.
 
-    ``first_start`` states that no caller was served before the first epochs of generation 1: then
-    the hosts that start those epochs know of every claim ever made, and need not wait until
-    idempotency keys of an unknown age have expired.
+    ``serve_from_wall_ms`` is for the first start of a fleet: it states that no caller was served
+    before the record, and no idempotency key is claimed before that time. The hosts that start
+    the first epochs of generation 1 by then know of every claim ever made, and need not wait
+    until keys of an unknown age have expired.
     """
 
     data_centres: tuple[DataCentreShare, ...]
-    first_start: bool = False
+    serve_from_wall_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 Spec = RouteSpec | WorkspaceSpec | KeySpec | PoolSpec | FleetSpec
