--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -212,9 +212,9 @@
         counted = _cap_each_observer(trusted)
         if _cumulated(trusted) < _SICK_SCORE:
             return _verdict(evidence.VerdictKind.SHARED, server, "fault-shared", score)
-        trusted = _since_change(trusted)
-        accusers = _accusers(trusted)
-        if _cumulated(counted) < _SICK_SCORE or _contradicted(trusted, accusers):
+        changed = _since_change(trusted)
+        accusers = _accusers(changed)
+        if _cumulated(counted) < _SICK_SCORE or _contradicted(trusted, changed, accusers):
             observers = tuple(sorted(accusers))
             return _verdict(
                 evidence.VerdictKind.PATH, server, "few-observers-only", score, observers
@@ -271,9 +271,12 @@
     return min(_MAX_ATTEMPT_SCORE, math.log(_SICK_RATE / chance)) if chance < _SICK_RATE else 0.0
 
 
-def _contradicted(events: list[_Event], accusers: set[ids.HostId]) -> bool:
-    """Return whether so many others are well served that the paths must be at fault."""
-    onset_ms = min(event.started_ms for event in events if event.score > 0.0)
+def _contradicted(events: list[_Event], changed: list[_Event], accusers: set[ids.HostId]) -> bool:
+    """Return whether so many others are well served that the paths must be at fault.
+
+    Only what began after the first failure of the change counts.
+    """
+    onset_ms = min(event.started_ms for event in changed if event.score > 0.0)
     served = {
         event.observer for event in events if event.score < 0.0 and event.started_ms >= onset_ms
     }
