--- a/verbenadrum/health/ejection.py
+++ b/verbenadrum/health/ejection.py
@@ -115,6 +115,11 @@
         """Whether an ejection is held or wanted, so that permits are worth asking for."""
         return self._wants_permits or any(row.permitted for row in self._rows.values())
 
+    @property
+    def permit_missing(self) -> bool:
+        """Whether the last review would have ejected a server with one permit more."""
+        return self._wants_permits
+
     @property
     def ejected(self) -> list[ids.ServerId]:
         """Servers that get no work."""
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -232,6 +232,11 @@
                 self._ejector.excuse(ids.ServerId(unit.server))
         self._serve()
 
+    def on_backing(self) -> None:
+        """Eject at once where an ejection had only been waiting for its permit."""
+        if self._ejector.permit_missing:
+            self._review(self._context.now_ms())
+
     def on_tick(self) -> None:
         """Review the servers, end silent leases and shed what can no longer be served."""
         now_ms = self._context.now_ms()
--- a/verbenadrum/placement/pool_home.py
+++ b/verbenadrum/placement/pool_home.py
@@ -116,9 +116,9 @@
                 self._permits.pop(key, None)
                 continue
             home.sync(part)
+            home.on_tick()
             if home.ejector.wants_permits and now_ms - home.last_asked_ms <= _ACTIVE_MS:
                 self._ask_permits(key)
-            home.on_tick()
 
     @system.handles(messages.PlaceAsk)
     def on_ask(self, sender: ids.HostId, message: messages.PlaceAsk) -> None:
@@ -231,7 +231,8 @@
     @system.handles(health_messages.VouchReply)
     def on_vouch_reply(self, sender: ids.HostId, message: health_messages.VouchReply) -> None:
         """Count a host that backs this home."""
-        holder = self._permits.get((ids.ServiceId(message.service), ids.RegionId(message.region)))
+        key = (ids.ServiceId(message.service), ids.RegionId(message.region))
+        holder = self._permits.get(key)
         if holder is not None:
             holder.backed(
                 host=sender,
@@ -239,6 +240,7 @@
                 hosts=message.hosts,
                 now_ms=self._context.now_ms(),
             )
+            self._homes[key].on_backing()
 
     def _home(self, key: PartKey) -> home_side.PartHome | None:
         part = self._table.part(*key)
