--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -179,6 +179,43 @@
         self._fleet.publish_hosts(lag_ms=lambda: self._rng.uniform(*_LIST_LAG_MS), leaving=leaving)
 
 
+class Faulty:
+    """Takes a host out every 12 s, four times, while the host list stays as it was."""
+
+    def __init__(
+        self, *, fleet: limits_fleet.Fleet, traffic: Traffic, seed: int, one_way: bool
+    ) -> None:
+        self._fleet = fleet
+        self._traffic = traffic
+        self._rng = random.Random(seed)
+        for index in range(4):
+            action = self._cut if one_way else self._end
+            fleet.at(_WARM_MS + 5_000.0 + 12_000.0 * index, action)
+
+    def _choose(self) -> ids.HostId:
+        name = self._rng.choice(sorted(self._traffic.ready))
+        self._traffic.ready.discard(name)
+        return name
+
+    def _end(self) -> None:
+        name = self._choose()
+        members = self._fleet.book.members[self._fleet.hosts[name].row.data_centre]
+        self._fleet.remove(name)
+        # Nobody has learned of the death, so the epochs go on counting the host.
+        members.add(name)
+
+    def _cut(self) -> None:
+        name = self._choose()
+        cut = {(name, "r0"), (name, "r1")}
+        self._fleet.faults.cut.update(cut)
+
+        def heal() -> None:
+            self._fleet.faults.cut.difference_update(cut)
+            self._traffic.ready.add(name)
+
+        self._fleet.at(self._fleet.now_ms + 10_000.0, heal)
+
+
 def _make_fleet(
     behaviour: str, limits: tuple[tuple[float, float], ...], seed: int
 ) -> limits_fleet.Fleet:
@@ -242,6 +279,9 @@
     )
     if script == "replaced":
         Replacements(fleet=fleet, traffic=traffic, seed=seed)
+    if script in ("unlisted", "one-way"):
+        one_way = script == "one-way"
+        Faulty(fleet=fleet, traffic=traffic, seed=seed, one_way=one_way)
     if script == "cut":
         cut = {("r0", "r1"), ("r1", "r0")}
         fleet.at(_WARM_MS + 5_000.0, lambda: fleet.faults.cut.update(cut))
@@ -260,6 +300,8 @@
     ("quiet", "in-rate requests refused, no fault (%)", 0.01),
     ("replaced", "in-rate requests refused, 1 host in 10 replaced a minute (%)", 0.1),
     ("cut", "in-rate requests refused, regions cut (%)", 0.5),
+    ("unlisted", "in-rate requests refused, 4 hosts die and stay listed (%)", None),
+    ("one-way", "in-rate requests refused, hosts heard by nobody for 10 s (%)", None),
     ("one-sided", "in-rate requests refused, all sent through one region (%)", None),
 )
 
--- a/verbenadrum/limits/entry_role.py
+++ b/verbenadrum/limits/entry_role.py
@@ -15,6 +15,7 @@
 _PREFETCH_MS = 800.0
 _LOW_WATER_MS = 400.0
 _UNANSWERED_MS = 150.0
+_AVOID_FIRST_MS = 200.0
 _AVOID_MS = 1_000.0
 _ASK_PAUSE_MS = 50.0
 _RETURN_BEFORE_MS = 150.0
@@ -50,6 +51,7 @@
         self._busy: set[ids.WorkspaceId] = set()
         self._asks: dict[int, tuple[accounts.Account, accounts.OpenAsk]] = {}
         self._avoided: dict[ids.HostId, float] = {}
+        self._missed: set[ids.HostId] = set()
         self._settlements: dict[ids.HostId, list[messages.Settlement]] = {}
         self._housekeeping_ms = context.now_ms()
 
@@ -92,6 +94,7 @@
             return
         now_ms = self._context.now_ms()
         ask.answered = True
+        self._missed.discard(sender)
         account.unanswered = False
         account.retry_after_ms = grant.retry_after_ms
         if grant.state is messages.GrantState.QUEUED:
@@ -100,7 +103,7 @@
         if account.ask is ask:
             account.ask = None
         if grant.state is not messages.GrantState.GRANTED:
-            self._avoid(sender, now_ms)
+            self._avoid(sender, now_ms, _AVOID_MS)
         elif grant.count <= 0:
             account.ask_again_ms = now_ms + _ASK_PAUSE_MS
         else:
@@ -206,15 +209,20 @@
                 return host
         return min(candidates, key=lambda host: self._avoided.get(host, 0.0), default=None)
 
-    def _avoid(self, host: ids.HostId, now_ms: float) -> None:
-        self._avoided[host] = now_ms + _AVOID_MS
+    def _avoid(self, host: ids.HostId, now_ms: float, for_ms: float) -> None:
+        self._avoided[host] = now_ms + for_ms
+
+    def _note_missed(self, host: ids.HostId, now_ms: float) -> None:
+        avoid_ms = _AVOID_MS if host in self._missed else _AVOID_FIRST_MS
+        self._missed.add(host)
+        self._avoid(host, now_ms, avoid_ms)
 
     def _check_ask(self, account: accounts.Account, now_ms: float) -> None:
         ask = account.ask
         if ask is None:
             return
         if not ask.answered and now_ms - ask.sent_ms >= _UNANSWERED_MS:
-            self._avoid(ask.home, now_ms)
+            self._note_missed(ask.home, now_ms)
             account.unanswered = True
             account.ask = None
         elif now_ms >= ask.until_ms:
--- a/verbenadrum/limits/escrow.py
+++ b/verbenadrum/limits/escrow.py
@@ -72,6 +72,7 @@
     @system.handles(messages.Poll)
     def on_poll(self, sender: ids.HostId, message: messages.Poll) -> None:
         """Lend to a home."""
+        self._home.note_heard(sender)
         self._lender.on_poll(sender, message)
 
     @system.handles(messages.Release)
--- a/verbenadrum/limits/home.py
+++ b/verbenadrum/limits/home.py
@@ -33,6 +33,7 @@
 _BATCH_WAIT_MS = 100.0
 _LEAST_LOAN = 0.05
 _FORGET_MS = 10_000.0
+_DEAF_MS = 3_000.0
 _MS_PER_S = 1000.0
 
 
@@ -67,6 +68,7 @@
         self._rounds: dict[int, float] = {}
         self._poll_at_ms = context.now_ms()
         self._forget_at_ms = context.now_ms()
+        self._heard_ms = context.now_ms()
         self._partitions: dict[int, leases.PartitionLeases] = {}
         self._queues: dict[ids.WorkspaceId, queue.WaitQueue] = {}
         self._borrows: dict[int, _Borrow] = {}
@@ -81,6 +83,11 @@
         held.settle(now_ms=self._context.now_ms())
         return held.share
 
+    def note_heard(self, sender: ids.HostId) -> None:
+        """Note that messages of other hosts of the scope reach this one."""
+        if sender != self._context.host:
+            self._heard_ms = self._context.now_ms()
+
     def on_tick(self) -> None:
         """Poll the lenders when due, serve the queues and give back what is not needed."""
         now_ms = self._context.now_ms()
@@ -98,6 +105,7 @@
 
     def on_lend(self, sender: ids.HostId, lend: messages.Lend) -> None:
         """Take a lender's lease; it counts from the sending of the poll it answers."""
+        self.note_heard(sender)
         sent_ms = self._rounds.get(lend.round)
         if sent_ms is None:
             return
@@ -162,19 +170,29 @@
                 self._serve(borrow.workspace, now_ms)
 
     def _choose_partitions(self, now_ms: float) -> None:
+        deaf = self._is_deaf(now_ms)
         for partition in range(partitions.PARTITIONS):
             held = self._partitions.get(partition)
-            if self._homes.is_home(partition):
-                if held is None:
-                    self._partitions[partition] = leases.PartitionLeases(
-                        now_ms=now_ms, first_round=self._round + 1
-                    )
-                    self._log(partition, "take", "home-by-list")
-                else:
-                    held.draining = False
-            elif held is not None and not held.draining:
+            holding = held is not None and not held.draining
+            if not deaf and self._homes.is_home(partition, holding=holding):
+                self._take(partition, held, now_ms)
+            elif holding:
                 held.draining = True
-                self._log(partition, "drain", "home-elsewhere")
+                self._log(partition, "drain", "unheard" if deaf else "home-elsewhere")
+
+    def _take(self, partition: int, held: leases.PartitionLeases | None, now_ms: float) -> None:
+        if held is not None:
+            held.draining = False
+            return
+        self._partitions[partition] = leases.PartitionLeases(
+            now_ms=now_ms, first_round=self._round + 1
+        )
+        self._log(partition, "take", "first-candidate-that-acts")
+
+    def _is_deaf(self, now_ms: float) -> bool:
+        # A home that polls but hears no answer would keep a substitute from taking over.
+        alone = len(self._homes.lenders()) <= 1
+        return not alone and now_ms - self._heard_ms > _DEAF_MS
 
     def _poll(self, now_ms: float) -> None:
         wanted = sum(1 << p for p, held in self._partitions.items() if not held.draining)
--- a/verbenadrum/limits/lender.py
+++ b/verbenadrum/limits/lender.py
@@ -51,6 +51,7 @@
     def on_poll(self, sender: ids.HostId, poll: messages.Poll) -> None:
         """Lend what is free, or renew what the same home holds."""
         now_ms = self._context.now_ms()
+        self._homes.note_poll(sender, poll.wanted)
         share, life_ms = self._owned(now_ms)
         granted = 0
         if share > 0 and life_ms > 0:
