--- a/verbenadrum/limits/entry_role.py
+++ b/verbenadrum/limits/entry_role.py
@@ -103,6 +103,7 @@
         if account.ask is ask:
             account.ask = None
         if grant.state is not messages.GrantState.GRANTED:
+            account.unanswered = True
             self._avoid(sender, now_ms, _AVOID_MS)
         elif grant.count <= 0:
             account.ask_again_ms = now_ms + _ASK_PAUSE_MS
--- a/verbenadrum/limits/home_leases.py
+++ b/verbenadrum/limits/home_leases.py
@@ -1,6 +1,5 @@
 """Leases that this host collects as home: which partitions, whose shares, until when."""
 
-
 from verbenadrum import ids
 from verbenadrum.core import context
 from verbenadrum.decisions import ring
