--- a/verbenadrum/core/behaviours.py
+++ b/verbenadrum/core/behaviours.py
@@ -1,6 +1,7 @@
 """Imports every module that registers a behaviour, so that settings can select it."""
 
 from verbenadrum.claims import local, witnessed
+from verbenadrum.dissemination import duty, every_host
 from verbenadrum.epochs import listed, vouched
 from verbenadrum.health import consecutive, sequential
 from verbenadrum.limits import escrow, global_owner, static_split
@@ -8,7 +9,9 @@
 
 __all__ = [
     "consecutive",
+    "duty",
     "escrow",
+    "every_host",
     "global_owner",
     "listed",
     "local",
--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -14,6 +14,7 @@
 from verbenadrum.dissemination import duty as platform_duty
 from verbenadrum.dissemination import host_lists, sampler
 from verbenadrum.dissemination import records as record_spread
+from verbenadrum.dissemination import registry as duty_registry
 from verbenadrum.entry import pipeline
 from verbenadrum.epochs import registry as epoch_registry
 from verbenadrum.limits import registry as limit_registry
@@ -38,6 +39,7 @@
     epochs: str = "vouched"
     placement: str = "pool_home"
     health: str = "sequential"
+    readers: str = "rendezvous"
 
 
 class Engine:
@@ -72,7 +74,7 @@
         self.detector = detector.FailureDetector(
             context=context, membership=self.membership, peers=peers
         )
-        self.duty = platform_duty.ReaderDuty(
+        self.duty = duty_registry.reader_duties.get(choices.readers)(
             context=context,
             membership=self.membership,
             records=self.record_spread,
--- a/verbenadrum/dissemination/__init__.py
+++ b/verbenadrum/dissemination/__init__.py
@@ -1,3 +1,12 @@
 """Spreads records and host lists from the platform's readers to every host."""
 
-__all__ = ["duty", "host_lists", "messages", "progress", "records", "sampler"]
+__all__ = [
+    "duty",
+    "every_host",
+    "host_lists",
+    "messages",
+    "progress",
+    "records",
+    "registry",
+    "sampler",
+]
--- a/verbenadrum/dissemination/duty.py
+++ b/verbenadrum/dissemination/duty.py
@@ -6,7 +6,7 @@
 
 from verbenadrum.core import context, ports, system
 from verbenadrum.decisions import ring
-from verbenadrum.dissemination import host_lists, records
+from verbenadrum.dissemination import host_lists, records, registry
 from verbenadrum.membership import table as host_table
 
 __all__ = [
@@ -92,6 +92,7 @@
     failures: int = 0
 
 
+@registry.reader_duties.register("rendezvous")
 class ReaderDuty(system.System):
     """Keeps the number of platform readers fixed however many hosts there are.
 
--- /dev/null
+++ b/verbenadrum/dissemination/every_host.py
@@ -0,0 +1,13 @@
+"""Baseline reader duty: every host reads the platform for itself."""
+
+from verbenadrum.dissemination import duty, registry
+
+__all__ = ["EveryHostReads"]
+
+
+@registry.reader_duties.register("every_host")
+class EveryHostReads(duty.ReaderDuty):
+    """Kept for comparison: the calls to the platform grow with the hosts."""
+
+    def _choose_reason(self) -> duty.ReadReason:
+        return duty.ReadReason.READER
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -19,6 +19,8 @@
 _FAR_PUSHES_PER_REGION = 3.0
 _FAR_DIGESTS_PER_REGION = 2.0
 _DIGEST_PERIOD_MS = 500.0
+_NEWS_DIGEST_PERIOD_MS = 100.0
+_NEWS_MS = 1_000.0
 _MAX_PUSH_BYTES = 32_768
 _MAX_CHUNK_BYTES = 262_144
 _MAX_TAIL_BYTES = 4_096
@@ -125,7 +127,7 @@
         self._watch_pull(now_ms)
         self._load_first(now_ms)
         if now_ms >= self._next_digest_ms:
-            self._next_digest_ms = now_ms + _DIGEST_PERIOD_MS
+            self._next_digest_ms = now_ms + self._digest_period_ms(now_ms)
             self._send_digests()
 
     @system.handles(messages.RecordChanges)
@@ -165,7 +167,9 @@
         news = [raw for raw in envelopes if _is_news(self._store.offer(raw, quiet=quiet))]
         joined = self._progress.advance(source, after=after, to=to, final=final)
         if self.complete_to > before > 0:
-            self._steps.append((self._context.now_ms(), before))
+            now_ms = self._context.now_ms()
+            self._steps.append((now_ms, before))
+            self._next_digest_ms = min(self._next_digest_ms, now_ms + _NEWS_DIGEST_PERIOD_MS)
         if self.complete_to > 0 == before:
             self._decide_loaded(source)
         if news and final:
@@ -197,6 +201,12 @@
         for peer in peers:
             self._context.send(peer, message)
 
+    def _digest_period_ms(self, now_ms: float) -> float:
+        """Return a shorter period while there is news, for pushes alone miss a few hosts."""
+        if self._steps and now_ms - self._steps[-1][0] < _NEWS_MS:
+            return _NEWS_DIGEST_PERIOD_MS
+        return _DIGEST_PERIOD_MS
+
     def _send_digests(self) -> None:
         message = self._digest()
         for peer in self._peers.near(1) + self._peers.far(_FAR_DIGESTS_PER_REGION):
