--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -8,7 +8,7 @@
 from standins import spreading
 from verbenadrum import ids
 from verbenadrum.core import ports
-from verbenadrum.dissemination import duty, messages, progress
+from verbenadrum.dissemination import duty, messages, progress, sampler
 from verbenadrum.records import envelope, store, table, types
 
 _SETTINGS = hypothesis.settings(
@@ -342,3 +342,14 @@
     assert host.records.row(types.RecordKind.WORKSPACE, "w").revision == 7
     stale = duty.RecordsAnswer(after=7, revision=3, complete=True, envelopes=())
     assert not host.on_platform_records(stale)
+
+
+def test_peers_of_a_large_region_come_from_a_small_view_that_changes():
+    fleet = ready_fleet(10, data_centres=1, hosts=40)
+    engine = fleet.hosts["h0000"].engine
+    peers = sampler.PeerSampler(context=engine.record_spread._context, membership=engine.membership)
+    first = {peer for _ in range(200) for peer in peers.near(3)}
+    assert len(first) == 16
+    fleet.time.advance(10_000.0)
+    second = {peer for _ in range(200) for peer in peers.near(3)}
+    assert len(first | second) == 17
