Serve the least recent use first; decide on hedges when they are due

A hedge was ruled out for good when the pool was busy at the moment of the grant, so that a stalled attempt held its slot for 10 s; the home now decides when it is due and names a time to ask again. What a hedge gave up counts as evidence. Shared files: ports (PlacementRequest.hedge), pipeline.

--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -276,9 +276,8 @@
     del argv
     rows = detection_rows(200 if _FULL.value else 40)
     rows += quiet_rows(seeds=20, minutes=60) if _FULL.value else quiet_rows(seeds=5, minutes=16)
-    for row in rows:
-        met = {True: "met", False: "MISSED", None: ""}[row.met]
-        print(f"{row.behaviour:26} {row.measure:52} {row.value:9} {met:7} {row.note}")
+    for line in parallel.table(rows):
+        print(line)
 
 
 if __name__ == "__main__":
--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -293,6 +293,8 @@
         Monotonic time by which the answer must have begun.
     excluded : tuple of ServerId
         Servers that failed this request already.
+    hedge : bool
+        Whether an earlier attempt is still under way.
     """
 
     request: ids.RequestId
@@ -303,6 +305,7 @@
     fingerprint: str
     deadline_ms: float
     excluded: tuple[ids.ServerId, ...] = ()
+    hedge: bool = False
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -212,6 +212,7 @@
             fingerprint=_placement_fingerprint(row),
             deadline_ms=row.deadline_ms,
             excluded=tuple(row.excluded),
+            hedge=bool(row.attempts),
         )
 
     def _on_placement(
@@ -224,6 +225,8 @@
             self._return_lease(placement)
             return
         if placement.server is None:
+            if row.attempts and placement.retry_after_ms > 0:
+                row.hedge_at_ms = self._context.now_ms() + placement.retry_after_ms
             if not row.attempts:
                 refusal = refusals.not_placed(row.head, placement, row.byte_sent)
                 self._refuse(row, refusal)
--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -33,7 +33,7 @@
 _WINDOW_MS = 10_000.0
 _WINDOW_EVENTS = 128
 _SHARED_FRACTION = 0.34
-_MIN_ACCUSERS = 3
+_MIN_ACCUSERS = 4
 _MIN_ACCUSER_SHARE = 0.25
 _RATE_DECAY = 0.999
 
@@ -142,13 +142,19 @@
             return _ratio(max(_MIN_ERROR_RATE, self._failure_rate))
         if evidence.kind is ports.OutcomeKind.SHED:
             return _SHED_SCORE
+        if evidence.kind is ports.OutcomeKind.CANCELLED:
+            return self._abandoned_score(evidence)
         slow = self._wait_score(evidence.group, evidence.latency_ms)
         if slow > 0.0:
             answered = evidence.kind is ports.OutcomeKind.OK
             return min(slow, _MAX_LATE_SCORE) if answered else slow
-        if evidence.kind is ports.OutcomeKind.OK:
-            return _GOOD_SCORE
-        return 0.0
+        return _GOOD_SCORE if evidence.kind is ports.OutcomeKind.OK else 0.0
+
+    def _abandoned_score(self, evidence: evidence.Evidence) -> float:
+        """Weigh an attempt that a hedge or the caller gave up: it had not been answered."""
+        if evidence.latency_ms < self._slow_limit(evidence.group):
+            return 0.0
+        return _MAX_LATE_SCORE
 
     def _wait_score(self, group: ids.DataCentreId, waited_ms: float) -> float:
         slow_ms = self._slow_limit(group)
@@ -283,7 +289,7 @@
     content = served - accusers
     if not content:
         return len(accusers) < 2
-    accusers = accusers - _never_served(events)
+    accusers = accusers - _never_served(changed)
     share = len(accusers) / (len(accusers) + len(content))
     return len(accusers) < _MIN_ACCUSERS or share < _MIN_ACCUSER_SHARE
 
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -256,6 +256,7 @@
                 last=len(row.regions) == 1,
                 data_centre=self._context.data_centre,
                 excluded=request.excluded,
+                hedge=request.hedge,
             ),
         )
 
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -93,7 +93,9 @@
         self._servers = servers.ServerTable(ejector=self._ejector, rng=context.rng)
         self._servers.sync(part)
         self._gate = gate.PoisonGate(ledger=ledger, region=part.region)
-        self._queue: fair_queue.FairQueue[_Waiter] = fair_queue.FairQueue(weight=weight)
+        self._queue: fair_queue.FairQueue[_Waiter] = fair_queue.FairQueue(
+            weight=weight, now_ms=context.now_ms
+        )
         self._weight = weight
         self._held_back: collections.deque[_Waiter] = collections.deque()
         self._leases: dict[ids.LeaseId, servers.LeaseRow] = {}
@@ -157,7 +159,11 @@
         )
         if not self._pass_gate(waiter):
             return
+        if ask.hedge and self._loaded():
+            self._refuse(waiter, "pool-loaded", self._hedge_ms)
+            return
         if not len(self._queue) and self._grant(waiter):
+            self._queue.charge(ask.workspace)
             return
         self._enqueue(waiter)
 
@@ -246,6 +252,7 @@
         if now_ms - self._housekeeping_ms >= _HOUSEKEEPING_MS:
             self._housekeeping_ms = now_ms
             self._servers.forget_idle(now_ms)
+            self._queue.forget_idle()
             self._hedge_ms = self._hedge_delay()
         self._serve()
 
@@ -348,7 +355,7 @@
             server=server,
             address=entry.address,
             lease=lease.lease,
-            hedge_after_ms=self._hedge_ms if ask.idempotent and not self._loaded() else 0.0,
+            hedge_after_ms=self._hedge_ms if ask.idempotent else 0.0,
             trusted=lease.trusted,
         )
         self._asks[waiter.observer, ask.number] = answer
@@ -380,14 +387,18 @@
             if not self._pass_gate(waiter):
                 continue
             if not self._grant(waiter):
-                self._queue.push(waiter.ask.workspace, waiter, front=True)
+                self._queue.put_back(waiter.ask.workspace, waiter)
                 return
 
     def _recheck_held_back(self) -> None:
         waiters, self._held_back = self._held_back, collections.deque()
         for waiter in waiters:
             # One copy may open the gate for one other only, so its slot is given at once.
-            if self._pass_gate(waiter) and not self._grant(waiter):
+            if not self._pass_gate(waiter):
+                continue
+            if self._grant(waiter):
+                self._queue.charge(waiter.ask.workspace)
+            else:
                 self._queue.push(waiter.ask.workspace, waiter, front=True)
 
     def _shed(self, now_ms: float) -> None:
--- a/verbenadrum/placement/messages.py
+++ b/verbenadrum/placement/messages.py
@@ -45,6 +45,7 @@
     last: bool
     data_centre: str
     excluded: tuple[str, ...] = ()
+    hedge: bool = False
 
 
 @base.register
