--- a/verbenadrum/limits/entry_role.py
+++ b/verbenadrum/limits/entry_role.py
@@ -158,8 +158,8 @@
             return
         if now_ms < account.ask_again_ms:
             return
-        left = account.lots.total(now_ms=now_ms)
-        if left < demand * _LOW_WATER_MS / _MS_PER_S:
+        lasting = account.lots.total(now_ms=now_ms + _LOW_WATER_MS)
+        if lasting < demand * _LOW_WATER_MS / _MS_PER_S:
             self._ask(account, now_ms)
 
     def _ask_if_due(self, account: accounts.Account, now_ms: float) -> None:
--- a/verbenadrum/limits/lots.py
+++ b/verbenadrum/limits/lots.py
@@ -59,9 +59,8 @@
         self._lots.sort(key=lambda each: each.until_ms)
 
     def total(self, *, now_ms: float) -> float:
-        """Return the tokens that have not expired."""
-        self.purge(now_ms=now_ms)
-        return sum(lot.left for lot in self._lots)
+        """Return the tokens that expire after ``now_ms``, which may lie ahead."""
+        return sum(lot.left for lot in self._lots if lot.until_ms > now_ms)
 
     def purge(self, *, now_ms: float) -> None:
         """Forget expired lots."""
