Escrow: busy workspaces keep tokens at entry hosts also between requests

Cause: an entry host asked ahead only when a request came, so a gap of a fraction of a second let its tokens run out and the next request waited for a round trip.

Change: the housekeeping asks ahead too; demand is averaged over 2 s and counts from 1/s on; one token more than the expected demand is kept.

--- a/verbenadrum/limits/accounts.py
+++ b/verbenadrum/limits/accounts.py
@@ -13,7 +13,7 @@
 __all__ = ["Account", "OpenAsk", "Waiter"]
 
 _MS_PER_S = 1000.0
-_DEMAND_MS = 1_000.0
+_DEMAND_MS = 2_000.0
 
 
 class Waiter(msgspec.Struct, frozen=True, kw_only=True):
@@ -49,17 +49,14 @@
         self.retry_after_ms = 0.0
         self.unanswered = False
 
-    @property
-    def demand_per_s(self) -> float:
-        """Requests a second, averaged over about a second, as of the last request."""
-        return self._demand
+    def demand_per_s(self, *, now_ms: float) -> float:
+        """Return the requests a second, averaged over about two seconds."""
+        return self._demand * math.exp((self.used_ms - now_ms) / _DEMAND_MS)
 
     def note_request(self, *, now_ms: float) -> None:
         """Count one request into the demand."""
-        elapsed_ms = now_ms - self.used_ms
+        self._demand = self.demand_per_s(now_ms=now_ms) + _MS_PER_S / _DEMAND_MS
         self.used_ms = now_ms
-        self._demand *= math.exp(-elapsed_ms / _DEMAND_MS)
-        self._demand += _MS_PER_S / _DEMAND_MS
 
     def take(self, *, now_ms: float) -> bool:
         """Spend one token, and return whether there was one."""
--- a/verbenadrum/limits/entry_role.py
+++ b/verbenadrum/limits/entry_role.py
@@ -11,7 +11,7 @@
 
 _WAIT_MS = 1_500.0
 _LEAST_PLACES = 4
-_PREFETCH_DEMAND_PER_S = 2.0
+_PREFETCH_DEMAND_PER_S = 1.0
 _PREFETCH_MS = 800.0
 _LOW_WATER_MS = 400.0
 _UNANSWERED_MS = 150.0
@@ -153,13 +153,13 @@
         return ports.Admission(granted=False, reason="over-rate", retry_after_ms=retry_ms)
 
     def _prefetch(self, account: accounts.Account, now_ms: float) -> None:
-        demand = account.demand_per_s
+        demand = account.demand_per_s(now_ms=now_ms)
         if demand < _PREFETCH_DEMAND_PER_S or account.ask is not None:
             return
         if now_ms < account.ask_again_ms:
             return
         lasting = account.lots.total(now_ms=now_ms + _LOW_WATER_MS)
-        if lasting < demand * _LOW_WATER_MS / _MS_PER_S:
+        if lasting < 1.0 + demand * _LOW_WATER_MS / _MS_PER_S:
             self._ask(account, now_ms)
 
     def _ask_if_due(self, account: accounts.Account, now_ms: float) -> None:
@@ -182,8 +182,9 @@
         if account.waiting:
             patience_ms = max(0.0, account.waiting[-1].until_ms - now_ms)
         extra = 0.0
-        if account.demand_per_s >= _PREFETCH_DEMAND_PER_S:
-            extra = math.ceil(account.demand_per_s * _PREFETCH_MS / _MS_PER_S)
+        demand = account.demand_per_s(now_ms=now_ms)
+        if demand >= _PREFETCH_DEMAND_PER_S:
+            extra = 1.0 + math.ceil(demand * _PREFETCH_MS / _MS_PER_S)
         ask = accounts.OpenAsk(
             number=next(self._numbers),
             home=target,
@@ -280,6 +281,7 @@
             if account.lots:
                 for lot in account.lots.remove_before(until_ms=now_ms + _RETURN_BEFORE_MS):
                     self._note_settled(lot)
+                self._prefetch(account, now_ms)
             elif workspace not in self._busy and now_ms - account.used_ms > _FORGET_MS:
                 del self._accounts[workspace]
         self._asks = {
