--- a/benchmarks/end_to_end.py
+++ b/benchmarks/end_to_end.py
@@ -4,6 +4,7 @@
 30% of its answers, a change of configuration and a withdrawn key.
 """
 
+import collections
 import subprocess
 import sys
 import time
@@ -164,6 +165,8 @@
 
 def _request_rows(loads: list[caller.LoadRun]) -> list[experiment.Row]:
     rows = [row for load in loads for row in load.rows]
+    kinds = collections.Counter((row.verdict.value, row.status, row.code) for row in rows)
+    print(dict(kinds), file=sys.stderr)
     refused = sum(row.status == 429 for row in rows)
     failed = sum(row.verdict is not caller.Verdict.WHOLE for row in rows) - refused
     worst = min(
