--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -188,8 +188,8 @@
     judge = store.RecordStore.offer
 
     def put(self, record):
-        previous = self._rows.get((record.kind, record.name))
-        self._rows[record.kind, record.name] = record
+        previous = self._rows[record.kind].get(record.name)
+        self._rows[record.kind][record.name] = record
         self._index(record, None if previous is None else previous.spec)
         return True
 
--- a/verbenadrum/records/envelope.py
+++ b/verbenadrum/records/envelope.py
@@ -104,9 +104,16 @@
         return 0
 
 
-def parse(raw: bytes) -> types.Record:
+def parse(raw: bytes, header: EnvelopeHeader | None = None) -> types.Record:
     """Return the record of the current schema version in an envelope.
 
+    Parameters
+    ----------
+    raw : bytes
+        The envelope.
+    header : EnvelopeHeader or None
+        Its header, where it has been read already.
+
     Raises
     ------
     UnreadableEnvelopeError
@@ -121,7 +128,7 @@
     >>> record.spec.rate_per_s
     2.0
     """
-    header = read_header(raw)
+    header = header or read_header(raw)
     kind = _read_kind(header)
     body = _read_body(header, raw)
     if body.spec is None:
--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -1,7 +1,9 @@
 """Store of raw envelopes: judges each, puts good ones in force and keeps all for peers."""
 
+import array
 import bisect
 import enum
+import sys
 from collections.abc import Iterator
 
 import msgspec
@@ -38,7 +40,7 @@
     accepted_revision: int
 
 
-class _Row(msgspec.Struct):
+class _Row(msgspec.Struct, gc=False):
     """Envelopes of one record: the last accepted one and a newer one that was refused."""
 
     accepted_revision: int = 0
@@ -65,7 +67,9 @@
         self._context = context
         self._records = records
         self._rows: dict[tuple[str, str], _Row] = {}
-        self._order: list[tuple[int, tuple[str, str]]] = []
+        # Two columns in ascending revision, with rows that have moved on until they are compacted.
+        self._revisions = array.array("q")
+        self._revised: list[_Row] = []
         self._outdated = 0
         self._rejections: dict[tuple[str, str], Rejection] = {}
         self._newest = 0
@@ -93,7 +97,7 @@
         except envelope.UnreadableEnvelopeError as error:
             self._decide(Verdict.UNREADABLE, "unreadable-envelope", "", {"fault": error.message})
             return Verdict.UNREADABLE
-        key = (header.kind, header.name)
+        key = (sys.intern(header.kind), header.name)
         row = self._rows.get(key)
         if row is not None and header.revision in (row.accepted_revision, row.rejected_revision):
             return Verdict.OLD
@@ -101,7 +105,7 @@
             return Verdict.OLD
         try:
             # An upgrade step may fail in any way on content that nobody foresaw.
-            record = envelope.parse(raw)
+            record = envelope.parse(raw, header)
         except Exception as error:
             return self._reject(key, header, raw, _faults_of(error))
         self._accept(key, record, raw)
@@ -113,12 +117,10 @@
 
     def after(self, revision: int, up_to: int | None = None) -> Iterator[tuple[int, bytes]]:
         """Yield revision and envelope of what was published after ``revision``, ascending."""
-        start = bisect.bisect_right(self._order, revision, key=lambda entry: entry[0])
-        for index in range(start, len(self._order)):
-            entry_revision, key = self._order[index]
+        for index in range(bisect.bisect_right(self._revisions, revision), len(self._revisions)):
+            entry_revision, row = self._revisions[index], self._revised[index]
             if up_to is not None and entry_revision > up_to:
                 return
-            row = self._rows[key]
             if entry_revision == row.accepted_revision:
                 yield entry_revision, row.accepted
             elif entry_revision == row.rejected_revision:
@@ -151,7 +153,7 @@
             self._rejections[key] = msgspec.structs.replace(
                 self._rejections[key], accepted_revision=record.revision
             )
-        self._note(record.revision, key)
+        self._note(record.revision, row)
 
     def _reject(
         self,
@@ -167,7 +169,7 @@
             self._outdated += bool(row.rejected_revision)
             row.rejected_revision = header.revision
             row.rejected = raw
-            self._note(header.revision, key)
+            self._note(header.revision, row)
         self._keep_rejection(key, header.revision, faults, row.accepted_revision)
         detail = {
             "kind": header.kind,
@@ -188,24 +190,25 @@
             kind=key[0], name=key[1], revision=revision, faults=faults, accepted_revision=accepted
         )
 
-    def _note(self, revision: int, key: tuple[str, str]) -> None:
+    def _note(self, revision: int, row: _Row) -> None:
         self._newest = max(self._newest, revision)
-        entry = (revision, key)
-        if not self._order or entry > self._order[-1]:
-            self._order.append(entry)
-        else:
-            bisect.insort(self._order, entry)
+        index = bisect.bisect_right(self._revisions, revision)
+        self._revisions.insert(index, revision)
+        self._revised.insert(index, row)
         if self._outdated > _COMPACT_AFTER + len(self._rows):
             self._compact()
 
     def _compact(self) -> None:
-        self._order = [entry for entry in self._order if self._is_current(entry)]
+        """Drop the entries of rows that have a newer revision."""
+        kept = [
+            (revision, row)
+            for revision, row in zip(self._revisions, self._revised, strict=True)
+            if revision in (row.accepted_revision, row.rejected_revision)
+        ]
+        self._revisions = array.array("q", (revision for revision, _ in kept))
+        self._revised = [row for _, row in kept]
         self._outdated = 0
 
-    def _is_current(self, entry: tuple[int, tuple[str, str]]) -> bool:
-        row = self._rows[entry[1]]
-        return entry[0] in (row.accepted_revision, row.rejected_revision)
-
     def _decide(
         self, verdict: Verdict, reason: str, name: str, detail: dict[str, int | float | str]
     ) -> None:
--- a/verbenadrum/records/table.py
+++ b/verbenadrum/records/table.py
@@ -16,7 +16,9 @@
     """
 
     def __init__(self) -> None:
-        self._rows: dict[tuple[types.RecordKind, str], types.Record] = {}
+        self._rows: dict[types.RecordKind, dict[str, types.Record]] = {
+            kind: {} for kind in types.RecordKind
+        }
         self._revision = 0
         # Routes by host name, path prefix and record name.
         self._routes: dict[str, dict[str, dict[str, types.RouteSpec]]] = {}
@@ -39,22 +41,23 @@
         bool
             Whether the record was taken.
         """
-        row = (record.kind, record.name)
-        current = self._rows.get(row)
+        rows = self._rows[record.kind]
+        current = rows.get(record.name)
         if current is not None and current.revision >= record.revision:
             return False
-        self._rows[row] = record
+        rows[record.name] = record
         self._revision = max(self._revision, record.revision)
         self._index(record, None if current is None else current.spec)
         return True
 
     def rows(self) -> list[types.Record]:
         """Return every row, withdrawn ones included, in ascending revision."""
-        return sorted(self._rows.values(), key=lambda record: record.revision)
+        records = (record for rows in self._rows.values() for record in rows.values())
+        return sorted(records, key=lambda record: record.revision)
 
     def row(self, kind: types.RecordKind, name: str) -> types.Record | None:
         """Return one row, or None if there is none."""
-        return self._rows.get((kind, name))
+        return self._rows[kind].get(name)
 
     def route(self, host: str, path: str) -> tuple[str, types.RouteSpec] | None:
         """Return name and spec of the longest matching route; a host name match goes first."""
@@ -79,7 +82,7 @@
         holders = self._key_holders.get(sha256)
         if not holders:
             return None
-        row = self._rows[types.RecordKind.KEY, max(holders)]
+        row = self._rows[types.RecordKind.KEY][max(holders)]
         return ids.WorkspaceId(row.spec.workspace)
 
     def pool(self, service: ids.ServiceId) -> types.PoolSpec | None:
--- a/verbenadrum/records/tests/test_records.py
+++ b/verbenadrum/records/tests/test_records.py
@@ -164,3 +164,11 @@
     kept, records, _ = make_store()
     assert kept.offer(data) in (store.Verdict.UNREADABLE, store.Verdict.REJECTED)
     assert records.revision == 0
+
+
+def test_outdated_entries_are_compacted_and_the_rest_stays_in_order():
+    kept, _, _ = make_store()
+    for revision in range(1, 3_000):
+        kept.offer(workspace(revision, rate=revision, name=f"w{revision % 3}"))
+    assert [revision for revision, _ in kept.after(0)] == [2997, 2998, 2999]
+    assert len(kept._revisions) < 1_100
