--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -137,7 +137,10 @@
             return 0, b"" if has_length else None
         if length > MAX_REPLAYABLE_BYTES:
             return length, self._pieces(environ, request)
-        body = environ["wsgi.input"].read(length)
+        try:
+            body = environ["wsgi.input"].read(length)
+        except OSError as error:
+            raise http_server.AbortAnswer("the caller's body did not come") from error
         if len(body) < length:
             raise targets.BadRequestError("the body is shorter than its Content-Length")
         return length, body
