--- a/verbenadrum/claims/tests/test_witnessed.py
+++ b/verbenadrum/claims/tests/test_witnessed.py
@@ -5,7 +5,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from verbenadrum.claims import attempts, keys, messages, register, winners
+from verbenadrum.claims import attempts, homes, keys, messages, register, winners
 from verbenadrum.claims.tests import callers
 from verbenadrum.core import ports
 from verbenadrum.epochs.tests import fleet
@@ -300,3 +300,28 @@
     assert len(group.epochs()) == 3
     claim(group, "a-1", "refund-1", win=group.run)
     assert group.runs["refund-1"] == 1
+
+
+@pytest.mark.parametrize("watched", [True, False])
+def test_moved_home_abstains_while_the_record_spreads(monkeypatch, watched):
+    if not watched:
+        monkeypatch.setattr(homes.HomeWatch, "settled_since_wall_ms", lambda *args, **kw: 0.0)
+    group = callers.ClaimFleet(seed=3, hosts=[*names(3), *names(3, "b")])
+    group.advance(WARM_UP_MS, group.check)
+    home = keys.home_data_centre(group.hosts["a-1"].records, callers.WORKSPACE)
+    away = "b" if home == "a" else "a"
+    group.weights = {home: 0.0}
+    for name in names(3, away):
+        group.give_records(group.hosts[name])
+    group.advance(5_000.0)
+    key = group.key()
+    for name in (f"{home}-1", f"{away}-1"):
+        group.claim(name, key, win=group.run)
+        group.advance(1_000.0)
+    assert (group.won[key] == 1) is watched
+    group.problems.clear()
+    for host in group.hosts.values():
+        group.give_records(host)
+    group.advance(12_000.0)
+    for name in (f"{home}-1", f"{away}-1"):
+        assert claim(group, name, group.key(), win=group.run).claim.state is WON
--- a/verbenadrum/epochs/tests/fleet.py
+++ b/verbenadrum/epochs/tests/fleet.py
@@ -71,6 +71,7 @@
         self.hosts = {}
         self.lists = {}
         self.generation = {}
+        self.weights = {}
         self.sent = 0
         self._queue = []
         self._numbers = itertools.count(1)
@@ -107,7 +108,11 @@
     def give_records(self, host):
         shares = tuple(
             types.DataCentreShare(
-                data_centre=name, region="r", generation=number, start_until_wall_ms=until
+                data_centre=name,
+                region="r",
+                weight=self.weights.get(name, 1.0),
+                generation=number,
+                start_until_wall_ms=until,
             )
             for name, (number, until) in sorted(self.generation.items())
         )
@@ -117,7 +122,7 @@
             types.Record(
                 kind=types.RecordKind.FLEET,
                 name="fleet",
-                revision=sum(number for number, _ in self.generation.values()),
+                revision=sum(number for number, _ in self.generation.values()) + len(self.weights),
                 spec=spec,
             )
         )
