--- a/verbenadrum/cli/operators.py
+++ b/verbenadrum/cli/operators.py
@@ -52,11 +52,17 @@
     stopping: bool = False
     in_flight: int = 0
     record_revision: int = 0
+    complete_revision: int = 0
     host_list_revision: int = 0
     platform_reader: str = ""
     rejected_records: tuple[RejectedRecord, ...] = ()
     suspected_hosts: tuple[SuspectedHost, ...] = ()
 
+    @property
+    def held_revision(self) -> int:
+        """Greatest revision that the host holds, in force or refused."""
+        return max(self.record_revision, self.complete_revision)
+
 
 class Reply(msgspec.Struct, Generic[T], kw_only=True):
     """A host's answer, or the fault that kept it from coming."""
--- a/verbenadrum/cli/status.py
+++ b/verbenadrum/cli/status.py
@@ -32,7 +32,7 @@
 
 def print_status(replies: Sequence[operators.Reply[operators.HostStatus]], out: TextIO) -> None:
     """Print one line for each host."""
-    newest = max((reply.value.record_revision for reply in replies if reply.value), default=0)
+    newest = max((reply.value.held_revision for reply in replies if reply.value), default=0)
     output.print_table(_HEAD, [_row(reply, newest) for reply in replies], out)
 
 
@@ -55,7 +55,7 @@
         status.host,
         where,
         ready,
-        status.record_revision,
+        status.held_revision,
         status.host_list_revision,
         status.in_flight,
         status.platform_reader,
@@ -67,8 +67,8 @@
     remarks = []
     if status.stopping:
         remarks.append("shutting down")
-    if status.record_revision < newest:
-        remarks.append(f"{newest - status.record_revision} revisions behind")
+    if status.held_revision < newest:
+        remarks.append(f"{newest - status.held_revision} revisions behind")
     if status.rejected_records:
         remarks.append(f"{len(status.rejected_records)} records refused")
     if status.suspected_hosts:
--- a/verbenadrum/dissemination/duty.py
+++ b/verbenadrum/dissemination/duty.py
@@ -127,6 +127,8 @@
         self._started_ms = context.now_ms()
         self._backoffs = {stream: _Backoff() for stream in Stream}
         self._reason = ReadReason.NONE
+        self._ranked_at = -1
+        self._reads = False
 
     def duty(self) -> Duty:
         """Return what to read now; asked again before each call."""
@@ -171,9 +173,7 @@
     def _choose_reason(self) -> ReadReason:
         if not self._membership.revision:
             return ReadReason.STARTING
-        region = self._membership.hosts(region=self._context.region)
-        readers = self._membership.homes(_READER_KEY, region, _READERS_PER_REGION)
-        if self._context.host in readers:
+        if self._is_reader():
             return ReadReason.READER
         if self._records.load_stalled:
             return ReadReason.STARTING
@@ -181,6 +181,15 @@
             return ReadReason.ISOLATED
         return ReadReason.NONE
 
+    def _is_reader(self) -> bool:
+        """Return whether this host is among the readers; ranked anew only after a change."""
+        if self._ranked_at != self._membership.changes:
+            self._ranked_at = self._membership.changes
+            region = self._membership.hosts(region=self._context.region)
+            readers = self._membership.homes(_READER_KEY, region, _READERS_PER_REGION)
+            self._reads = self._context.host in readers
+        return self._reads
+
     def _asks_seeds(self) -> bool:
         if self._membership.revision:
             return False
--- a/verbenadrum/membership/table.py
+++ b/verbenadrum/membership/table.py
@@ -22,6 +22,7 @@
         self._all: tuple[ports.HostRow, ...] = ()
         self._suspected: set[ids.HostId] = set()
         self._leaving: dict[ids.HostId, int] = {}
+        self._changes = 0
         self._contacts: collections.OrderedDict[ids.HostId, str] = collections.OrderedDict()
 
     @property
@@ -29,6 +30,11 @@
         """Revision of the host list in force here; 0 before the first list."""
         return self._revision
 
+    @property
+    def changes(self) -> int:
+        """Number that grows whenever the list or a hint changes."""
+        return self._changes
+
     def replace(self, revision: int, rows: tuple[ports.HostRow, ...]) -> bool:
         """Put a newer list in force; an older or equal one changes nothing.
 
@@ -40,6 +46,7 @@
         if revision <= self._revision:
             return False
         self._revision = revision
+        self._changes += 1
         self._all = tuple(sorted(rows, key=lambda row: row.host))
         self._rows = {row.host: row for row in self._all}
         self._by_data_centre = _group(self._all, "data_centre")
@@ -90,6 +97,7 @@
 
     def suspect(self, host: ids.HostId, suspected: bool) -> None:
         """Set or clear the hint that a host is unreachable."""
+        self._changes += 1
         if suspected and host in self._rows:
             self._suspected.add(host)
         else:
@@ -104,15 +112,17 @@
         if host not in self._rows or self._leaving.get(host) == incarnation:
             return False
         self._leaving[host] = incarnation
+        self._changes += 1
         return True
 
     def mark_staying(self, host: ids.HostId, incarnation: int) -> None:
         """Forget that an earlier run of a host was leaving."""
         if self._leaving.get(host, incarnation) != incarnation:
-            del self._leaving[host]
+            self.forget_leaving(host)
 
     def forget_leaving(self, host: ids.HostId) -> None:
         """Forget that a host was leaving, whatever run of it said so."""
+        self._changes += 1
         self._leaving.pop(host, None)
 
     def leaving(self) -> tuple[ids.HostId, ...]:
