Scenarios begin once keys are taken; the demo shows an ejection

The fleet record is published when the hosts are up, and the scenario's time begins after its time to serve from and a keyed answer through every host.

The table tells an ejected server from an avoided one.

--- a/scenarios/stage.py
+++ b/scenarios/stage.py
@@ -51,7 +51,6 @@
         self.unlisted: set[str] = set()
         self.closed: set[str] = set()
         self.begun_ms = 0.0
-        self.settled_ms = 0.0
         self.settle_rows: list[caller.Row] = []
         self._faults: dict[str, dict[str, behaviours.Fault]] = {}
         self._saved: dict[str, list[ring.Decision]] = {}
@@ -61,15 +60,12 @@
         self.fleet.start_servers(self.scenario.servers)
         self._publish_records()
         self.fleet.start_hosts(self.scenario.hosts)
-        self.settled_ms = time.time() * 1000.0
+        centres = {(spec.region, spec.data_centre): 1.0 for spec in self.scenario.hosts}
+        self.fleet.publish_shares(centres)
         for workspace in self.scenario.workspaces:
-            waits = [
-                gevent.spawn(self._settle, host, workspace.keys[0]) for host in self.fleet.hosts
-            ]
-            gevent.joinall(waits)
-            if not all(wait.value for wait in waits):
-                newest = self.settle_rows[-1]
-                raise SettleError(f"a host has no whole answer for {workspace.name}: {newest}")
+            self._settle_all(workspace, method="GET")
+        gevent.sleep(max(0.0, self.fleet.claims_from_wall_ms / 1000.0 - time.time()))
+        self._settle_all(self.scenario.workspaces[0], method="POST")
         self.begun_ms = time.time() * 1000.0
 
     def publish_pool(self, service: str) -> None:
@@ -136,8 +132,6 @@
             yield from self.fleet.decisions(host) or self._saved.get(host, [])
 
     def _publish_records(self) -> None:
-        centres = {(spec.region, spec.data_centre): 1.0 for spec in self.scenario.hosts}
-        self.fleet.publish_shares(centres)
         for service in {spec.service: None for spec in self.scenario.servers}:
             self.publish_pool(service)
         for route in self.scenario.routes:
@@ -154,7 +148,17 @@
                 spec = {"workspace": workspace.name, "sha256": keys.hash_key(key)}
                 self.fleet.publish("key", key, spec)
 
-    def _settle(self, host: str, key: str) -> bool:
+    def _settle_all(self, workspace: language.Workspace, *, method: str) -> None:
+        """Ask through every host until each gives a whole answer."""
+        waits = [
+            gevent.spawn(self._settle, host, workspace.keys[0], method) for host in self.fleet.hosts
+        ]
+        gevent.joinall(waits)
+        if not all(wait.value for wait in waits):
+            newest = self.settle_rows[-1]
+            raise SettleError(f"a host has no whole answer for {workspace.name}: {newest}")
+
+    def _settle(self, host: str, key: str, method: str) -> bool:
         """Ask through one host until it gives a whole answer, a bounded number of times."""
         load = caller.Load(
             name=f"settle-{host}",
@@ -162,7 +166,9 @@
             keys=(key,),
             rate_per_s=1.0 / _SETTLE_PAUSE_S,
             duration_ms=1000.0 * _SETTLE_PAUSE_S,
+            method=method,
             path=self.scenario.routes[0].path,
+            keyed=method == "POST",
         )
         for _ in range(_SETTLE_TRIES):
             run = caller.LoadRun(load=load)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -32,6 +32,11 @@
     ring.DecisionKind.RETRY,
     ring.DecisionKind.PLACE,
 )
+_NAMED_BY_CHOICE = (
+    ring.DecisionKind.PLACE,
+    ring.DecisionKind.REFUSE,
+    ring.DecisionKind.RETRY,
+)
 _MAX_ROWS = 30
 
 
@@ -48,25 +53,25 @@
     Examples
     --------
     >>> eject = ring.Decision(
-    ...     kind=ring.DecisionKind.EJECT, choice="a1", reason="stalled", at_ms=2500.0)
+    ...     kind=ring.DecisionKind.EJECT, choice="ejected", reason="stalled", subject="a1",
+    ...     at_ms=2500.0)
     >>> list(decision_table([eject, eject], begun_ms=0.0))
-    ['     2 x  first at   2.5 s  eject    a1           because stalled']
+    ['     2 x  first at   2.5 s  eject    a1 ejected      because stalled']
     """
     firsts: dict[tuple, float] = {}
     counts: collections.Counter[tuple] = collections.Counter()
     for decision in decisions:
         if decision.kind not in _TOLD_KINDS or decision.at_ms < begun_ms:
             continue
-        name = decision.subject or decision.choice
-        if decision.kind in (ring.DecisionKind.PLACE, ring.DecisionKind.REFUSE):
-            name = decision.choice
+        subject = "" if decision.kind in _NAMED_BY_CHOICE else decision.subject
+        name = f"{subject} {decision.choice}".strip()
         row = (_TOLD_KINDS.index(decision.kind), decision.kind.value, name, decision.reason)
         counts[row] += 1
         firsts[row] = min(firsts.get(row, decision.at_ms), decision.at_ms)
     for row in sorted(counts)[:_MAX_ROWS]:
         _, kind, name, reason = row
         first_s = (firsts[row] - begun_ms) / 1000.0
-        yield f"{counts[row]:6d} x  first at {first_s:5.1f} s  {kind:8} {name:12} because {reason}"
+        yield f"{counts[row]:6d} x  first at {first_s:5.1f} s  {kind:8} {name:15} because {reason}"
 
 
 def _describe(argument: object) -> str:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,7 @@
 _TRY_PAUSE_S = 0.1
 _SHARE_START_MS = 600_000.0
 _SERVE_AFTER_MS = 8_000.0
+_CLAIMS_AFTER_MS = 2_500.0
 _SETTINGS = """\
 [host]
 id = "{spec.host}"
@@ -89,6 +90,8 @@
     ----------
     directory : pathlib.Path
         Settings and logs of every process; deleted at the end.
+    claims_from_wall_ms : float
+        Wall time from which the hosts of a first start take idempotency keys.
     """
 
     def __init__(self, *, seed: int = 1, proxied: bool = True, decisions: str = "") -> None:
@@ -97,6 +100,7 @@
         self._decisions = decisions
         self._folder = tempfile.TemporaryDirectory(prefix="verbenadrum-")
         self.directory = pathlib.Path(self._folder.name)
+        self.claims_from_wall_ms = 0.0
         self._children: list[child.Child] = []
         self._hosts: dict[str, _RunningHost] = {}
         self._servers: dict[str, _RunningServer] = {}
@@ -200,7 +204,11 @@
         serving.call(self._platform_port, "/control/publish", publication)
 
     def publish_shares(self, weights: dict[tuple[str, str], float]) -> None:
-        """Publish the fleet record from weights by region and data centre."""
+        """Publish the fleet record from weights by region and data centre.
+
+        Hosts that start later than the record's time to serve from refuse keys of an unknown
+        age, so a first start publishes it once the hosts are up.
+        """
         start_until_ms = time.time() * 1000.0 + _SHARE_START_MS
         shares = [
             {
@@ -211,7 +219,8 @@
             }
             for (region, data_centre), weight in weights.items()
         ]
-        serve_from_ms = time.time() * 1000.0 + _SERVE_AFTER_MS
+        self.claims_from_wall_ms = time.time() * 1000.0 + _SERVE_AFTER_MS + _CLAIMS_AFTER_MS
+        serve_from_ms = self.claims_from_wall_ms - _CLAIMS_AFTER_MS
         content = {"data_centres": shares, "serve_from_wall_ms": serve_from_ms}
         self.publish("fleet", "fleet", content)
 
