Keep an envelope as it came only where the record says something else

Change: an accepted envelope is written anew from its record unless it holds more than that, such as a newer field or a default that is spelled out.

--- a/verbenadrum/records/envelope.py
+++ b/verbenadrum/records/envelope.py
@@ -12,7 +12,9 @@
     "UnreadableEnvelopeError",
     "parse",
     "read_header",
+    "render",
     "revision_of",
+    "says_the_same",
 ]
 
 MAX_ENVELOPE_BYTES = 1_000_000
@@ -139,6 +141,30 @@
     return types.Record(kind=kind, name=header.name, revision=header.revision, spec=spec)
 
 
+def render(record: types.Record) -> bytes:
+    """Return the envelope of a record, in the current schema version and without defaults.
+
+    Examples
+    --------
+    >>> record = parse(b'{"kind":"key","name":"k","revision":3,"spec":null}')
+    >>> render(record)
+    b'{"kind":"key","name":"k","revision":3,"schema":2,"spec":null}'
+    """
+    document = {
+        "kind": record.kind,
+        "name": record.name,
+        "revision": record.revision,
+        "schema": types.SCHEMA_VERSION,
+        "spec": record.spec,
+    }
+    return msgspec.json.encode(document)
+
+
+def says_the_same(raw: bytes, record: types.Record) -> bool:
+    """Return whether an envelope holds nothing but what `render` would write."""
+    return msgspec.json.decode(raw) == msgspec.json.decode(render(record))
+
+
 def _read_kind(header: EnvelopeHeader) -> types.RecordKind:
     try:
         return types.RecordKind(header.kind)
--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -41,10 +41,15 @@
 
 
 class _Row(msgspec.Struct, gc=False):
-    """Envelopes of one record: the last accepted one and a newer one that was refused."""
+    """Envelopes of one record: the last accepted one and a newer one that was refused.
+
+    The accepted one is kept as it came only where writing the record anew would say something
+    else: it would be a third of the memory of a large set of records.
+    """
 
     accepted_revision: int = 0
-    accepted: bytes = b""
+    record: types.Record | None = None
+    unlike: bytes = b""
     rejected_revision: int = 0
     rejected: bytes = b""
 
@@ -122,7 +127,7 @@
             if up_to is not None and entry_revision > up_to:
                 return
             if entry_revision == row.accepted_revision:
-                yield entry_revision, row.accepted
+                yield entry_revision, _accepted(row)
             elif entry_revision == row.rejected_revision:
                 yield entry_revision, row.rejected
 
@@ -131,7 +136,7 @@
         row = self._rows.get((kind, name))
         if row is None or row.accepted_revision <= newer_than:
             return None
-        return row.accepted
+        return _accepted(row)
 
     def rejections(self) -> tuple[Rejection, ...]:
         """Return the refused revisions that no good one has replaced, newest last."""
@@ -143,7 +148,8 @@
         if row.accepted_revision:
             self._outdated += 1
         row.accepted_revision = record.revision
-        row.accepted = raw
+        row.record = record
+        row.unlike = b"" if envelope.says_the_same(raw, record) else raw
         if row.rejected_revision and row.rejected_revision < record.revision:
             self._outdated += 1
             row.rejected_revision = 0
@@ -221,3 +227,7 @@
     if isinstance(error, envelope.BadRecordError):
         return error.faults
     return (f"{type(error).__name__}: {error}",)
+
+
+def _accepted(row: _Row) -> bytes:
+    return row.unlike or envelope.render(row.record)
--- a/verbenadrum/records/tests/test_records.py
+++ b/verbenadrum/records/tests/test_records.py
@@ -172,3 +172,20 @@
         kept.offer(workspace(revision, rate=revision, name=f"w{revision % 3}"))
     assert [revision for revision, _ in kept.after(0)] == [2997, 2998, 2999]
     assert len(kept._revisions) < 1_100
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {},
+        {"weight": 1.0},
+        {"newer_field": "kept"},
+        {"rate_per_s": 2},
+    ],
+)
+def test_envelopes_say_to_peers_what_they_said_here(change):
+    made, _, _ = make_store()
+    data = raw("workspace", "w", 1, {"rate_per_s": 2.0, "burst": 4.0, **change})
+    assert made.offer(data) is store.Verdict.ACCEPTED
+    ((_, held),) = made.after(0)
+    assert msgspec.json.decode(held) == msgspec.json.decode(data)
--- a/verbenadrum/records/types.py
+++ b/verbenadrum/records/types.py
@@ -47,7 +47,7 @@
     LEAVING = "leaving"
 
 
-class RouteSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+class RouteSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """Maps a host name and path prefix to a service.
 
     ``public`` routes need no key. ``timeout_ms`` bounds the whole request. Methods in
@@ -62,7 +62,7 @@
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS", "TRACE")
 
 
-class WorkspaceSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+class WorkspaceSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """Limits of one workspace, summed over the whole fleet.
 
     ``rate_per_s`` and ``burst`` count requests; ``weight`` is its share of a pool under load;
@@ -75,14 +75,14 @@
     home_data_centre: str = ""
 
 
-class KeySpec(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+class KeySpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """Hash of a caller's key and the workspace that it opens."""
 
     workspace: Name
     sha256: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
 
 
-class ServerEntry(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+class ServerEntry(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """One backend server of a pool."""
 
     server: Name
@@ -91,7 +91,7 @@
     state: ServerState = ServerState.LIVE
 
 
-class PoolSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+class PoolSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """The backend servers of one service; the record's name is the service.
 
     ``floor`` is the fraction of live servers that ejection must leave in service. An answer
@@ -106,7 +106,7 @@
     echoes_request_id: bool = True
 
 
-class DataCentreShare(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+class DataCentreShare(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """Weight of one data centre in every workspace's rate and burst.
 
     Raising ``generation`` states that every earlier host of the data centre is gone. Hosts with
@@ -121,7 +121,7 @@
     start_until_wall_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
-class FleetSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+class FleetSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """Data centres of the fleet and their shares; there is one record, named ``fleet``.
 
     ``serve_from_wall_ms`` is for the first start of a fleet: it states that no caller was served
@@ -137,7 +137,7 @@
 Spec = RouteSpec | WorkspaceSpec | KeySpec | PoolSpec | FleetSpec
 
 
-class Record(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+class Record(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """An accepted record.
 
     Attributes
