--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -353,3 +353,19 @@
     fleet.time.advance(10_000.0)
     second = {peer for _ in range(200) for peer in peers.near(3)}
     assert len(first | second) == 17
+
+
+def test_records_outlive_a_long_outage_while_every_host_is_replaced_in_turn():
+    fleet = ready_fleet(11, data_centres=1, hosts=3)
+    fleet.seeds = list(fleet.hosts)
+    fleet.platform.down = True
+    for name in list(fleet.hosts):
+        fleet.run(20_000)
+        fleet.stop(name)
+        started = fleet.start(name)
+        assert fleet.run_until(lambda host=started: host.engine.ready, 10_000) < 10_000
+    for host in fleet.hosts.values():
+        assert host.engine.records.workspace(ids.WorkspaceId("w")).rate_per_s == 1
+    revision = fleet.platform.publish("workspace", "w", good_spec(2))
+    fleet.platform.down = False
+    assert fleet.run_until(lambda: fleet.all_have(revision), 7_000) < 7_000
