--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -16,7 +16,8 @@
 _SICK_SCORE = 15.0
 _MAX_ATTEMPT_SCORE = 7.6
 # An answer that came, though late, says less than one that has not come.
-_MAX_LATE_SCORE = 2.5
+_MAX_LATE_SCORE = 2.0
+_MAX_ABANDONED_SCORE = 2.8
 _SICK_RATE = 0.25
 _MIN_FAILURE_RATE = 0.002
 _MIN_ERROR_RATE = 0.01
@@ -33,7 +34,7 @@
 _WINDOW_MS = 10_000.0
 _WINDOW_EVENTS = 128
 _SHARED_FRACTION = 0.34
-_MIN_ACCUSERS = 4
+_MIN_ACCUSERS = 3
 _MIN_ACCUSER_SHARE = 0.25
 _RATE_DECAY = 0.999
 
@@ -152,16 +153,16 @@
 
     def _abandoned_score(self, evidence: evidence.Evidence) -> float:
         """Weigh an attempt that a hedge or the caller gave up: it had not been answered."""
-        if evidence.latency_ms < self._slow_limit(evidence.group):
+        slow_ms = self._slow_limit(evidence.group)
+        if evidence.latency_ms < slow_ms / 2.0:
             return 0.0
-        return _MAX_LATE_SCORE
+        return min(_MAX_ABANDONED_SCORE, _late_ratio(evidence.latency_ms, slow_ms))
 
     def _wait_score(self, group: ids.DataCentreId, waited_ms: float) -> float:
         slow_ms = self._slow_limit(group)
         if waited_ms < max(slow_ms, _MIN_STALL_MS):
             return 0.0
-        chance = _SLOW_FRACTION * (slow_ms / waited_ms) ** _TAIL_EXPONENT
-        return _ratio(chance)
+        return _late_ratio(waited_ms, slow_ms)
 
     def _slow_limit(self, group: ids.DataCentreId) -> float:
         cached = self._slow_ms.get(group)
@@ -273,6 +274,10 @@
     )
 
 
+def _late_ratio(waited_ms: float, slow_ms: float) -> float:
+    return _ratio(_SLOW_FRACTION * (slow_ms / waited_ms) ** _TAIL_EXPONENT)
+
+
 def _ratio(chance: float) -> float:
     return min(_MAX_ATTEMPT_SCORE, math.log(_SICK_RATE / chance)) if chance < _SICK_RATE else 0.0
 
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -279,6 +279,12 @@
                 self._give_back(sender, lease)
             return
         part = row.regions[0]
+        if self._is_leaving(row.request.service, answer.server):
+            # The home has not heard yet, or this host was paused while the grant waited.
+            self._give_back(sender, lease)
+            row.sent_ms = -math.inf
+            row.queued = False
+            return
         self._hold(
             row,
             lease=lease,
@@ -299,6 +305,14 @@
             ),
         )
 
+    def _is_leaving(self, service: ids.ServiceId, server: str) -> bool:
+        leaving = types.ServerState.LEAVING
+        return any(
+            entry.server == server and entry.state is leaving
+            for part in self._table.parts(service)
+            for entry in part.servers
+        )
+
     def _give_back(self, home: ids.HostId, lease: ids.LeaseId) -> None:
         _, _, service, region, _ = lease.rsplit(":", 4)
         self._send(
--- a/verbenadrum/placement/gate.py
+++ b/verbenadrum/placement/gate.py
@@ -43,8 +43,13 @@
         )
         self._reserving: dict[str, float] = {}
 
-    def passage(self, fingerprint: str, *, regions: int, now_ms: float) -> Passage:
-        """Decide on one more copy of a request; ``regions`` is the number of pool parts."""
+    def passage(
+        self, fingerprint: str, *, regions: int, now_ms: float, hedge: bool = False
+    ) -> Passage:
+        """Decide on one more copy of a request; ``regions`` is the number of pool parts.
+
+        A hedge cannot wait for the copy that it is to replace, so it borrows.
+        """
         suspicion = self._ledger.suspicion(fingerprint, now_ms)
         if suspicion is poison.Suspicion.POISON:
             return Passage.POISON
@@ -56,9 +61,7 @@
             return Passage.WAIT
         if flying < self.allowance(fingerprint, regions=regions, now_ms=now_ms):
             return Passage.OPEN
-        if flying:
-            return Passage.WAIT
-        return Passage.RESERVE
+        return Passage.WAIT if flying and not hedge else Passage.RESERVE
 
     def allowance(self, fingerprint: str, *, regions: int, now_ms: float) -> int:
         """Return how many more deaths this part may risk."""
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -300,7 +300,9 @@
         """Return whether a waiter may go on; else it is refused or held back."""
         now_ms = self._context.now_ms()
         fingerprint = waiter.ask.fingerprint
-        passage = self._gate.passage(fingerprint, regions=self._regions(), now_ms=now_ms)
+        passage = self._gate.passage(
+            fingerprint, regions=self._regions(), now_ms=now_ms, hedge=waiter.ask.hedge
+        )
         if passage is gate.Passage.OPEN:
             return True
         if passage is gate.Passage.POISON:
