--- a/verbenadrum/limits/accounts.py
+++ b/verbenadrum/limits/accounts.py
@@ -24,13 +24,17 @@
 
 
 class OpenAsk(msgspec.Struct, kw_only=True):
-    """The newest request for tokens that has no final answer yet."""
+    """The newest request for tokens that has no final answer yet.
+
+    ``silent_ms`` is when the home was first asked without having answered since.
+    """
 
     number: int
     home: ids.HostId
     sent_ms: float
     until_ms: float
     need: float
+    silent_ms: float
     answered: bool = False
 
 
--- a/verbenadrum/limits/entry_role.py
+++ b/verbenadrum/limits/entry_role.py
@@ -191,6 +191,7 @@
             sent_ms=now_ms,
             until_ms=now_ms + patience_ms,
             need=float(len(account.waiting)),
+            silent_ms=_silent_since(account.ask, target, now_ms),
         )
         account.ask = ask
         self._asks[ask.number] = (account, ask)
@@ -223,7 +224,7 @@
         ask = account.ask
         if ask is None:
             return
-        if not ask.answered and now_ms - ask.sent_ms >= _UNANSWERED_MS:
+        if not ask.answered and now_ms - ask.silent_ms >= _UNANSWERED_MS:
             self._note_missed(ask.home, now_ms)
             account.unanswered = True
             account.ask = None
@@ -292,3 +293,9 @@
         self._avoided = {
             host: until_ms for host, until_ms in self._avoided.items() if until_ms > now_ms
         }
+
+
+def _silent_since(previous: accounts.OpenAsk | None, home: ids.HostId, now_ms: float) -> float:
+    if previous is None or previous.answered or previous.home != home:
+        return now_ms
+    return previous.silent_ms
