Close idle connections to backend servers before pool homes stop counting them

An entry host kept up to 8 idle connections to each server for ever, while a home counts a connection for 60 s after its last use: with many hosts a server's cap was no longer kept.

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -35,6 +35,9 @@
 _SEED_INTERVAL_S = 0.5
 _SHUTDOWN_POLL_S = 0.02
 _MAX_IDLE_CONNECTIONS = 8
+# Pool homes count a connection for 60 s after its last use, so it must be closed by then.
+_IDLE_CONNECTION_S = 45.0
+_SWEEP_INTERVAL_S = 5.0
 _INCARNATION_BITS = 62
 
 _log = logging.getLogger(__name__)
@@ -95,6 +98,7 @@
             self._reader.run_records,
             self._reader.run_hosts,
             self._ask_seeds,
+            self._close_idle,
         ):
             self._greenlets.append(gevent.spawn(run))
         _log.info("started", extra={"host": self._settings.host.id})
@@ -196,6 +200,11 @@
                 # A fault in one tick must not end every later one.
                 _log.exception("a tick failed")
 
+    def _close_idle(self) -> None:
+        while True:
+            gevent.sleep(_SWEEP_INTERVAL_S)
+            self._pools.close_idle(longer_than_s=_IDLE_CONNECTION_S)
+
     def _ask_seeds(self) -> None:
         seeds = self._settings.peers.seeds
         turn = 0
--- a/verbenadrum/daemon/tests/test_upstream.py
+++ b/verbenadrum/daemon/tests/test_upstream.py
@@ -136,3 +136,12 @@
     backend = Backend(HEAD + b"Content-Length: 5\r\n\r\n")
     answer = attempt(pools, backend.address, method="HEAD").run()
     assert (answer.whole, answer.prefetched) == (True, b"")
+
+
+def test_idle_connections_are_closed(pools):
+    backend = Backend(HEAD + b"Content-Length: 2\r\n\r\nok")
+    attempt(pools, backend.address).run()
+    pools.close_idle(longer_than_s=60.0)
+    assert pools.idle == 1
+    pools.close_idle(longer_than_s=0.0)
+    assert pools.idle == 0
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -174,6 +174,13 @@
         self._release(False)
 
 
+class _Idle(msgspec.Struct, frozen=True):
+    """A connection that waits for its next request, and since when (monotonic seconds)."""
+
+    connection: connection.HTTPConnection
+    since_s: float
+
+
 class ConnectionPools:
     """Connections to backend servers, kept warm by server.
 
@@ -185,7 +192,12 @@
 
     def __init__(self, *, max_idle: int) -> None:
         self._max_idle = max_idle
-        self._idle: dict[str, collections.deque[connection.HTTPConnection]] = {}
+        self._idle: dict[str, collections.deque[_Idle]] = {}
+
+    @property
+    def idle(self) -> int:
+        """Number of idle connections."""
+        return sum(map(len, self._idle.values()))
 
     def take(self, address: str, *, timeout_s: float) -> connection.HTTPConnection:
         """Return a connection to a server, connecting where no idle one is usable.
@@ -197,7 +209,7 @@
         """
         idle = self._idle.get(address)
         while idle:
-            warm = idle.pop()
+            warm = idle.pop().connection
             if not sockets.ended(warm.sock):
                 warm.sock.settimeout(timeout_s)
                 return warm
@@ -215,13 +227,16 @@
         if used.sock is None or len(idle) >= self._max_idle:
             used.close()
         else:
-            idle.append(used)
-
-    def keep_only(self, addresses: set[str]) -> None:
-        """Close idle connections to servers that are in no pool any more."""
-        for address in [known for known in self._idle if known not in addresses]:
-            for unused in self._idle.pop(address):
-                unused.close()
+            idle.append(_Idle(used, time.monotonic()))
+
+    def close_idle(self, *, longer_than_s: float) -> None:
+        """Close connections that have waited for long; the ones used last wait at the end."""
+        oldest_s = time.monotonic() - longer_than_s
+        for address, idle in list(self._idle.items()):
+            while idle and idle[0].since_s < oldest_s:
+                idle.popleft().connection.close()
+            if not idle:
+                del self._idle[address]
 
 
 class Attempt:
