--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	$(BIN)/python -m black --check --quiet $(SOURCES)
 	$(BIN)/python -m ruff check --quiet $(SOURCES)
 	$(BIN)/python -m pytest
+	@test ! -f KNOWN-RED.txt || cat KNOWN-RED.txt
 
 format: env
 	$(BIN)/python -m black --quiet $(SOURCES)
