Random schedules over the entry pipeline: one end, one sending, true refusals

Three broken pipelines (blind retries, forgotten bytes, second commits) are caught by the same schedules, which reach every kind of end.

--- /dev/null
+++ b/verbenadrum/entry/tests/test_pipeline.py
@@ -0,0 +1,299 @@
+"""Tests that drive the pipeline with every order of answers, failures and late calls."""
+
+import collections
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from verbenadrum.core import context, ports
+from verbenadrum.decisions import ring
+from verbenadrum.entry import keys, pipeline
+from verbenadrum.records import table, types
+from verbenadrum.utils import clock
+
+SETTINGS = hypothesis.settings(derandomize=True, deadline=None, database=None, max_examples=400)
+STEPS = 40
+TIMEOUT_MS = 1_000.0
+KINDS = [kind for kind in ports.OutcomeKind if kind is not ports.OutcomeKind.OK]
+
+
+class Later:
+    """Answers of a fake port that the test hands out when it likes."""
+
+    def __init__(self):
+        self.waiting = []
+
+    def hand_out(self, answer, index=0):
+        self.waiting.pop(index)(answer)
+
+
+class FakeLimiter(Later):
+    def admit(self, *, workspace, request, deadline_ms, done):
+        self.waiting.append(done)
+
+
+class FakeClaims(Later):
+    def __init__(self):
+        super().__init__()
+        self.released = []
+        self.finished = []
+
+    def claim(self, request, done):
+        self.waiting.append(done)
+
+    def release(self, request):
+        self.released.append(request.request)
+
+    def finish(self, request, answer):
+        self.finished.append(request.request)
+
+
+class FakePlacer(Later):
+    def __init__(self):
+        super().__init__()
+        self.completed = []
+        self.retries_left = 3
+
+    def place(self, request, done):
+        self.waiting.append(done)
+
+    def complete(self, lease, outcome):
+        self.completed.append(lease)
+
+    def answered(self, lease):
+        pass
+
+    def may_retry(self, request, *, hedge=False):
+        self.retries_left -= 1
+        return self.retries_left >= 0
+
+
+class Sink:
+    def __init__(self):
+        self.orders = []
+        self.ends = []
+        self.cancelled = set()
+
+    def dispatch(self, order):
+        self.orders.append(order)
+
+    def refuse(self, refusal):
+        self.ends.append(refusal)
+
+    def replay(self, answer):
+        self.ends.append(answer)
+
+    def cancel(self, lease):
+        self.cancelled.add(lease)
+
+
+class BlindRetries(pipeline.EntryPipeline):
+    """Retries whatever failed."""
+
+    def _retry_allowed(self, row, outcome):
+        return outcome.kind is not ports.OutcomeKind.CANCELLED
+
+
+class ForgetfulOutcomes(pipeline.EntryPipeline):
+    """Forgets that bytes were sent."""
+
+    def outcome(self, request, lease, outcome, answer=None):
+        unsent = ports.Outcome(kind=outcome.kind, latency_ms=0.0, bytes_sent=False)
+        super().outcome(request, lease, unsent, answer)
+
+
+class SecondCommits(pipeline.EntryPipeline):
+    """Passes every answer to the caller."""
+
+    def commit(self, request, lease):
+        super().commit(request, lease)
+        return True
+
+
+class Schedule:
+    """One request under random calls: it ends once, and what is said of it is true."""
+
+    def __init__(self, seed, pipeline_type=pipeline.EntryPipeline):
+        self.rng = random.Random(seed)
+        self.time = clock.SteppedClock()
+        self.limiter, self.claims, self.placer = FakeLimiter(), FakeClaims(), FakePlacer()
+        self.idempotent, self.keyed, self.hedged, replayable = self.rng.choices((True, False), k=4)
+        self.claimed = self.keyed and not self.idempotent
+        self.core = pipeline_type(
+            context=self._context(),
+            records=_records(),
+            limiter=self.limiter,
+            claims=self.claims,
+            placer=self.placer,
+        )
+        self.sink = Sink()
+        self.serial = 0
+        self.won = self.committed = self.left = False
+        self.open = set()
+        self.sent = set()
+        head = ports.RequestHead(
+            request="q",
+            method="GET" if self.idempotent else "POST",
+            host="any",
+            path="/x",
+            key="secret",
+            idempotency_key="k" if self.keyed else "",
+            replayable=replayable,
+        )
+        self.core.begin(head, self.sink)
+
+    @property
+    def ended(self):
+        return self.committed or self.left or bool(self.sink.ends)
+
+    def run(self, steps):
+        for _ in range(steps):
+            self.rng.choices(
+                (self.admit, self.claim, self.place, self.fail, self.answer, self.tick, self.leave),
+                weights=(8, 8, 8, 5, 3, 4, 0.3),
+            )[0]()
+            self.check()
+        self.time.advance(TIMEOUT_MS)
+        self.core.on_tick()
+        self.check()
+        assert self.ended
+        assert self.core.in_flight == 0 or self.committed
+        assert not self.won or self.committed or self.claims.released or self.claims.finished
+
+    def admit(self):
+        if self.limiter.waiting:
+            granted = self.rng.random() < 0.9
+            self.limiter.hand_out(ports.Admission(granted=granted, reason="r"))
+
+    def claim(self):
+        if not self.claims.waiting:
+            return
+        lost = self.rng.random() < 0.2
+        state = self.rng.choice(list(ports.ClaimState)) if lost else ports.ClaimState.WON
+        self.won = state is ports.ClaimState.WON
+        answer = None
+        if state is ports.ClaimState.ANSWERED:
+            answer = ports.StoredAnswer(status=200, headers=(), body=b"")
+        self.claims.hand_out(ports.Claim(state=state, reason="r", answer=answer))
+
+    def place(self):
+        if not self.placer.waiting:
+            return
+        self.serial += 1
+        before = len(self.sink.orders)
+        placement = ports.Placement(
+            server=f"s{self.serial}" if self.rng.random() < 0.9 else None,
+            reason="r",
+            lease=f"l{self.serial}",
+            address="127.0.0.1:1",
+            hedge_after_ms=50.0 if self.hedged else 0.0,
+        )
+        self.placer.hand_out(placement)
+        self.open.update(order.lease for order in self.sink.orders[before:])
+
+    def fail(self):
+        if not self.open:
+            return
+        lease = self.rng.choice(sorted(self.open))
+        kind = self.rng.choice(KINDS)
+        if kind is ports.OutcomeKind.CANCELLED and lease not in self.sink.cancelled:
+            return
+        sent = kind is not ports.OutcomeKind.CONNECT_FAILED
+        self.open.remove(lease)
+        if sent:
+            self.sent.add(lease)
+        self.core.outcome("q", lease, ports.Outcome(kind=kind, latency_ms=1.0, bytes_sent=sent))
+
+    def answer(self):
+        if not self.open:
+            return
+        lease = self.rng.choice(sorted(self.open))
+        self.open.remove(lease)
+        self.sent.add(lease)
+        first = self.core.commit("q", lease)
+        assert not (first and self.ended)
+        self.committed = self.committed or first
+        kind = ports.OutcomeKind.OK if first else ports.OutcomeKind.CANCELLED
+        self.core.outcome("q", lease, ports.Outcome(kind=kind, latency_ms=1.0, bytes_sent=True))
+
+    def tick(self):
+        self.time.advance(self.rng.choice((10.0, 60.0, 60.0, 200.0)))
+        self.core.on_tick()
+
+    def leave(self):
+        self.left = True
+        self.core.abandon("q")
+
+    def check(self):
+        assert len(self.sink.ends) + self.committed <= 1
+        if not self.idempotent:
+            assert len(self.sent | self.open) <= 1
+            assert self.won or not (self.claimed and self.sink.orders)
+        for end in self.sink.ends:
+            if isinstance(end, ports.Refusal) and end.not_run is ports.NotRun.TRUE:
+                assert not self.sent | self.open
+        if self.claims.released:
+            assert not self.sent | self.open
+        held = set(self.placer.completed) | self.open
+        assert {order.lease for order in self.sink.orders} <= held
+
+    def _context(self):
+        return context.Context(
+            host="h1",
+            data_centre="d1",
+            region="r1",
+            incarnation=1,
+            clock=self.time,
+            rng=random.Random(1),
+            send=lambda to, message: None,
+            decisions=ring.DecisionRing(wall_ms=self.time.wall_ms),
+        )
+
+
+def _records():
+    records = table.RecordTable()
+    specs = [
+        (
+            types.RecordKind.ROUTE,
+            types.RouteSpec(path_prefix="/", service="svc", timeout_ms=TIMEOUT_MS),
+        ),
+        (types.RecordKind.WORKSPACE, types.WorkspaceSpec(rate_per_s=1, burst=1)),
+        (types.RecordKind.KEY, types.KeySpec(workspace="w", sha256=keys.hash_key("secret"))),
+    ]
+    for revision, (kind, spec) in enumerate(specs, start=1):
+        records.put(types.Record(kind=kind, name="w", revision=revision, spec=spec))
+    return records
+
+
+@hypothesis.given(seed=st.integers(0, 2**32))
+@SETTINGS
+def test_requests_end_once_and_truly(seed):
+    Schedule(seed).run(STEPS)
+
+
+@pytest.mark.parametrize("broken", [BlindRetries, ForgetfulOutcomes, SecondCommits])
+def test_broken_pipelines_are_caught(broken):
+    caught = 0
+    for seed in range(300):
+        try:
+            Schedule(seed, broken).run(STEPS)
+        except AssertionError:
+            caught += 1
+    assert caught > 0
+
+
+def test_schedules_reach_every_kind_of_end():
+    ends = collections.Counter()
+    for seed in range(300):
+        schedule = Schedule(seed)
+        schedule.run(STEPS)
+        ends["committed"] += schedule.committed
+        ends["hedged or retried"] += len(schedule.sink.orders) > 1
+        ends["given back"] += bool(schedule.claims.released)
+        ends["left"] += schedule.left
+        for end in schedule.sink.ends:
+            ends[getattr(end, "not_run", "replayed")] += 1
+    assert min(ends.values()) > 0
+    assert len(ends) == 7
