Stand-ins open claims once every host holds an epoch

Cause: claims opened 8 s after the fleet record, so a slow start on a busy machine fell out of the first start, and keyed posts waited up to 2.2 s on a quick one.

Change: the stage waits for an epoch on every host and then publishes that claims are served from now. Shared files: standins/fleet.py, scenarios/stage.py.

--- a/scenarios/stage.py
+++ b/scenarios/stage.py
@@ -70,6 +70,7 @@
             if not all(wait.value for wait in waits):
                 newest = self.settle_rows[-1]
                 raise SettleError(f"a host has no whole answer for {workspace.name}: {newest}")
+        self.fleet.open_claims()
         self.begun_ms = time.time() * 1000.0
 
     def publish_pool(self, service: str) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -20,7 +20,8 @@
 _READY_TRIES = 300
 _TRY_PAUSE_S = 0.1
 _SHARE_START_MS = 600_000.0
-_SERVE_AFTER_MS = 8_000.0
+_SERVE_AFTER_MS = 60_000.0
+_CLOCK_MARGIN_MS = 2_000.0
 _SETTINGS = """\
 [host]
 id = "{spec.host}"
@@ -101,6 +102,7 @@
         self._hosts: dict[str, _RunningHost] = {}
         self._servers: dict[str, _RunningServer] = {}
         self._reserved: list[socket.socket] = []
+        self._shares: list[dict[str, object]] = []
         self._platform_port = 0
         self._proxy_port = 0
 
@@ -211,8 +213,20 @@
             }
             for (region, data_centre), weight in weights.items()
         ]
-        serve_from_ms = time.time() * 1000.0 + _SERVE_AFTER_MS
-        content = {"data_centres": shares, "serve_from_wall_ms": serve_from_ms}
+        self._shares = shares
+        self._publish_fleet(time.time() * 1000.0 + _SERVE_AFTER_MS)
+
+    def open_claims(self) -> None:
+        """Wait until each host holds an epoch, and let idempotency keys be claimed from now."""
+        for running in self._hosts.values():
+            for _ in range(_READY_TRIES):
+                if serving.call(running.operators, "/status")["epoch"] is not None:
+                    break
+                time.sleep(_TRY_PAUSE_S)
+        self._publish_fleet(time.time() * 1000.0 - _CLOCK_MARGIN_MS)
+
+    def _publish_fleet(self, serve_from_ms: float) -> None:
+        content = {"data_centres": self._shares, "serve_from_wall_ms": serve_from_ms}
         self.publish("fleet", "fleet", content)
 
     def platform_fault(self, fault: platform.ReaderFault | None) -> None:
