--- a/scenarios/stage.py
+++ b/scenarios/stage.py
@@ -64,7 +64,7 @@
         self.fleet.publish_shares(centres)
         for workspace in self.scenario.workspaces:
             self._settle_all(workspace, method="GET")
-        gevent.sleep(max(0.0, self.fleet.claims_from_wall_ms / 1000.0 - time.time()))
+        self.fleet.open_claims()
         self._settle_all(self.scenario.workspaces[0], method="POST")
         self.begun_ms = time.time() * 1000.0
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -20,8 +20,8 @@
 _READY_TRIES = 300
 _TRY_PAUSE_S = 0.1
 _SHARE_START_MS = 600_000.0
-_SERVE_AFTER_MS = 8_000.0
-_CLAIMS_AFTER_MS = 2_500.0
+_SERVE_AFTER_MS = 60_000.0
+_CLOCK_MARGIN_MS = 2_000.0
 _SETTINGS = """\
 [host]
 id = "{spec.host}"
@@ -90,8 +90,6 @@
     ----------
     directory : pathlib.Path
         Settings and logs of every process; deleted at the end.
-    claims_from_wall_ms : float
-        Wall time from which the hosts of a first start take idempotency keys.
     """
 
     def __init__(self, *, seed: int = 1, proxied: bool = True, decisions: str = "") -> None:
@@ -100,11 +98,11 @@
         self._decisions = decisions
         self._folder = tempfile.TemporaryDirectory(prefix="verbenadrum-")
         self.directory = pathlib.Path(self._folder.name)
-        self.claims_from_wall_ms = 0.0
         self._children: list[child.Child] = []
         self._hosts: dict[str, _RunningHost] = {}
         self._servers: dict[str, _RunningServer] = {}
         self._reserved: list[socket.socket] = []
+        self._shares: list[dict[str, object]] = []
         self._platform_port = 0
         self._proxy_port = 0
 
@@ -219,9 +217,20 @@
             }
             for (region, data_centre), weight in weights.items()
         ]
-        self.claims_from_wall_ms = time.time() * 1000.0 + _SERVE_AFTER_MS + _CLAIMS_AFTER_MS
-        serve_from_ms = self.claims_from_wall_ms - _CLAIMS_AFTER_MS
-        content = {"data_centres": shares, "serve_from_wall_ms": serve_from_ms}
+        self._shares = shares
+        self._publish_fleet(time.time() * 1000.0 + _SERVE_AFTER_MS)
+
+    def open_claims(self) -> None:
+        """Wait until each host holds an epoch, and let idempotency keys be claimed from now."""
+        for running in self._hosts.values():
+            for _ in range(_READY_TRIES):
+                if serving.call(running.operators, "/status")["epoch"] is not None:
+                    break
+                time.sleep(_TRY_PAUSE_S)
+        self._publish_fleet(time.time() * 1000.0 - _CLOCK_MARGIN_MS)
+
+    def _publish_fleet(self, serve_from_ms: float) -> None:
+        content = {"data_centres": self._shares, "serve_from_wall_ms": serve_from_ms}
         self.publish("fleet", "fleet", content)
 
     def platform_fault(self, fault: platform.ReaderFault | None) -> None:
