--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -17,7 +17,7 @@
 _MAX_ATTEMPT_SCORE = 7.6
 # An answer that came, though late, says less than one that has not come.
 _MAX_LATE_SCORE = 2.0
-_MAX_ABANDONED_SCORE = 2.8
+_MAX_ABANDONED_SCORE = 3.6
 _SICK_RATE = 0.25
 _MIN_FAILURE_RATE = 0.002
 _MIN_ERROR_RATE = 0.01
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -130,7 +130,7 @@
         row = self._held.get(lease)
         if row is not None and not row.answered:
             row.answered = True
-            if self._context.now_ms() - row.started_ms >= _WAITING_AFTER_MS:
+            if row.home and self._context.now_ms() - row.started_ms >= _WAITING_AFTER_MS:
                 self._say([row])
 
     def complete(self, lease: ids.LeaseId, outcome: ports.Outcome) -> None:
--- a/verbenadrum/placement/tests/test_pool_home.py
+++ b/verbenadrum/placement/tests/test_pool_home.py
@@ -187,6 +187,17 @@
     assert reasons(fleet, ring.DecisionKind.PLACE)["no-home-answered"]
 
 
+def test_slow_answer_to_a_host_that_placed_alone():
+    fleet = one_region(hosts=8, seed=8, median_ms=400.0, sigma=0.1)
+    for name in fleet.hosts:
+        fleet.cut.update((name, other) for other in fleet.hosts if other != name)
+    for host in fleet.hosts:
+        fleet.request(host)
+    fleet.run(3_000.0)
+    assert reasons(fleet, ring.DecisionKind.PLACE)["no-home-answered"]
+    assert all(log.ok for log in fleet.logs)
+
+
 def test_leaving_and_draining_servers_get_no_new_work():
     fleet = make_fleet(seed=9)
     fleet.load(workspace="w", per_s=200.0, path=fresh_paths(fleet))
