Platform stand-in: a waiting reader no longer gets another call's Content-Length

Cause: without cooperative patching all of bottle's calls shared one response, so a reader that waited was answered with the length of the call that woke it, and hosts logged truncated answers. Shown by test_waiting_reader_gets_its_own_answer, which fails with a DecodeError on the earlier code.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -7,6 +7,12 @@
 ``/control/rule`` (a `Rule`) and ``/control/heal``.
 """
 
+if __name__ == "__main__":
+    # Bottle keeps its request and response apart by thread, and so by greenlet once patched.
+    from gevent import monkey
+
+    monkey.patch_all()
+
 import socket
 import struct
 import time
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,6 +5,12 @@
 ``/control/state``.
 """
 
+if __name__ == "__main__":
+    # Bottle keeps its request and response apart by thread, and so by greenlet once patched.
+    from gevent import monkey
+
+    monkey.patch_all()
+
 import collections
 
 import bottle
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -3,7 +3,9 @@
 import http.client
 import signal
 import socket
+from concurrent import futures
 
+import msgspec
 import pytest
 
 from standins import behaviours, child, fault_proxy, fleet, platform, serving
@@ -162,15 +164,33 @@
     assert processes.platform_calls() == {"new": 2, "old": 1}
 
 
+def test_waiting_reader_gets_its_own_answer(processes):
+    after = records_revision(processes)
+    path = f"/v1/records?after={after}&wait_ms=5000"
+    with futures.ThreadPoolExecutor(1) as pool:
+        waiting = pool.submit(read, processes, path, "waiting")
+        while not processes.platform_calls().get("waiting"):
+            assert not waiting.done()
+        processes.publish("workspace", "late", {"rate_per_s": 1, "burst": 1})
+        _, body = waiting.result()
+    page = msgspec.json.decode(body, type=platform.RecordPage)
+    assert [record.name for record in page.records] == ["late"]
+
+
+def records_revision(running):
+    return serving.call(running._platform_port, "/control/state")["records"]
+
+
 def test_platform_splits_large_answers(processes):
+    first = records_revision(processes)
     for index in range(12):
         processes.publish("route", f"large{index}", {"path_prefix": "/" + "x" * 100_000})
-    after, answers = 3, 0
+    after, answers = first, 0
     while True:
         _, body = read(processes, f"/v1/records?after={after}&wait_ms=0", "pages")
-        page = platform.msgspec.json.decode(body, type=platform.RecordPage)
+        page = msgspec.json.decode(body, type=platform.RecordPage)
         assert len(body) <= 1_000_000
         after, answers = page.revision, answers + 1
         if page.complete:
             break
-    assert (after, answers) == (15, 2)
+    assert (after, answers) == (first + 12, 2)
