--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -103,6 +103,8 @@
     return [
         _fit("idle: cpu ms/s by hosts", sizes, [cost.cpu_ms for cost in costs]),
         _fit("idle: bytes/s by hosts", sizes, [cost.bytes_sent for cost in costs]),
+        _fit("idle: busiest host's cpu ms/s", sizes, [cost.busiest_cpu_ms for cost in costs]),
+        _fit("idle: busiest host's bytes/s", sizes, [cost.busiest_bytes_sent for cost in costs]),
         _fit("idle: messages/s by hosts", sizes, [cost.messages_sent for cost in costs]),
         _fit("idle: region link bytes/s by hosts", sizes, [cost.far_bytes_sent for cost in costs]),
     ]
--- a/benchmarks/control_bus.py
+++ b/benchmarks/control_bus.py
@@ -56,6 +56,8 @@
         Traffic to hosts of another region.
     by_type : dict of str to float
         Bytes sent by message type.
+    busiest_cpu_ms, busiest_bytes_sent : float
+        The same of the host that spends most.
     """
 
     cpu_ms: float
@@ -63,6 +65,8 @@
     messages_sent: float
     far_bytes_sent: float
     by_type: dict[str, float]
+    busiest_cpu_ms: float
+    busiest_bytes_sent: float
 
 
 class _Sink:
@@ -94,7 +98,8 @@
         self._clock = clock.SteppedClock()
         self._queue: list = []
         self._order = itertools.count()
-        self._cpu_s = 0.0
+        self._cpu_s: collections.Counter[str] = collections.Counter()
+        self._host_bytes: collections.Counter[str] = collections.Counter()
         self._sent_bytes: collections.Counter[str] = collections.Counter()
         self._sent_messages = 0
         self._far_bytes = 0
@@ -105,8 +110,8 @@
         self._records = self._publish()
         self._region = {row.host: row.region for row in self._rows}
         self._engines = {row.host: self._make(row) for row in self._rows}
-        for number, core in enumerate(self._engines.values()):
-            self._start(core, number)
+        for number, (host, core) in enumerate(self._engines.items()):
+            self._start(host, core, number)
 
     def run(self, span_ms: float, *, requests_per_s: float = 0.0) -> HostCost:
         """Advance time, with requests at a rate of each host, and return the mean cost."""
@@ -137,7 +142,7 @@
         if core.commit(order.request, order.lease):
             self.answered += 1
         core.outcome(order.request, order.lease, outcome)
-        self._cpu_s += time.perf_counter() - started_s
+        self._cpu_s[host] += time.perf_counter() - started_s
 
     def _row(self, number: int) -> ports.HostRow:
         centre = number % self._layout.data_centres
@@ -161,10 +166,10 @@
         )
         return engine.Engine(context=made, choices=engine.Choices(), address=row.address)
 
-    def _start(self, core: engine.Engine, number: int) -> None:
+    def _start(self, host: ids.HostId, core: engine.Engine, number: int) -> None:
         core.on_platform_hosts(duty.HostsAnswer(after=0, revision=1, rows=tuple(self._rows)))
         core.on_platform_records(self._records)
-        self.after(engine.TICK_MS * number / len(self._rows), lambda: self._tick(core))
+        self.after(engine.TICK_MS * number / len(self._rows), lambda: self._tick(host, core))
 
     def _publish(self) -> duty.RecordsAnswer:
         layout = self._layout
@@ -204,11 +209,11 @@
             ),
         )
 
-    def _tick(self, core: engine.Engine) -> None:
+    def _tick(self, host: ids.HostId, core: engine.Engine) -> None:
         started_s = time.perf_counter()
         core.on_tick()
-        self._cpu_s += time.perf_counter() - started_s
-        self.after(engine.TICK_MS, lambda: self._tick(core))
+        self._cpu_s[host] += time.perf_counter() - started_s
+        self.after(engine.TICK_MS, lambda: self._tick(host, core))
 
     def _send(self, sender: ids.HostId, to: ids.HostId, message: object) -> None:
         data = codec.encode(sender, message)
@@ -217,6 +222,7 @@
         if to != sender:
             self._sent_messages += 1
             self._sent_bytes[type(message).__name__] += len(data)
+            self._host_bytes[sender] += len(data)
         far = self._region[sender] != self._region[to]
         self._far_bytes += len(data) if far else 0
         self.after(_FAR_MS if far else _NEAR_MS, lambda: self._deliver(to, data))
@@ -225,7 +231,7 @@
         started_s = time.perf_counter()
         envelope = codec.decode(data)
         self._engines[to].on_message(ids.HostId(envelope.sender), envelope.message)
-        self._cpu_s += time.perf_counter() - started_s
+        self._cpu_s[to] += time.perf_counter() - started_s
 
     def _load(self, host: ids.HostId, rate_per_s: float, end_ms: float) -> None:
         if self._clock.now_ms() >= end_ms:
@@ -246,11 +252,12 @@
         )
         started_s = time.perf_counter()
         self._engines[host].begin(head, _Sink(self, host))
-        self._cpu_s += time.perf_counter() - started_s
+        self._cpu_s[host] += time.perf_counter() - started_s
         self._load(host, rate_per_s, end_ms)
 
     def _reset(self) -> None:
-        self._cpu_s = 0.0
+        self._cpu_s.clear()
+        self._host_bytes.clear()
         self._sent_bytes.clear()
         self._sent_messages = 0
         self._far_bytes = 0
@@ -260,9 +267,11 @@
     def _cost(self, span_ms: float) -> HostCost:
         host_seconds = len(self._rows) * span_ms / _MS_PER_S
         return HostCost(
-            cpu_ms=self._cpu_s * _MS_PER_S / host_seconds,
+            cpu_ms=self._cpu_s.total() * _MS_PER_S / host_seconds,
             bytes_sent=self._sent_bytes.total() / host_seconds,
             messages_sent=self._sent_messages / host_seconds,
             far_bytes_sent=self._far_bytes / host_seconds,
             by_type={name: count / host_seconds for name, count in self._sent_bytes.items()},
+            busiest_cpu_ms=max(self._cpu_s.values()) * _MS_PER_S * _MS_PER_S / span_ms,
+            busiest_bytes_sent=max(self._host_bytes.values()) * _MS_PER_S / span_ms,
         )
