--- a/verbenadrum/entry/refusals.py
+++ b/verbenadrum/entry/refusals.py
@@ -19,6 +19,7 @@
 }
 KEY_REUSED = "key-reused"
 POISON_REQUEST = "poison-request"
+LIMIT_UNAVAILABLE = "limit-unavailable"
 _OUTCOME_STATUS = {ports.OutcomeKind.TIMEOUT: 504, ports.OutcomeKind.CANCELLED: 504}
 
 
@@ -46,10 +47,10 @@
 
 
 def not_admitted(head: ports.RequestHead, admission: ports.Admission) -> ports.Refusal:
-    """Return the refusal of a request over its workspace's rate."""
+    """Return the refusal of a request over its workspace's rate, or of one without a share."""
     return ports.Refusal(
         request=head.request,
-        status=429,
+        status=503 if admission.reason == LIMIT_UNAVAILABLE else 429,
         code=admission.reason,
         detail="the workspace's rate and burst do not admit this request now",
         not_run=ports.NotRun.TRUE,
