--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -13,6 +13,8 @@
 
     monkey.patch_all()
 
+import os
+import pathlib
 import socket
 import struct
 import time
@@ -20,7 +22,6 @@
 import bottle
 import gevent
 import msgspec
-import psutil
 from absl import app, flags
 from gevent import queue, server
 from gevent import socket as gevent_socket
@@ -32,6 +33,8 @@
 _PORT = flags.DEFINE_integer("proxy_port", 0, "Control port; 0 for any free one.")
 _BLOCK_BYTES = 65_536
 _QUEUE_BLOCKS = 64
+_LOCAL_COLUMN = 1
+_INODE_COLUMN = 9
 _LINGER_OFF = struct.pack("ii", 1, 0)
 
 
@@ -147,9 +150,10 @@
         target.close()
 
     def _source(self, port: int) -> str:
-        for connection in psutil.net_connections(kind="tcp4"):
-            if connection.laddr.port == port and connection.pid in self._sources:
-                return self._sources[connection.pid]
+        file = f"socket:[{_socket_inode(port)}]"
+        for pid, name in self._sources.items():
+            if file in _open_files(pid):
+                return name
         return ""
 
     def _pump(
@@ -197,6 +201,22 @@
         _reset(target)
 
 
+def _socket_inode(port: int) -> str:
+    """Return the inode of the socket on a local port; only the sources' files are then read."""
+    address = f"0100007F:{port:04X}"
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        rows = (line.split() for line in table)
+        return next((row[_INODE_COLUMN] for row in rows if row[_LOCAL_COLUMN] == address), "")
+
+
+def _open_files(pid: int) -> set[str]:
+    folder = pathlib.Path(f"/proc/{pid}/fd")
+    try:
+        return {os.readlink(file) for file in folder.iterdir()}
+    except OSError:
+        return set()
+
+
 def _reset(connection: gevent_socket.socket) -> None:
     try:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_OFF)
