Attempts that a later hedge overtook count against their server

Cause: a stalled attempt is cancelled when its hedge answers, at 30 to 90 ms in the scenario gray_server, below the 150 ms from which an abandoned attempt counted; 13 of 57 attempts at the gray server and 0 of 676 at the others went that way, and nothing was held against it. Ruled out: counting from the pool's tail at the full weight, since one pause of a server lets all its attempts be overtaken at once. Change: an overtaken attempt is weighed by how rare that is in the pool, those within 250 ms count a quarter; where few hosts use a server, half of them are enough to accuse it.

--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -45,6 +45,7 @@
     ports.OutcomeKind.CROSSED,
 )
 _BREAKS = (ports.OutcomeKind.RESET, ports.OutcomeKind.TRUNCATED)
+_SAME_PAUSE_MS = 250.0
 _SAME_CRASH_MS = 100.0
 _SAME_CRASH_WEIGHT = 0.25
 
@@ -60,6 +61,7 @@
 class _ServerRow(msgspec.Struct):
     score: float = 0.0
     broken_ms: float = -math.inf
+    overtaken_ms: float = -math.inf
     events: collections.deque[_Event] = msgspec.field(
         default_factory=lambda: collections.deque(maxlen=_WINDOW_EVENTS)
     )
@@ -82,7 +84,9 @@
             latency.LatencyHistogram
         )
         self._slow_ms: dict[ids.DataCentreId, float] = {}
+        self._tail_ms: dict[ids.DataCentreId, float] = {}
         self._failure_rate = 0.0
+        self._overtaken_rate = 0.0
         self._reviews = 0
 
     def ended(self, evidence: evidence.Evidence) -> None:
@@ -91,10 +95,18 @@
         self._failure_rate = self._failure_rate * _RATE_DECAY + failed * (1.0 - _RATE_DECAY)
         if evidence.kind is ports.OutcomeKind.OK:
             self._latencies[evidence.group].add(evidence.latency_ms)
-        score = self._score(evidence)
+        overtaken = self._overtaken(evidence)
+        self._overtaken_rate = self._overtaken_rate * _RATE_DECAY + overtaken * (1.0 - _RATE_DECAY)
+        score = self._overtaken_score() if overtaken else self._score(evidence)
         if score == 0.0:
             return
         row = self._rows[evidence.server]
+        if overtaken:
+            # One pause of a server lets every attempt in flight be overtaken at once.
+            if evidence.at_ms - row.overtaken_ms < _SAME_PAUSE_MS:
+                score *= _SAME_CRASH_WEIGHT
+            else:
+                row.overtaken_ms = evidence.at_ms
         if evidence.kind in _BREAKS:
             # One crash breaks every connection of a server, so the breaks that follow count less.
             if evidence.at_ms - row.broken_ms < _SAME_CRASH_MS:
@@ -114,6 +126,7 @@
         self._reviews += 1
         if self._reviews % 20 == 1:
             self._slow_ms.clear()
+            self._tail_ms.clear()
         waiting = self._waiting(now_ms, flights)
         suspects = [
             server
@@ -151,6 +164,29 @@
             return min(slow, _MAX_LATE_SCORE) if answered else slow
         return _GOOD_SCORE if evidence.kind is ports.OutcomeKind.OK else 0.0
 
+    def _overtaken(self, evidence: evidence.Evidence) -> bool:
+        """Return whether an attempt was given up in the pool's tail, before it was slow for sure.
+
+        A hedge that began later has answered first. How much that says depends on how often it
+        happens in this pool.
+        """
+        if evidence.kind is not ports.OutcomeKind.CANCELLED:
+            return False
+        group = evidence.group
+        return self._tail_limit(group) <= evidence.latency_ms < self._slow_limit(group)
+
+    def _overtaken_score(self) -> float:
+        return min(_MAX_ABANDONED_SCORE, _ratio(max(_MIN_ERROR_RATE, self._overtaken_rate)))
+
+    def _tail_limit(self, group: ids.DataCentreId) -> float:
+        cached = self._tail_ms.get(group)
+        if cached is None:
+            histogram = self._latencies[group]
+            known = histogram.total >= _MIN_SAMPLES
+            cached = histogram.quantile(1.0 - _SLOW_FRACTION) if known else math.inf
+            self._tail_ms[group] = cached
+        return cached
+
     def _abandoned_score(self, evidence: evidence.Evidence) -> float:
         """Weigh an attempt that a hedge or the caller gave up: it had not been answered."""
         slow_ms = self._slow_limit(evidence.group)
@@ -296,7 +332,9 @@
         return len(accusers) < 2
     accusers = accusers - _never_served(changed)
     share = len(accusers) / (len(accusers) + len(content))
-    return len(accusers) < _MIN_ACCUSERS or share < _MIN_ACCUSER_SHARE
+    # Where few hosts use the server, half of them are enough.
+    needed = min(_MIN_ACCUSERS, max(2, math.ceil(len(served | accusers) / 2)))
+    return len(accusers) < needed or share < _MIN_ACCUSER_SHARE
 
 
 def _accusers(events: list[_Event]) -> set[ids.HostId]:
