--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -32,6 +32,7 @@
 
 _MS_PER_S = 1000.0
 _LINGER_S = 0.5
+_LAST_MESSAGES_S = 0.1
 _SEED_INTERVAL_S = 0.5
 _SHUTDOWN_POLL_S = 0.02
 _MAX_IDLE_CONNECTIONS = 8
@@ -114,6 +115,14 @@
             gevent.spawn(self._shut_down)
 
     def _shut_down(self) -> None:
+        try:
+            self._finish_requests()
+            self._close_ports()
+        finally:
+            # A fault on the way must not leave a process that takes no work and never ends.
+            self._stopped.set()
+
+    def _finish_requests(self) -> None:
         _log.info("shutting down", extra={"in_flight": self._callers.in_flight})
         self._engine.leave()
         self._caller_server.drain()
@@ -121,6 +130,10 @@
         gevent.sleep(_LINGER_S)
         while self._callers.in_flight:
             gevent.sleep(_SHUTDOWN_POLL_S)
+        # The last releases and ends of claims are still on their way to other hosts.
+        gevent.sleep(_LAST_MESSAGES_S)
+
+    def _close_ports(self) -> None:
         self._caller_server.close_connections()
         self._operator_server.stop(timeout=0)
         gevent.killall(self._greenlets)
@@ -128,7 +141,6 @@
         self._setup.stop()
         self._log.flush()
         _log.info("stopped", extra={"host": self._settings.host.id})
-        self._stopped.set()
 
     def _make_engine(self) -> engine.Engine:
         host = self._settings.host
