--- /dev/null
+++ b/verbenadrum/daemon/tests/test_callers.py
@@ -0,0 +1,162 @@
+"""Tests of the callers' port with a real socket on both sides and baseline behaviours."""
+
+import random
+import ssl
+import tracemalloc
+
+import pytest
+import urllib3
+from gevent import server
+
+from verbenadrum.core import behaviours, context, engine, ports
+from verbenadrum.daemon import callers, http_server, sockets, upstream
+from verbenadrum.daemon.tests import certificates
+from verbenadrum.decisions import ring
+from verbenadrum.entry import keys
+from verbenadrum.records import types
+from verbenadrum.utils import clock
+
+assert behaviours
+
+MB = 1_000_000
+LARGE_BYTES = 200 * MB
+MEMORY_LIMIT_BYTES = 8 * MB
+KEY = {"X-Api-Key": "secret"}
+BASELINES = engine.Choices(
+    limits="static_split",
+    claims="local",
+    epochs="listed",
+    placement="power_of_two",
+    health="consecutive",
+)
+
+
+class Meters:
+    """Stands for the metrics, which are kept once in a process."""
+
+    def ended(self, started_ms):
+        pass
+
+    def refused(self, code):
+        pass
+
+
+class Backend:
+    """Answers with 200 MB for a path, with the body's length for a POST, else with its head."""
+
+    def __init__(self):
+        self.listener = sockets.listen("127.0.0.1:0")
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.server = http_server.HttpServer(listener=self.listener, application=self.answer)
+        self.server.start()
+
+    def answer(self, environ, start_response):
+        headers = [("X-Request-Id", environ["HTTP_X_REQUEST_ID"])]
+        if environ["PATH_INFO"] == "/large":
+            start_response("200 OK", [*headers, ("Content-Length", str(LARGE_BYTES))])
+            return (b"x" * 50_000 for _ in range(LARGE_BYTES // 50_000))
+        received = 0
+        while piece := environ["wsgi.input"].read(50_000):
+            received += len(piece)
+        seen = [name for name in environ if name.startswith("HTTP_")]
+        body = f"{received} {sorted(seen)}".encode()
+        start_response("200 OK", [*headers, ("Content-Length", str(len(body)))])
+        return [body]
+
+
+def make_engine(address):
+    time = clock.SystemClock()
+    made = context.Context(
+        host="h1",
+        data_centre="d1",
+        region="r1",
+        incarnation=1,
+        clock=time,
+        rng=random.Random(1),
+        send=lambda to, message: None,
+        decisions=ring.DecisionRing(wall_ms=time.wall_ms),
+    )
+    core = engine.Engine(context=made, choices=BASELINES)
+    row = ports.HostRow(host="h1", address="127.0.0.1:1", data_centre="d1", region="r1")
+    core.apply_hosts(1, (row,))
+    entry = types.ServerEntry(server="s1", address=address)
+    specs = [
+        (types.RecordKind.ROUTE, types.RouteSpec(path_prefix="/", service="svc")),
+        (types.RecordKind.POOL, types.PoolSpec(servers=(entry,))),
+        (types.RecordKind.WORKSPACE, types.WorkspaceSpec(rate_per_s=1e6, burst=1e6)),
+        (types.RecordKind.KEY, types.KeySpec(workspace="svc", sha256=keys.hash_key("secret"))),
+    ]
+    core.apply_records(
+        [
+            types.Record(kind=kind, name="svc", revision=revision, spec=spec)
+            for revision, (kind, spec) in enumerate(specs, start=1)
+        ]
+    )
+    return core, time
+
+
+@pytest.fixture
+def serve():
+    running: list[server.BaseServer] = []
+
+    def start(tls=None):
+        backend = Backend()
+        core, time = make_engine(backend.address)
+        port = callers.CallersPort(
+            engine=core,
+            pools=upstream.ConnectionPools(max_idle=2),
+            clock=time,
+            meters=Meters(),
+        )
+        made = http_server.HttpServer(
+            listener=sockets.listen("127.0.0.1:0"), application=port.application, tls=tls
+        )
+        made.start()
+        running.extend((made, backend.server))
+        return f"127.0.0.1:{made.server_port}"
+
+    yield start
+    for each in running:
+        each.stop(timeout=0)
+
+
+def test_large_bodies_pass_both_ways_in_constant_memory(serve):
+    http = urllib3.PoolManager(retries=False)
+    address = serve()
+    tracemalloc.start()
+    try:
+        answer = http.request("GET", f"http://{address}/large", headers=KEY, preload_content=False)
+        assert sum(map(len, answer.stream(50_000))) == LARGE_BYTES
+        pieces = (b"y" * 50_000 for _ in range(LARGE_BYTES // 50_000))
+        answer = http.request("PUT", f"http://{address}/up", headers=KEY, body=pieces)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert answer.data.startswith(f"{LARGE_BYTES} ".encode())
+    assert peak < MEMORY_LIMIT_BYTES
+
+
+def test_callers_reach_the_port_over_tls(serve, tmp_path):
+    authority = certificates.Authority(folder=tmp_path)
+    cert, key = authority.issue("host")
+    address = serve(tls=sockets.server_context(str(cert), str(key)))
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    context.load_verify_locations(authority.ca_file)
+    http = urllib3.PoolManager(retries=False, ssl_context=context, assert_hostname=False)
+    for _ in range(2):
+        assert http.request("GET", f"https://{address}/x", headers=KEY).status == 200
+
+
+def test_refusals_are_problems_and_identity_is_the_fleets(serve):
+    http = urllib3.PoolManager(retries=False)
+    address = serve()
+    refusal = http.request("GET", f"http://{address}/x")
+    assert refusal.headers["Content-Type"] == "application/problem+json"
+    assert (refusal.status, refusal.json()["not_run"]) == (401, "true")
+    forged = {**KEY, "X-Workspace": "forged", "X-Request-Id": "forged", "Cookie": "a=1"}
+    answer = http.request("GET", f"http://{address}/x", headers=forged)
+    assert answer.status == 200
+    assert answer.headers["X-Request-Id"] != "forged"
+    assert b"HTTP_X_API_KEY" not in answer.data
+    assert b"HTTP_X_WORKSPACE" in answer.data
