--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -61,8 +61,13 @@
     del argv
     folder = pathlib.Path(_FOLDER.value)
     folder.mkdir(parents=True, exist_ok=True)
-    fits = [*_idle_fits(), *_request_fits(), *_memory_fits()]
-    facts = {"whole_set": _whole_set()}
+    loaded = _loaded_costs()
+    fits = [*_idle_fits(), *_request_fits(loaded), *_memory_fits()]
+    facts = {
+        "whole_set": _whole_set(),
+        "tick_cpu_us": loaded[-1].tick_cpu_us,
+        "messages": msgspec.to_builtins(loaded[-1].messages),
+    }
     if _LARGEST.value:
         layout = control_bus.Layout(hosts=_LARGEST.value, data_centres=_STATED_DATA_CENTRES)
         facts["largest_run"] = msgspec.to_builtins(_idle_cost(layout))
@@ -110,7 +115,7 @@
     ]
 
 
-def _request_fits() -> list[Fit]:
+def _loaded_costs() -> list[control_bus.HostCost]:
     bus = control_bus.ControlBus(layout=control_bus.Layout(hosts=_LOADED_HOSTS), seed=5)
     bus.run(_WARM_UP_MS)
     costs = []
@@ -118,6 +123,10 @@
         costs.append(bus.run(_SPAN_MS, requests_per_s=rate))
         if bus.refused:
             raise RuntimeError(f"requests were refused: {dict(bus.refused)}")
+    return costs
+
+
+def _request_fits(costs: list[control_bus.HostCost]) -> list[Fit]:
     return [
         _fit("load: core cpu ms/s by requests/s", _RATES_PER_S, [c.cpu_ms for c in costs]),
         _fit("load: bytes/s by requests/s", _RATES_PER_S, [c.bytes_sent for c in costs]),
--- a/benchmarks/control_bus.py
+++ b/benchmarks/control_bus.py
@@ -21,7 +21,7 @@
 from verbenadrum.messages import codec
 from verbenadrum.utils import clock
 
-__all__ = ["ControlBus", "HostCost", "Layout"]
+__all__ = ["ControlBus", "HostCost", "Layout", "MessageCost"]
 
 assert behaviours
 
@@ -31,6 +31,7 @@
 _KEY = "bench-key"
 _SERVICE = "svc"
 _MS_PER_S = 1000.0
+_US_PER_S = 1e6
 
 
 class Layout(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,6 +44,14 @@
     workspaces: int = 8
 
 
+class MessageCost(msgspec.Struct, frozen=True, kw_only=True):
+    """Mean cost of one message of a type: its bytes, and the time to decode and handle it."""
+
+    count: int
+    mean_bytes: float
+    mean_cpu_us: float
+
+
 class HostCost(msgspec.Struct, frozen=True, kw_only=True):
     """What one host spends on average, each second of simulated time.
 
@@ -58,6 +67,10 @@
         Bytes sent by message type.
     busiest_cpu_ms, busiest_bytes_sent : float
         The same of the host that spends most.
+    tick_cpu_us : float
+        Mean processor time of one tick.
+    messages : dict of str to MessageCost
+        Costs by message type.
     """
 
     cpu_ms: float
@@ -67,6 +80,8 @@
     by_type: dict[str, float]
     busiest_cpu_ms: float
     busiest_bytes_sent: float
+    tick_cpu_us: float
+    messages: dict[str, MessageCost]
 
 
 class _Sink:
@@ -99,6 +114,9 @@
         self._queue: list = []
         self._order = itertools.count()
         self._cpu_s: collections.Counter[str] = collections.Counter()
+        self._tick_s = 0.0
+        self._ticks = 0
+        self._handled: dict[str, list[float]] = {}
         self._host_bytes: collections.Counter[str] = collections.Counter()
         self._sent_bytes: collections.Counter[str] = collections.Counter()
         self._sent_messages = 0
@@ -212,7 +230,10 @@
     def _tick(self, host: ids.HostId, core: engine.Engine) -> None:
         started_s = time.perf_counter()
         core.on_tick()
-        self._cpu_s[host] += time.perf_counter() - started_s
+        spent_s = time.perf_counter() - started_s
+        self._cpu_s[host] += spent_s
+        self._tick_s += spent_s
+        self._ticks += 1
         self.after(engine.TICK_MS, lambda: self._tick(host, core))
 
     def _send(self, sender: ids.HostId, to: ids.HostId, message: object) -> None:
@@ -231,7 +252,12 @@
         started_s = time.perf_counter()
         envelope = codec.decode(data)
         self._engines[to].on_message(ids.HostId(envelope.sender), envelope.message)
-        self._cpu_s[to] += time.perf_counter() - started_s
+        spent_s = time.perf_counter() - started_s
+        self._cpu_s[to] += spent_s
+        sums = self._handled.setdefault(type(envelope.message).__name__, [0, 0, 0.0])
+        sums[0] += 1
+        sums[1] += len(data)
+        sums[2] += spent_s
 
     def _load(self, host: ids.HostId, rate_per_s: float, end_ms: float) -> None:
         if self._clock.now_ms() >= end_ms:
@@ -257,6 +283,8 @@
 
     def _reset(self) -> None:
         self._cpu_s.clear()
+        self._tick_s, self._ticks = 0.0, 0
+        self._handled.clear()
         self._host_bytes.clear()
         self._sent_bytes.clear()
         self._sent_messages = 0
@@ -274,4 +302,11 @@
             by_type={name: count / host_seconds for name, count in self._sent_bytes.items()},
             busiest_cpu_ms=max(self._cpu_s.values()) * _MS_PER_S * _MS_PER_S / span_ms,
             busiest_bytes_sent=max(self._host_bytes.values()) * _MS_PER_S / span_ms,
+            tick_cpu_us=self._tick_s / max(1, self._ticks) * _US_PER_S,
+            messages={
+                name: MessageCost(
+                    count=count, mean_bytes=size / count, mean_cpu_us=spent_s / count * _US_PER_S
+                )
+                for name, (count, size, spent_s) in sorted(self._handled.items())
+            },
         )
