--- a/benchmarks/end_to_end.py
+++ b/benchmarks/end_to_end.py
@@ -23,7 +23,8 @@
 _RUN_SEED = flags.DEFINE_integer("fleet_seed", 1, "Seed of the hosts and the stand-ins.")
 
 _CENTRES = (("r1", "d1"), ("r1", "d2"), ("r2", "d3"), ("r2", "d4"))
-_SERVERS = 20
+_SERVERS = 8
+_SERVICE_MS = 100.0
 _WORKSPACES = {"w0": 60.0, "w1": 30.0, **{f"w{number}": 4.0 for number in range(2, 8)}}
 _LOAD_SHARE = 0.8
 _LINK_DELAY_MS = 15.0
@@ -62,7 +63,7 @@
         fleet.ServerSpec(server=f"s{number}", service="svc", data_centre=_CENTRES[number % 4][1])
         for number in range(_SERVERS)
     ]
-    running.start_servers(servers, service_ms=20.0)
+    running.start_servers(servers, service_ms=_SERVICE_MS)
     running.publish("route", "all", {"path_prefix": "/", "service": "svc"})
     running.publish("pool", "svc", {"servers": running.pool_entries("svc"), "floor": 0.5})
     for name, rate in _WORKSPACES.items():
@@ -174,7 +175,10 @@
         for load in loads
     )
     whole_ms = sorted(row.latency_ms for row in rows if row.verdict is caller.Verdict.WHOLE)
-    note = f"{len(rows)} requests at {_LOAD_SHARE:.0%} of each rate, one server stalling 30%"
+    note = (
+        f"{len(rows)} requests at {_LOAD_SHARE:.0%} of each rate, two fifths of the slots in use, "
+        "one of 8 servers stalling 30%"
+    )
     return [
         _row("in-rate requests refused, %", 100.0 * refused / len(rows), 0.01, note),
         _row("requests that failed otherwise, %", 100.0 * failed / len(rows), None, note),
