--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -16,6 +16,7 @@
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of every experiment.")
 _ONLY = flags.DEFINE_list("only", [], "Names of the experiments to run; all if empty.")
 _FOLDER = flags.DEFINE_string("folder", "docs/measurements", "Where table and plot are written.")
+_MOST_SHARE = 3.0
 _HEADER = (
     "| measure | behaviour | value | target | met | source | note |",
     "|---|---|---:|---:|---|---|---|",
@@ -65,13 +66,13 @@
     if not drawn:
         return
     figure, axis = pyplot.subplots(figsize=(10, 0.28 * len(drawn) + 1))
-    shares = [row.value / row.target for row in drawn]
+    shares = [min(row.value / row.target, _MOST_SHARE) for row in drawn]
     colours = ["tab:green" if row.met else "tab:red" for row in drawn]
     axis.barh(range(len(drawn)), shares, color=colours)
     axis.axvline(1.0, color="black", linewidth=1)
     axis.set_yticks(range(len(drawn)))
     axis.set_yticklabels([f"{row.measure} [{row.behaviour}]" for row in drawn], fontsize=7)
-    axis.set_xlim(0, 3)
+    axis.set_xlim(0, _MOST_SHARE)
     axis.invert_yaxis()
     axis.set_xlabel("share of the target (lower is better unless it is a lower bound)")
     figure.tight_layout()
