--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -32,6 +32,9 @@
 _SPAN_MS = 5_000.0
 _RATES_PER_S = (5.0, 10.0, 20.0, 40.0)
 _LOADED_HOSTS = 40
+_CONNECTION_HOSTS = (16, 32, 64)
+_CONNECTION_SPAN_MS = 45_000.0
+_SERVER_RATE_PER_S = 16.0
 _ROW_SIZES = {
     "workspace": (3_000, 9_000, 27_000),
     "key": (3_000, 9_000, 27_000),
@@ -62,7 +65,7 @@
     folder = pathlib.Path(_FOLDER.value)
     folder.mkdir(parents=True, exist_ok=True)
     loaded = _loaded_costs()
-    fits = [*_idle_fits(), *_request_fits(loaded), *_memory_fits()]
+    fits = [*_idle_fits(), *_request_fits(loaded), *_memory_fits(), _connection_fit()]
     facts = {
         "whole_set": _whole_set(),
         "tick_cpu_us": loaded[-1].tick_cpu_us,
@@ -134,6 +137,19 @@
     ]
 
 
+def _connection_fit() -> Fit:
+    """Count the hosts that call each server while it gets the stated rate, over the idle time."""
+    counts = []
+    for hosts in _CONNECTION_HOSTS:
+        layout = control_bus.Layout(hosts=hosts, servers=hosts)
+        bus = control_bus.ControlBus(layout=layout, seed=5)
+        bus.run(_WARM_UP_MS)
+        cost = bus.run(_CONNECTION_SPAN_MS, requests_per_s=_SERVER_RATE_PER_S)
+        counts.append(cost.hosts_per_server)
+    sizes = tuple(map(float, _CONNECTION_HOSTS))
+    return _fit("connections of a server by hosts", sizes, counts)
+
+
 def _memory_fits() -> list[Fit]:
     fits = []
     for kind, sizes in _ROW_SIZES.items():
--- a/benchmarks/control_bus.py
+++ b/benchmarks/control_bus.py
@@ -69,6 +69,8 @@
         The same of the host that spends most.
     tick_cpu_us : float
         Mean processor time of one tick.
+    hosts_per_server : float
+        How many hosts called each backend server, on average: each keeps a connection.
     messages : dict of str to MessageCost
         Costs by message type.
     """
@@ -81,6 +83,7 @@
     busiest_cpu_ms: float
     busiest_bytes_sent: float
     tick_cpu_us: float
+    hosts_per_server: float
     messages: dict[str, MessageCost]
 
 
@@ -92,6 +95,7 @@
         self._host = host
 
     def dispatch(self, order: ports.DispatchOrder) -> None:
+        self._bus.callers_of.setdefault(order.server, set()).add(self._host)
         self._bus.after(_SERVICE_MS, lambda: self._bus.answer(self._host, order))
 
     def refuse(self, refusal: ports.Refusal) -> None:
@@ -124,6 +128,7 @@
         self._requests = itertools.count()
         self.refused: collections.Counter[str] = collections.Counter()
         self.answered = 0
+        self.callers_of: dict[ids.ServerId, set[ids.HostId]] = {}
         self._rows = [self._row(number) for number in range(layout.hosts)]
         self._records = self._publish()
         self._region = {row.host: row.region for row in self._rows}
@@ -285,6 +290,7 @@
         self._cpu_s.clear()
         self._tick_s, self._ticks = 0.0, 0
         self._handled.clear()
+        self.callers_of.clear()
         self._host_bytes.clear()
         self._sent_bytes.clear()
         self._sent_messages = 0
@@ -302,6 +308,7 @@
             by_type={name: count / host_seconds for name, count in self._sent_bytes.items()},
             busiest_cpu_ms=max(self._cpu_s.values()) * _MS_PER_S * _MS_PER_S / span_ms,
             busiest_bytes_sent=max(self._host_bytes.values()) * _MS_PER_S / span_ms,
+            hosts_per_server=sum(map(len, self.callers_of.values())) / self._layout.servers,
             tick_cpu_us=self._tick_s / max(1, self._ticks) * _US_PER_S,
             messages={
                 name: MessageCost(
