Shutdown waits until answers are written, not only decided

Cause: a request stopped counting as in flight once its answer was known, so an answer to a slow caller could still be on its way when a stopping host closed its connections. The server now counts requests until the last byte is with the operating system; the callers' port keeps no count of its own.

--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -53,15 +53,9 @@
         self._pools = pools
         self._clock = clock
         self._meters = meters
-        self._in_flight = 0
         self.application = bottle.Bottle(catchall=False)
         self.application.route("<path:re:.*>", method="ANY", callback=self._answer)
 
-    @property
-    def in_flight(self) -> int:
-        """Number of requests whose answer has not been passed on completely."""
-        return self._in_flight
-
     def _answer(self, path: str) -> object:
         environ = bottle.request.environ
         request = ids.RequestId(uuid.uuid4().hex)
@@ -75,17 +69,14 @@
         joined = exchange.Exchange(
             engine=self._engine, pools=self._pools, clock=self._clock, sent=sent
         )
-        self._in_flight += 1
         try:
             self._engine.begin(head, joined)
             verdict = self._wait(joined, head, environ)
         except BaseException:
-            self._in_flight -= 1
             self._engine.abandon(request)
             raise
         if isinstance(verdict, exchange.Passed) and not verdict.answer.whole:
             return self._stream(joined, head, verdict, started_ms)
-        self._in_flight -= 1
         self._meters.ended(started_ms)
         if isinstance(verdict, ports.Refusal):
             return self._problem(verdict)
@@ -219,7 +210,6 @@
             if outcome.kind is ports.OutcomeKind.CANCELLED:
                 answer.discard()
             joined.end_streamed(head.request, passed, outcome)
-            self._in_flight -= 1
             self._meters.ended(started_ms)
 
     def _problem(self, refusal: ports.Refusal) -> bytes:
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -123,12 +123,12 @@
             self._stopped.set()
 
     def _finish_requests(self) -> None:
-        _log.info("shutting down", extra={"in_flight": self._callers.in_flight})
+        _log.info("shutting down", extra={"in_flight": self._caller_server.in_flight})
         self._engine.leave()
         self._caller_server.drain()
         # Requests that callers sent on open connections before they saw the end still arrive.
         gevent.sleep(_LINGER_S)
-        while self._callers.in_flight:
+        while self._caller_server.in_flight:
             gevent.sleep(_SHUTDOWN_POLL_S)
         # The last releases and ends of claims are still on their way to other hosts.
         gevent.sleep(_LAST_MESSAGES_S)
@@ -237,7 +237,7 @@
             "region": host.region,
             "ready": self._is_ready(),
             "stopping": self._stopping,
-            "in_flight": self._callers.in_flight,
+            "in_flight": self._caller_server.in_flight,
             "record_revision": self._engine.records.revision,
             "host_list_revision": self._engine.membership.revision,
             "hosts": [row.host for row in self._engine.membership.hosts()],
@@ -253,7 +253,12 @@
     def _observe(self) -> None:
         counters = self._peers.counters
         figures = (
-            ("verbenadrum.requests.in_flight", "", "Requests.", lambda: self._callers.in_flight),
+            (
+                "verbenadrum.requests.in_flight",
+                "",
+                "Requests.",
+                lambda: self._caller_server.in_flight,
+            ),
             ("verbenadrum.records.revision", "", "Records.", lambda: self._engine.records.revision),
             ("verbenadrum.peers.bytes_sent", "By", "To peers.", lambda: counters.bytes_sent),
             ("verbenadrum.peers.messages_sent", "", "To peers.", lambda: counters.messages_sent),
--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -63,6 +63,14 @@
         environ[SOCKET_KEY] = self.socket
         return environ
 
+    def handle_one_response(self) -> None:
+        """Count the request until the last byte of its answer is with the operating system."""
+        self.server.in_flight += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.in_flight -= 1
+
     def finalize_headers(self) -> None:
         """Tell the caller to close where the server is stopping."""
         if self.server.stopping and not self.close_connection:
@@ -113,6 +121,13 @@
         WSGI application.
     tls : ssl.SSLContext or None
         TLS towards clients.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether each answer asks its client to close the connection.
+    in_flight : int
+        Requests whose answer has not been written completely.
     """
 
     handler_class = _Handler
@@ -123,6 +138,7 @@
         options = {} if tls is None else {"ssl_context": tls}
         super().__init__(listener, application, log=None, error_log=_log, **options)
         self.stopping = False
+        self.in_flight = 0
         self._open: set[socket.socket] = set()
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -18,6 +18,7 @@
 
     def __init__(self):
         self.bodies = []
+        self.in_flight = []
         self.server = http_server.HttpServer(
             listener=sockets.listen("127.0.0.1:0"), application=self.answer
         )
@@ -26,6 +27,7 @@
     def answer(self, environ, start_response):
         body = environ["wsgi.input"].read()
         self.bodies.append((environ[http_server.TARGET_KEY], body))
+        self.in_flight.append(self.server.in_flight)
         if environ["PATH_INFO"] == "/abort":
             start_response("200 OK", [("Content-Length", "10")])
             return self.aborted()
@@ -101,6 +103,14 @@
     assert received.endswith(b"half")
 
 
+def test_requests_are_counted_until_their_answers_are_written(server):
+    server.in_flight.clear()
+    server.send(GOOD)
+    server.send(b"GET /abort HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert server.in_flight == [1, 1]
+    assert server.server.in_flight == 0
+
+
 @hypothesis.given(
     prefix=strategies.sampled_from((b"", b"GET / HTTP/1.1\r\n", b"POST / HTTP/1.1\r\nHost: a\r\n")),
     junk=strategies.binary(max_size=300),
