Remove unread fields, and do the Connection header's work only where there is one

An attempt's row repeated its own key and kept a start time that nothing read, and an answer's reason phrase was never passed on. The set of dropped headers was built anew for each request, also without a Connection header. The weight of repeated evidence is named for both of its uses.

--- a/verbenadrum/daemon/targets.py
+++ b/verbenadrum/daemon/targets.py
@@ -132,8 +132,10 @@
 
     Every header that holds the key is left out, wherever the caller put it.
     """
-    named = environ.get("HTTP_CONNECTION", "").upper().replace("-", "_").split(",")
-    dropped = _DROPPED.union("HTTP_" + token.strip() for token in named)
+    dropped = _DROPPED
+    if "HTTP_CONNECTION" in environ:
+        named = environ["HTTP_CONNECTION"].upper().replace("-", "_").split(",")
+        dropped = _DROPPED.union("HTTP_" + token.strip() for token in named)
     for name, value in environ.items():
         if not name.startswith("HTTP_") or name in dropped:
             continue
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -115,11 +115,6 @@
         """HTTP status."""
         return self._response.status
 
-    @property
-    def reason(self) -> str:
-        """HTTP reason phrase."""
-        return self._response.reason or "Unknown"
-
     @property
     def headers_by_name(self) -> urllib3.HTTPHeaderDict:
         """Headers as the server sent them."""
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -243,10 +243,7 @@
         row.stage = table.RequestStage.DISPATCHED
         row.attempt_count += 1
         row.attempts[placement.lease] = table.AttemptRow(
-            lease=placement.lease,
-            server=placement.server,
-            number=request.attempt,
-            started_ms=now_ms,
+            server=placement.server, number=request.attempt
         )
         row.hedge_at_ms = float("inf")
         if row.idempotent and row.head.replayable and placement.hedge_after_ms > 0:
--- a/verbenadrum/entry/table.py
+++ b/verbenadrum/entry/table.py
@@ -25,10 +25,8 @@
 class AttemptRow(msgspec.Struct, kw_only=True):
     """One attempt at a backend server that has not ended."""
 
-    lease: ids.LeaseId
     server: ids.ServerId
     number: int
-    started_ms: float
 
 
 class RequestRow(msgspec.Struct, kw_only=True):
--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -47,7 +47,8 @@
 _BREAKS = (ports.OutcomeKind.RESET, ports.OutcomeKind.TRUNCATED)
 _SAME_PAUSE_MS = 250.0
 _SAME_CRASH_MS = 100.0
-_SAME_CRASH_WEIGHT = 0.25
+# Weight of further evidence of one and the same pause or crash.
+_REPEATED_WEIGHT = 0.25
 
 
 class _Event(msgspec.Struct, frozen=True):
@@ -104,13 +105,13 @@
         if overtaken:
             # One pause of a server lets every attempt in flight be overtaken at once.
             if evidence.at_ms - row.overtaken_ms < _SAME_PAUSE_MS:
-                score *= _SAME_CRASH_WEIGHT
+                score *= _REPEATED_WEIGHT
             else:
                 row.overtaken_ms = evidence.at_ms
         if evidence.kind in _BREAKS:
             # One crash breaks every connection of a server, so the breaks that follow count less.
             if evidence.at_ms - row.broken_ms < _SAME_CRASH_MS:
-                score *= _SAME_CRASH_WEIGHT
+                score *= _REPEATED_WEIGHT
             else:
                 row.broken_ms = evidence.at_ms
         row.score = max(0.0, row.score + score)
