--- a/verbenadrum/core/behaviours.py
+++ b/verbenadrum/core/behaviours.py
@@ -1,22 +1,26 @@
 """Imports every module that registers a behaviour, so that settings can select it."""
 
 from verbenadrum.claims import local, witnessed
-from verbenadrum.dissemination import duty, every_host
-from verbenadrum.epochs import listed, vouched
+from verbenadrum.dissemination import duty, every_host, host_lists
+from verbenadrum.epochs import counted, listed, vouched
 from verbenadrum.health import consecutive, sequential
+from verbenadrum.membership import seeded
 from verbenadrum.limits import escrow, global_owner, static_split
 from verbenadrum.placement import pool_home, power_of_two
 
 __all__ = [
     "consecutive",
+    "counted",
     "duty",
     "escrow",
     "every_host",
     "global_owner",
+    "host_lists",
     "listed",
     "local",
     "pool_home",
     "power_of_two",
+    "seeded",
     "sequential",
     "static_split",
     "vouched",
--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -12,7 +12,7 @@
 from verbenadrum.claims import registry as claim_registry
 from verbenadrum.core import context, ports, system
 from verbenadrum.dissemination import duty as platform_duty
-from verbenadrum.dissemination import host_lists, sampler
+from verbenadrum.dissemination import sampler
 from verbenadrum.dissemination import records as record_spread
 from verbenadrum.dissemination import registry as duty_registry
 from verbenadrum.entry import pipeline
@@ -40,6 +40,7 @@
     placement: str = "pool_home"
     health: str = "sequential"
     readers: str = "rendezvous"
+    host_list: str = "published"
 
 
 class Engine:
@@ -53,16 +54,32 @@
         Which behaviours to run.
     address : str
         ``ip:port`` of this host's peer port, for answers before the host list names it.
+    seeds : tuple of str
+        Peer addresses through which the other hosts are found.
+    read_policy : ReadPolicy
+        Times of the platform's readers.
     """
 
-    def __init__(self, *, context: context.Context, choices: Choices, address: str = "") -> None:
+    def __init__(
+        self,
+        *,
+        context: context.Context,
+        choices: Choices,
+        address: str = "",
+        seeds: tuple[str, ...] = (),
+        read_policy: platform_duty.ReadPolicy = platform_duty.ReadPolicy(),
+    ) -> None:
         self._context = context
         self.records = record_table.RecordTable()
         self.membership = host_table.HostTable()
         self.store = record_store.RecordStore(context=context, records=self.records)
         peers = sampler.PeerSampler(context=context, membership=self.membership)
-        self.host_spread = host_lists.HostListSpread(
-            context=context, membership=self.membership, peers=peers, address=address
+        self.host_spread = duty_registry.host_list_systems.get(choices.host_list)(
+            context=context,
+            membership=self.membership,
+            peers=peers,
+            address=address,
+            seeds=seeds,
         )
         self.record_spread = record_spread.RecordSpread(
             context=context,
@@ -79,6 +96,7 @@
             membership=self.membership,
             records=self.record_spread,
             hosts=self.host_spread,
+            policy=read_policy,
         )
         self.epochs = epoch_registry.epoch_systems.get(choices.epochs)(
             context=context, records=self.records, membership=self.membership
@@ -134,8 +152,14 @@
 
     @property
     def ready(self) -> bool:
-        """Whether a host list and a first whole set of records are in force here."""
-        return self.membership.revision > 0 and self.record_spread.complete_to > 0
+        """Whether a host list and a first whole set of records are in force here.
+
+        Hosts that keep their list themselves always have one, so there a configuration is needed
+        as well.
+        """
+        if not self.membership.revision or not self.record_spread.complete_to:
+            return False
+        return self.host_spread.published or self.records.configured
 
     def reader_duty(self) -> platform_duty.Duty:
         """Return what the shell should read from the platform now; ask before each call."""
--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -50,6 +50,10 @@
     def revision(self) -> int:
         """Greatest revision seen; 0 before the first record."""
 
+    @property
+    def configured(self) -> bool:
+        """Whether anything is known of what callers may ask for."""
+
     def route(self, host: str, path: str) -> tuple[str, types.RouteSpec] | None:
         """Return name and spec of the longest matching route; a host name match goes first."""
 
@@ -338,6 +342,7 @@
     TIMEOUT = "timeout"
     TRUNCATED = "truncated"
     CROSSED = "crossed"
+    MISDIRECTED = "misdirected"
     CANCELLED = "cancelled"
 
 
@@ -347,7 +352,8 @@
     Attributes
     ----------
     kind : OutcomeKind
-        How it ended. `OutcomeKind.SHED` is a 503 whose server states that nothing ran.
+        How it ended. `OutcomeKind.SHED` is a failure whose server states that nothing ran, and
+        `OutcomeKind.MISDIRECTED` a refusal of a server that is not the one meant.
     latency_ms : float
         From the first byte sent to the head of the answer, or to the failure.
     bytes_sent : bool
@@ -367,6 +373,14 @@
     draining: bool = False
     server_gone: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server may have begun to work on the request."""
+        return self.bytes_sent and self.kind not in _NOT_RUN
+
+
+_NOT_RUN = (OutcomeKind.SHED, OutcomeKind.MISDIRECTED)
+
 
 class ProbeOrder(msgspec.Struct, frozen=True, kw_only=True):
     """Tells the shell to ask a backend server for ``path`` once, and to report the outcome."""
@@ -445,6 +459,8 @@
         Whether a server's own error goes to the caller, since the request is never sent again.
     echo_required : bool
         Whether an answer must repeat the request's identifier to count as this request's.
+    repeatable : bool
+        Whether the request may run more than once.
     """
 
     request: ids.RequestId
@@ -457,6 +473,7 @@
     route: str = ""
     pass_errors: bool = False
     echo_required: bool = True
+    repeatable: bool = False
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -14,6 +14,7 @@
 from verbenadrum import ids
 from verbenadrum.core import engine, ports
 from verbenadrum.daemon import exchange, http_server, metrics, sockets, targets, upstream
+from verbenadrum.settings import types
 from verbenadrum.utils import clock
 
 __all__ = ["CallersPort"]
@@ -39,6 +40,8 @@
         Source of time.
     meters : RequestMeters
         Counts of requests.
+    headers : HeadersTable
+        Names of the headers that carry meaning.
     """
 
     def __init__(
@@ -48,7 +51,22 @@
         pools: upstream.ConnectionPools,
         clock: clock.Clock,
         meters: metrics.RequestMeters,
+        headers: types.HeadersTable = types.HeadersTable(),
     ) -> None:
+        self._headers = headers
+        self._names = upstream.HeaderNames(
+            request_id=headers.request_id,
+            deadline_ms=headers.deadline_ms,
+            workspace=headers.workspace,
+            not_run=headers.not_run,
+            draining=headers.draining,
+            expected_server=headers.expected_server,
+            unframed=headers.unframed_answers,
+        )
+        own = (headers.request_id, headers.deadline_ms, headers.workspace, headers.expected_server)
+        self._own_headers = frozenset(targets.environ_name(name) for name in own if name)
+        self._id_key = targets.environ_name(headers.request_id)
+        self._deadline_key = targets.environ_name(headers.deadline_ms)
         self._engine = engine
         self._pools = pools
         self._clock = clock
@@ -56,6 +74,11 @@
         self.application = bottle.Bottle(catchall=False)
         self.application.route("<path:re:.*>", method="ANY", callback=self._answer)
 
+    @property
+    def names(self) -> upstream.HeaderNames:
+        """Headers that carry meaning between this host and backend servers."""
+        return self._names
+
     def _answer(self, path: str) -> object:
         environ = bottle.request.environ
         request = ids.RequestId(uuid.uuid4().hex)
@@ -67,7 +90,11 @@
         if head.method not in _METHODS:
             return self._problem(_method_refusal(request))
         joined = exchange.Exchange(
-            engine=self._engine, pools=self._pools, clock=self._clock, sent=sent
+            engine=self._engine,
+            pools=self._pools,
+            clock=self._clock,
+            sent=sent,
+            names=self._names,
         )
         try:
             self._engine.begin(head, joined)
@@ -91,10 +118,10 @@
         self, environ: dict, request: ids.RequestId
     ) -> tuple[ports.RequestHead, upstream.SentRequest]:
         target = targets.parse_target(environ[http_server.TARGET_KEY])
-        key = targets.find_key(environ, target)
+        key = targets.find_key(environ, target, self._headers.key_scheme)
         length, body = self._read_body(environ, request)
         method = environ["REQUEST_METHOD"]
-        headers = list(targets.clean_headers(environ, key))
+        headers = list(targets.clean_headers(environ, key, self._own_headers))
         if length >= 0 and not isinstance(body, bytes) and body is not None:
             headers.append(("Content-Length", str(length)))
         head = ports.RequestHead(
@@ -112,7 +139,11 @@
         )
         headers.append(("Host", environ.get("HTTP_HOST", "")))
         sent = upstream.SentRequest(
-            method=method, target=target.forward, headers=tuple(headers), body=body
+            method=method,
+            target=target.forward,
+            headers=tuple(headers),
+            body=body,
+            echoed_id=environ.get(self._id_key, "") if self._headers.keep_request_id else "",
         )
         return head, sent
 
@@ -153,15 +184,16 @@
             yield piece
 
     def _deadline_ms(self, environ: dict) -> float:
-        text = environ.get("HTTP_X_DEADLINE_MS")
+        text = environ.get(self._deadline_key)
         if text is None:
             return math.inf
+        name = self._headers.deadline_ms
         try:
             allowed_ms = float(text)
         except ValueError as error:
-            raise targets.BadRequestError("X-Deadline-Ms is no number") from error
+            raise targets.BadRequestError(f"{name} is no number") from error
         if not allowed_ms > 0:
-            raise targets.BadRequestError("X-Deadline-Ms must be greater than 0")
+            raise targets.BadRequestError(f"{name} must be greater than 0")
         return self._clock.now_ms() + allowed_ms
 
     def _wait(
@@ -201,8 +233,7 @@
             if answer.prefetched:
                 yield answer.prefetched
             yield from answer.rest()
-            kind = upstream.outcome_kind(answer.status, answer.headers_by_name)
-            outcome = answer.outcome(kind)
+            outcome = answer.outcome(answer.kind())
         except upstream.AttemptError as error:
             outcome = error.outcome
             raise http_server.AbortAnswer(error.message) from error
@@ -225,12 +256,15 @@
         }
         headers = [("Content-Type", "application/problem+json")]
         if refusal.status == 401:
-            headers.append(("WWW-Authenticate", "Bearer"))
+            headers.append(("WWW-Authenticate", self._headers.key_scheme))
         if refusal.retry_after_ms > 0 and math.isfinite(refusal.retry_after_ms):
-            seconds = math.ceil(refusal.retry_after_ms / _MS_PER_S)
-            headers.append(("Retry-After", str(seconds)))
+            headers.append(("Retry-After", self._retry_after(refusal.retry_after_ms)))
         return _whole(refusal.status, headers, json.dumps(body).encode(), refusal.request)
 
+    def _retry_after(self, retry_after_ms: float) -> str:
+        seconds = retry_after_ms / _MS_PER_S
+        return f"{seconds:.3f}" if self._headers.fractional_retry_after else str(math.ceil(seconds))
+
 
 def _whole(
     status: int,
@@ -255,7 +289,8 @@
     response.status = f"{status} {http.client.responses.get(status, 'Unknown')}"
     for name, value in headers:
         response.add_header(name, value)
-    response.set_header("X-Request-Id", request)
+    if "X-Request-Id" not in response.headers:
+        response.set_header("X-Request-Id", request)
     if "Content-Type" not in response.headers:
         # Bottle would add one that the backend server did not send.
         response.content_type = "application/octet-stream"
--- a/verbenadrum/daemon/exchange.py
+++ b/verbenadrum/daemon/exchange.py
@@ -1,5 +1,7 @@
 """Joins one caller's request to the decisions of the core and the attempts that they order."""
 
+import math
+
 import gevent
 import msgspec
 from gevent import event
@@ -15,6 +17,8 @@
 _MS_PER_S = 1000.0
 # Ends a read that the core's own deadline has not cancelled.
 _EXTRA_TIMEOUT_MS = 1_000.0
+# Servers keep idle connections for seconds; one used this lately is seldom gone unnoticed.
+_ONCE_REUSE_S = 2.0
 
 
 class Passed(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,6 +44,8 @@
         Source of time.
     sent : SentRequest
         The request as backend servers see it, without deadline and identity headers.
+    names : HeaderNames
+        Headers that carry meaning.
     """
 
     def __init__(
@@ -49,7 +55,9 @@
         pools: upstream.ConnectionPools,
         clock: clock.Clock,
         sent: upstream.SentRequest,
+        names: upstream.HeaderNames = upstream.HeaderNames(),
     ) -> None:
+        self._names = names
         self._engine = engine
         self._pools = pools
         self._clock = clock
@@ -72,16 +80,20 @@
         remaining_ms = max(1.0, order.deadline_ms - self._clock.now_ms())
         headers = [
             *self._sent.headers,
-            ("X-Request-Id", order.request),
-            ("X-Deadline-Ms", str(int(remaining_ms))),
+            (self._names.request_id, self._sent.echoed_id or order.request),
+            (self._names.deadline_ms, str(int(remaining_ms))),
         ]
         if order.workspace:
-            headers.append(("X-Workspace", order.workspace))
+            headers.append((self._names.workspace, order.workspace))
+        if self._names.expected_server:
+            headers.append((self._names.expected_server, order.server))
         attempt = upstream.Attempt(
             pools=self._pools,
             order=order,
             sent=msgspec.structs.replace(self._sent, headers=tuple(headers)),
             timeout_s=(remaining_ms + _EXTRA_TIMEOUT_MS) / _MS_PER_S,
+            names=self._names,
+            reuse_idle_s=math.inf if order.repeatable else _ONCE_REUSE_S,
         )
         self._attempts[order.lease] = attempt
         gevent.spawn(self._run, order, attempt)
@@ -112,8 +124,7 @@
             return
         if answer.whole:
             # The answer is known whole, so its end need not wait for the caller to read it.
-            kind = upstream.outcome_kind(answer.status, answer.headers_by_name)
-            self._end(order, answer.outcome(kind), _stored(answer))
+            self._end(order, answer.outcome(answer.kind()), _stored(answer))
         self._verdict.set(Passed(lease=order.lease, answer=answer))
 
     def end_streamed(self, request: ids.RequestId, passed: Passed, outcome: ports.Outcome) -> None:
--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -150,6 +150,10 @@
         finally:
             self._open.discard(sock)
 
+    def announce_end(self) -> None:
+        """Ask each client to close its connection, and go on serving."""
+        self.stopping = True
+
     def drain(self) -> None:
         """Close the listener; requests on open connections are served and then closed."""
         self.stopping = True
--- a/verbenadrum/daemon/platform_reader.py
+++ b/verbenadrum/daemon/platform_reader.py
@@ -1,4 +1,4 @@
-"""Reads the platform's configuration service by long polls, as the core's duty says."""
+"""Reads records by long polls, as the core's duty says, from the source that is set."""
 
 import logging
 
@@ -7,14 +7,12 @@
 import urllib3
 
 from verbenadrum.core import engine, ports
+from verbenadrum.daemon import sources
 from verbenadrum.dissemination import duty
-from verbenadrum.utils import errors
 
-__all__ = ["PlatformError", "PlatformReader"]
+__all__ = ["HttpSource", "PlatformReader"]
 
 _MS_PER_S = 1000.0
-_CONNECT_TIMEOUT_S = 1.0
-_READ_MARGIN_S = 2.0
 _WHOLE_MARGIN_S = 10.0
 _IDLE_S = 0.25
 _AFTER_FAULT_S = 1.0
@@ -24,12 +22,6 @@
 _log = logging.getLogger(__name__)
 
 
-class PlatformError(errors.VerbenadrumError):
-    """A call to the platform gave no usable answer."""
-
-    code = "platform-unusable"
-
-
 class _RecordsBody(msgspec.Struct, frozen=True, kw_only=True):
     """Answer to a poll for records; envelopes stay raw."""
 
@@ -45,6 +37,72 @@
     hosts: tuple[ports.HostRow, ...]
 
 
+@sources.sources.register("records")
+class HttpSource:
+    """The configuration service of the product's own interface.
+
+    Parameters
+    ----------
+    options : SourceOptions
+        Time limits and this host's identifier, named in the header ``X-Reader``.
+    """
+
+    def __init__(self, *, options: sources.SourceOptions) -> None:
+        self._options = options
+        self._headers = {"X-Reader": options.host, "Accept": "application/json"}
+        # urllib3 sets TCP_NODELAY on the sockets of its connections by itself.
+        self._http = urllib3.PoolManager(
+            num_pools=len(options.urls), maxsize=_CONNECTIONS_PER_URL, retries=False
+        )
+
+    def poll(
+        self, base: str, stream: duty.Stream, order: duty.PollOrder
+    ) -> duty.RecordsAnswer | duty.HostsAnswer:
+        """Make one call and return its answer.
+
+        Raises
+        ------
+        SourceError
+            If the answer cannot be used.
+        """
+        data = self._get(base, stream, order)
+        if stream is duty.Stream.RECORDS:
+            body = _decode(data, _RecordsBody)
+            return duty.RecordsAnswer(
+                after=order.after,
+                revision=body.revision,
+                complete=body.complete,
+                envelopes=tuple(bytes(raw) for raw in body.records),
+            )
+        body = _decode(data, _HostsBody)
+        return duty.HostsAnswer(after=order.after, revision=body.revision, rows=body.hosts)
+
+    def _get(self, base: str, stream: duty.Stream, order: duty.PollOrder) -> bytes:
+        wait_s = order.wait_ms / _MS_PER_S
+        read_s = wait_s + self._options.read_timeout_s
+        with gevent.Timeout(wait_s + _WHOLE_MARGIN_S):
+            response = self._http.request(
+                "GET",
+                f"{base}/v1/{stream.value}?after={order.after}&wait_ms={order.wait_ms:.0f}",
+                headers=self._headers,
+                timeout=urllib3.Timeout(connect=self._options.connect_timeout_s, read=read_s),
+                redirect=False,
+                preload_content=False,
+            )
+            try:
+                data = response.read(_MAX_ANSWER_BYTES + 1)
+            except BaseException:
+                response.close()
+                raise
+            finally:
+                response.release_conn()
+        if response.status != 200:
+            raise sources.SourceError(f"status {response.status} from {base}")
+        if len(data) > _MAX_ANSWER_BYTES:
+            raise sources.SourceError(f"answer of more than {_MAX_ANSWER_BYTES} bytes from {base}")
+        return data
+
+
 class PlatformReader:
     """Polls records and hosts in a greenlet each.
 
@@ -57,19 +115,17 @@
         Says what to read and takes the answers.
     urls : tuple of str
         Base URLs of the configuration service.
-    host : str
-        This host's identifier, named in the header ``X-Reader``.
+    source : Source
+        Makes the calls.
     """
 
-    def __init__(self, *, engine: engine.Engine, urls: tuple[str, ...], host: str) -> None:
+    def __init__(
+        self, *, engine: engine.Engine, urls: tuple[str, ...], source: sources.Source
+    ) -> None:
         self._engine = engine
         self._urls = tuple(url.rstrip("/") for url in urls)
-        self._headers = {"X-Reader": host, "Accept": "application/json"}
+        self._source = source
         self._url_index = dict.fromkeys(duty.Stream, 0)
-        # urllib3 sets TCP_NODELAY on the sockets of its connections by itself.
-        self._http = urllib3.PoolManager(
-            num_pools=len(urls), maxsize=_CONNECTIONS_PER_URL, retries=False
-        )
         self._failing: set[duty.Stream] = set()
         self._calls = 0
 
@@ -118,10 +174,10 @@
 
     def _poll(self, stream: duty.Stream, order: duty.PollOrder) -> None:
         self._calls += 1
+        base = self._urls[self._url_index[stream] % len(self._urls)]
         try:
-            data = self._get(stream, order)
-            fresh = self._take(stream, order, data)
-        except (urllib3.exceptions.HTTPError, OSError, PlatformError, gevent.Timeout) as error:
+            fresh = self._take(self._source.poll(base, stream, order))
+        except (urllib3.exceptions.HTTPError, OSError, sources.SourceError, gevent.Timeout) as error:
             self._note_failure(stream, error)
             self._engine.on_platform_failure(stream)
             fresh = False
@@ -130,46 +186,10 @@
         if not fresh:
             self._url_index[stream] += 1
 
-    def _get(self, stream: duty.Stream, order: duty.PollOrder) -> bytes:
-        base = self._urls[self._url_index[stream] % len(self._urls)]
-        wait_s = order.wait_ms / _MS_PER_S
-        with gevent.Timeout(wait_s + _WHOLE_MARGIN_S):
-            response = self._http.request(
-                "GET",
-                f"{base}/v1/{stream.value}?after={order.after}&wait_ms={order.wait_ms:.0f}",
-                headers=self._headers,
-                timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=wait_s + _READ_MARGIN_S),
-                redirect=False,
-                preload_content=False,
-            )
-            try:
-                data = response.read(_MAX_ANSWER_BYTES + 1)
-            except BaseException:
-                response.close()
-                raise
-            finally:
-                response.release_conn()
-        if response.status != 200:
-            raise PlatformError(f"status {response.status} from {base}")
-        if len(data) > _MAX_ANSWER_BYTES:
-            raise PlatformError(f"answer of more than {_MAX_ANSWER_BYTES} bytes from {base}")
-        return data
-
-    def _take(self, stream: duty.Stream, order: duty.PollOrder, data: bytes) -> bool:
-        if stream is duty.Stream.RECORDS:
-            body = _decode(data, _RecordsBody)
-            return self._engine.on_platform_records(
-                duty.RecordsAnswer(
-                    after=order.after,
-                    revision=body.revision,
-                    complete=body.complete,
-                    envelopes=tuple(bytes(raw) for raw in body.records),
-                )
-            )
-        body = _decode(data, _HostsBody)
-        return self._engine.on_platform_hosts(
-            duty.HostsAnswer(after=order.after, revision=body.revision, rows=body.hosts)
-        )
+    def _take(self, answer: duty.RecordsAnswer | duty.HostsAnswer) -> bool:
+        if isinstance(answer, duty.RecordsAnswer):
+            return self._engine.on_platform_records(answer)
+        return self._engine.on_platform_hosts(answer)
 
     def _note_failure(self, stream: duty.Stream, error: BaseException) -> None:
         if stream not in self._failing:
@@ -188,4 +208,4 @@
     try:
         return msgspec.json.decode(data, type=expected)
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
-        raise PlatformError(f"unreadable answer: {error}") from error
+        raise sources.SourceError(f"unreadable answer: {error}") from error
--- a/verbenadrum/daemon/prober.py
+++ b/verbenadrum/daemon/prober.py
@@ -21,10 +21,15 @@
     ----------
     engine : Engine
         Orders probes, and takes their outcomes.
+    names : HeaderNames
+        Headers that carry meaning.
     """
 
-    def __init__(self, *, engine: engine.Engine) -> None:
+    def __init__(
+        self, *, engine: engine.Engine, names: upstream.HeaderNames = upstream.HeaderNames()
+    ) -> None:
         self._engine = engine
+        self._names = names
 
     def start_due(self) -> None:
         """Start every probe that is due."""
@@ -38,8 +43,8 @@
         try:
             response = self._ask(order)
             status = response.status
-            kind = upstream.outcome_kind(status, response.headers)
-            draining = upstream.says_draining(response.headers)
+            kind = upstream.outcome_kind(status, response.headers, self._names)
+            draining = upstream.says_draining(response.headers, self._names)
         except exceptions.TimeoutError:
             kind = ports.OutcomeKind.TIMEOUT
         except (exceptions.HTTPError, OSError):
--- a/verbenadrum/daemon/targets.py
+++ b/verbenadrum/daemon/targets.py
@@ -8,11 +8,18 @@
 
 from verbenadrum.utils import errors
 
-__all__ = ["BadRequestError", "Target", "clean_headers", "find_key", "parse_target"]
+__all__ = [
+    "BadRequestError",
+    "Target",
+    "clean_headers",
+    "environ_name",
+    "find_key",
+    "parse_target",
+]
 
 KEY_PARAMETER = "api_key"
 KEY_HEADER = "HTTP_X_API_KEY"
-_BEARER = re.compile(r"^Bearer +(\S+)$", re.IGNORECASE)
+_AUTHORIZATION = re.compile(r"^(\S+) +(\S+)$")
 _SLASHES = re.compile(r"/+")
 _SEPARATORS = re.compile(r"[/\\]")
 _BAD_CHARACTERS = re.compile(r"[\x00-\x20\x7f]")
@@ -33,13 +40,24 @@
         "HTTP_TRANSFER_ENCODING",
         "HTTP_UPGRADE",
         "HTTP_X_API_KEY",
-        "HTTP_X_DEADLINE_MS",
-        "HTTP_X_REQUEST_ID",
-        "HTTP_X_WORKSPACE",
     }
 )
 
 
+def environ_name(header: str) -> str:
+    """Return the key of a header in a WSGI environment.
+
+    Examples
+    --------
+    >>> environ_name("X-Request-Id")
+    'HTTP_X_REQUEST_ID'
+    """
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+_OWN = frozenset(map(environ_name, ("X-Request-Id", "X-Deadline-Ms", "X-Workspace")))
+
+
 class BadRequestError(errors.VerbenadrumError):
     """A caller's request that cannot be understood safely."""
 
@@ -107,18 +125,27 @@
     )
 
 
-def find_key(environ: dict, target: Target) -> str:
+def find_key(environ: dict, target: Target, scheme: str = "Bearer") -> str:
     """Return the key that came with a request, or an empty text.
 
+    Parameters
+    ----------
+    environ : dict
+        The request's WSGI environment.
+    target : Target
+        Its target, which may hold the key.
+    scheme : str
+        Scheme of the Authorization header.
+
     Raises
     ------
     BadRequestError
         If two places hold different keys.
     """
     found = {target.query_key, environ.get(KEY_HEADER, "").strip()}
-    bearer = _BEARER.match(environ.get("HTTP_AUTHORIZATION", "").strip())
-    if bearer:
-        found.add(bearer.group(1))
+    given = _AUTHORIZATION.match(environ.get("HTTP_AUTHORIZATION", "").strip())
+    if given and given.group(1).lower() == scheme.lower():
+        found.add(given.group(2))
     if "HTTP_COOKIE" in environ:
         found.add(_split_key(environ["HTTP_COOKIE"], ";")[1])
     found.discard("")
@@ -127,15 +154,18 @@
     return found.pop() if found else ""
 
 
-def clean_headers(environ: dict, key: str) -> Iterator[tuple[str, str]]:
+def clean_headers(
+    environ: dict, key: str, own: frozenset[str] = _OWN
+) -> Iterator[tuple[str, str]]:
     """Yield the caller's headers that a backend server may see.
 
-    Every header that holds the key is left out, wherever the caller put it.
+    Every header that holds the key is left out, wherever the caller put it, and so are those
+    that the host sets itself: ``own`` holds their names in a WSGI environment.
     """
-    dropped = _DROPPED
+    dropped = _DROPPED | own
     if "HTTP_CONNECTION" in environ:
         named = environ["HTTP_CONNECTION"].upper().replace("-", "_").split(",")
-        dropped = _DROPPED.union("HTTP_" + token.strip() for token in named)
+        dropped = dropped.union("HTTP_" + token.strip() for token in named)
     for name, value in environ.items():
         if not name.startswith("HTTP_") or name in dropped:
             continue
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -3,6 +3,8 @@
 import collections
 import contextlib
 import http.client
+import math
+import re
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -20,6 +22,7 @@
     "Attempt",
     "AttemptError",
     "ConnectionPools",
+    "HeaderNames",
     "SentRequest",
     "outcome_kind",
     "says_draining",
@@ -27,7 +30,14 @@
 
 PREFETCH_BYTES = 65_536
 _CHUNK_BYTES = 65_536
-_CONNECT_TIMEOUT_S = 1.0
+# Twice the round trip between distant regions, with room for a busy server.
+_CONNECT_TIMEOUT_S = 0.4
+# A server closes an idle connection after the time it states; by then it is not used any more.
+_KEEP_ALIVE_MARGIN_S = 1.0
+_DEFAULT_KEEP_ALIVE_S = 4.0
+_KEEP_ALIVE = re.compile(r"timeout\s*=\s*([0-9]+)")
+_MISDIRECTED_STATUS = 421
+_FALSE = ("", "0", "false")
 _MS_PER_S = 1000.0
 _GONE_TIMEOUT_S = 0.1
 _GONE_HOLD_S = 0.01
@@ -62,16 +72,34 @@
         self.outcome = outcome
 
 
+class HeaderNames(msgspec.Struct, frozen=True, kw_only=True):
+    """Names of the headers that carry meaning between hosts and backend servers.
+
+    ``expected_server`` is empty where servers are not told which one is meant. With
+    ``unframed`` an answer may have no length and end with its connection.
+    """
+
+    request_id: str = "X-Request-Id"
+    deadline_ms: str = "X-Deadline-Ms"
+    workspace: str = "X-Workspace"
+    not_run: str = "X-Not-Run"
+    draining: str = "X-Draining"
+    expected_server: str = ""
+    unframed: bool = False
+
+
 class SentRequest(msgspec.Struct, frozen=True, kw_only=True):
     """What is sent to a backend server.
 
-    ``body`` is the whole body, or an iterator of its pieces where it is streamed.
+    ``body`` is the whole body, or an iterator of its pieces where it is streamed. An answer
+    must repeat ``echoed_id`` to count as this request's.
     """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes | Iterator[bytes] | None
+    echoed_id: str = ""
 
 
 class Answer:
@@ -91,6 +119,8 @@
         From sending to the head.
     address : str
         ``ip:port`` of the server.
+    names : HeaderNames
+        Headers that carry meaning.
     """
 
     def __init__(
@@ -102,7 +132,9 @@
         whole: bool,
         latency_ms: float,
         address: str,
+        names: HeaderNames = HeaderNames(),
     ) -> None:
+        self._names = names
         self._response = response
         self._address = address
         self._release = release
@@ -123,7 +155,7 @@
     @property
     def draining(self) -> bool:
         """Whether the server says that it wants no new work."""
-        return says_draining(self._response.headers)
+        return says_draining(self._response.headers, self._names)
 
     def headers(self) -> list[tuple[str, str]]:
         """Return the headers that go to the caller."""
@@ -164,16 +196,21 @@
             server_gone=kind in _BREAKS and has_crashed(self._address),
         )
 
+    def kind(self) -> ports.OutcomeKind:
+        """Return how the whole answer counts as evidence about its server."""
+        return outcome_kind(self.status, self._response.headers, self._names)
+
     def discard(self) -> None:
         """Close the connection, so that nothing late on it reaches another request."""
         self._release(False)
 
 
 class _Idle(msgspec.Struct, frozen=True):
-    """A connection that waits for its next request, and since when (monotonic seconds)."""
+    """A connection that waits for its next request, since and until when (monotonic seconds)."""
 
     connection: connection.HTTPConnection
     since_s: float
+    until_s: float
 
 
 class ConnectionPools:
@@ -194,7 +231,9 @@
         """Number of idle connections."""
         return sum(map(len, self._idle.values()))
 
-    def take(self, address: str, *, timeout_s: float) -> connection.HTTPConnection:
+    def take(
+        self, address: str, *, timeout_s: float, idle_at_most_s: float = math.inf
+    ) -> connection.HTTPConnection:
         """Return a connection to a server, connecting where no idle one is usable.
 
         Raises
@@ -203,9 +242,12 @@
             If the server cannot be reached; then no byte was sent.
         """
         idle = self._idle.get(address)
+        oldest_s = time.monotonic() - idle_at_most_s
         while idle:
-            warm = idle.pop().connection
-            if not sockets.ended(warm.sock):
+            row = idle.pop()
+            warm = row.connection
+            usable = oldest_s <= row.since_s and time.monotonic() < row.until_s
+            if usable and not sockets.ended(warm.sock):
                 warm.sock.settimeout(timeout_s)
                 return warm
             warm.close()
@@ -216,13 +258,16 @@
         fresh.sock.settimeout(timeout_s)
         return fresh
 
-    def put(self, address: str, used: connection.HTTPConnection) -> None:
+    def put(
+        self, address: str, used: connection.HTTPConnection, *, keep_s: float = math.inf
+    ) -> None:
         """Keep a connection whose last answer was read whole, or close it if too many wait."""
         idle = self._idle.setdefault(address, collections.deque())
         if used.sock is None or len(idle) >= self._max_idle:
             used.close()
         else:
-            idle.append(_Idle(used, time.monotonic()))
+            now_s = time.monotonic()
+            idle.append(_Idle(used, now_s, now_s + keep_s))
 
     def close_idle(self, *, longer_than_s: float) -> None:
         """Close connections that have waited for long; the ones used last wait at the end."""
@@ -235,7 +280,24 @@
 
 
 class Attempt:
-    """One sending of a request to one backend server."""
+    """One sending of a request to one backend server.
+
+    Parameters
+    ----------
+    pools : ConnectionPools
+        Connections to backend servers.
+    order : DispatchOrder
+        Where to send it.
+    sent : SentRequest
+        What to send.
+    timeout_s : float
+        Longest wait for the next byte.
+    names : HeaderNames
+        Headers that carry meaning.
+    reuse_idle_s : float
+        Connections that have been idle for longer are not used. A server may close an idle
+        connection at any moment, and a request that may run only once is lost with it.
+    """
 
     def __init__(
         self,
@@ -244,13 +306,18 @@
         order: ports.DispatchOrder,
         sent: SentRequest,
         timeout_s: float,
+        names: HeaderNames = HeaderNames(),
+        reuse_idle_s: float = math.inf,
     ) -> None:
+        self._names = names
+        self._reuse_idle_s = reuse_idle_s
         self._pools = pools
         self._order = order
         self._sent = sent
         self._timeout_s = timeout_s
         self._connection: connection.HTTPConnection | None = None
         self._cancelled = False
+        self._keep_s = _DEFAULT_KEEP_ALIVE_S
         self._started_s = time.monotonic()
         self._bytes_sent = False
 
@@ -285,13 +352,16 @@
             whole=whole,
             latency_ms=latency_ms,
             address=self._order.address,
+            names=self._names,
         )
-        self._check_status(answer, response)
+        self._check_status(answer)
         return answer
 
     def _exchange(self) -> urllib3.BaseHTTPResponse:
         try:
-            self._connection = self._pools.take(self._order.address, timeout_s=self._timeout_s)
+            self._connection = self._pools.take(
+                self._order.address, timeout_s=self._timeout_s, idle_at_most_s=self._reuse_idle_s
+            )
             if self._cancelled:
                 raise OSError("the attempt was cancelled")
             self._bytes_sent = True
@@ -303,7 +373,9 @@
                 preload_content=False,
                 decode_content=False,
             )
-            return self._connection.getresponse()
+            response = self._connection.getresponse()
+            self._keep_s = _keep_alive_s(response.headers)
+            return response
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
             self._release(False)
             raise self._failed(error) from error
@@ -313,7 +385,7 @@
         if used is None:
             return
         if reusable and not self._cancelled:
-            self._pools.put(self._order.address, used)
+            self._pools.put(self._order.address, used, keep_s=self._keep_s)
         else:
             used.close()
 
@@ -341,8 +413,9 @@
         return (time.monotonic() - self._started_s) * _MS_PER_S
 
     def _check_identity(self, response: urllib3.BaseHTTPResponse) -> None:
-        echoed = response.headers.get("X-Request-Id")
-        if echoed == self._order.request or (echoed is None and not self._order.echo_required):
+        echoed = response.headers.get(self._names.request_id)
+        wanted = self._sent.echoed_id or self._order.request
+        if echoed == wanted or (echoed is None and not self._order.echo_required):
             return
         raise AttemptError(
             f"the answer is of request {echoed!r}",
@@ -357,8 +430,9 @@
             return b"", True
         length = response.headers.get("Content-Length")
         chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-        if not chunked and (length is None or not length.isdigit()):
-            # Without a length, an answer that was cut off looks like a whole one.
+        unframed = length is None and self._names.unframed
+        if not chunked and not unframed and (length is None or not length.isdigit()):
+            # Without a length, an answer that was cut off may look like a whole one.
             raise AttemptError(
                 "the answer has no length",
                 self._outcome(ports.OutcomeKind.TRUNCATED, response.status),
@@ -379,7 +453,7 @@
     def _read_start(
         self, response: urllib3.BaseHTTPResponse, chunked: bool, length: str | None
     ) -> tuple[bytes, bool]:
-        if not chunked:
+        if not chunked and length is not None:
             if int(length) > PREFETCH_BYTES:
                 return b"", False
             data = response.read(decode_content=False)
@@ -393,18 +467,21 @@
         self._release(True)
         return bytes(data), True
 
-    def _check_status(self, answer: Answer, response: urllib3.BaseHTTPResponse) -> None:
-        if self._order.pass_errors or answer.status < 500:
+    def _check_status(self, answer: Answer) -> None:
+        kind = answer.kind()
+        refused = kind in (ports.OutcomeKind.SHED, ports.OutcomeKind.MISDIRECTED)
+        if not refused and (self._order.pass_errors or answer.status < 500):
             return
-        kind = outcome_kind(answer.status, response.headers)
         if not answer.whole:
             answer.discard()
         raise AttemptError(f"status {answer.status}", answer.outcome(kind))
 
 
-def says_draining(headers: urllib3.HTTPHeaderDict) -> bool:
+def says_draining(
+    headers: urllib3.HTTPHeaderDict, names: HeaderNames = HeaderNames()
+) -> bool:
     """Return whether an answer's headers say that its server wants no new work."""
-    return headers.get("X-Draining", "").lower() == "true"
+    return headers.get(names.draining, "").lower() not in _FALSE
 
 
 def has_crashed(address: str) -> bool:
@@ -416,10 +493,22 @@
     return sockets.has_gone(address, connect_timeout_s=_GONE_TIMEOUT_S, hold_s=_GONE_HOLD_S)
 
 
-def outcome_kind(status: int, headers: urllib3.HTTPHeaderDict) -> ports.OutcomeKind:
+def outcome_kind(
+    status: int, headers: urllib3.HTTPHeaderDict, names: HeaderNames = HeaderNames()
+) -> ports.OutcomeKind:
     """Return how a whole answer counts as evidence about its server."""
-    if status == 503 and headers.get("X-Not-Run", "").lower() == "true":
+    if status == _MISDIRECTED_STATUS and names.expected_server:
+        return ports.OutcomeKind.MISDIRECTED
+    if headers.get(names.not_run, "").lower() not in _FALSE:
         return ports.OutcomeKind.SHED
     if status >= 500:
         return ports.OutcomeKind.SERVER_ERROR
     return ports.OutcomeKind.OK
+
+
+def _keep_alive_s(headers: urllib3.HTTPHeaderDict) -> float:
+    """Return how long a connection may wait for its next request, by what its server states."""
+    stated = _KEEP_ALIVE.search(headers.get("Keep-Alive", ""))
+    if stated is None:
+        return _DEFAULT_KEEP_ALIVE_S
+    return max(0.0, float(stated.group(1)) - _KEEP_ALIVE_MARGIN_S)
--- a/verbenadrum/dissemination/duty.py
+++ b/verbenadrum/dissemination/duty.py
@@ -13,6 +13,7 @@
     "Duty",
     "HostsAnswer",
     "PollOrder",
+    "ReadPolicy",
     "ReadReason",
     "ReaderDuty",
     "RecordsAnswer",
@@ -21,11 +22,8 @@
 
 _READERS_PER_REGION = 3
 _READER_KEY = "platform-reader"
-_POLL_WAIT_MS = 10_000.0
 _POLL_GAP_MS = 50.0
 _BACKOFF_BASE_MS = 200.0
-_BACKOFF_CAP_MS = 5_000.0
-_ISOLATED_AFTER_MS = 10_000.0
 _SEEDS_AFTER_MS = 500.0
 
 
@@ -41,6 +39,7 @@
 
     READER = "reader"
     STARTING = "starting"
+    GAP = "withdrawals-unknown"
     ISOLATED = "no-peer-heard"
     NONE = "left-to-readers"
 
@@ -56,6 +55,25 @@
     delay_ms: float
 
 
+class ReadPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """Times of the platform's readers, in milliseconds.
+
+    Attributes
+    ----------
+    poll_wait_ms : float
+        How long a call may wait for a change. A connection that has gone silent is noticed
+        after it.
+    backoff_cap_ms : float
+        Longest pause between calls that fail.
+    isolated_after_ms : float
+        A host that has heard no peer for this long reads for itself.
+    """
+
+    poll_wait_ms: float = 10_000.0
+    backoff_cap_ms: float = 5_000.0
+    isolated_after_ms: float = 10_000.0
+
+
 class Duty(msgspec.Struct, frozen=True, kw_only=True):
     """What the shell should read now; None for a stream that is left alone.
 
@@ -69,12 +87,17 @@
 
 
 class RecordsAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """The platform's answer to a poll for records; ``after`` is the revision asked for."""
+    """The platform's answer to a poll for records; ``after`` is the revision asked for.
+
+    A ``whole`` answer holds every record that exists, so that one which is held here and does not
+    occur in it has been withdrawn.
+    """
 
     after: int
     revision: int
     complete: bool
     envelopes: tuple[bytes, ...]
+    whole: bool = False
 
 
 class HostsAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -110,6 +133,8 @@
         How far the records are.
     hosts : HostListSpread
         Takes new host lists.
+    policy : ReadPolicy
+        Times of the calls.
     """
 
     def __init__(
@@ -119,11 +144,13 @@
         membership: host_table.HostTable,
         records: records.RecordSpread,
         hosts: host_lists.HostListSpread,
+        policy: ReadPolicy = ReadPolicy(),
     ) -> None:
         super().__init__(context=context)
         self._membership = membership
         self._records = records
         self._hosts = hosts
+        self._policy = policy
         self._started_ms = context.now_ms()
         self._backoffs = {stream: _Backoff() for stream in Stream}
         self._reason = ReadReason.NONE
@@ -136,8 +163,9 @@
         if reason is not self._reason:
             self._reason = reason
             self._context.decide(ring.DecisionKind.MEMBERSHIP, "platform-reader", reason.value)
-        wants_hosts = reason is not ReadReason.NONE
-        wants_records = wants_hosts and bool(self._membership.revision)
+        reads = reason is not ReadReason.NONE
+        wants_hosts = reads and self._hosts.published
+        wants_records = reads and bool(self._membership.revision)
         records_order = self._order(Stream.RECORDS, self._records.platform_cursor())
         hosts_order = self._order(Stream.HOSTS, self._membership.revision)
         return Duty(
@@ -154,6 +182,7 @@
             revision=answer.revision,
             complete=answer.complete,
             envelopes=answer.envelopes,
+            whole=answer.whole,
         )
         self._note(Stream.RECORDS, fresh)
         return fresh
@@ -175,9 +204,13 @@
             return ReadReason.STARTING
         if self._is_reader():
             return ReadReason.READER
-        if self._records.load_stalled:
+        # A list that the hosts keep themselves is short at first, so its readers are not known.
+        unlisted = not self._hosts.published and not self._records.complete_to
+        if unlisted or self._records.load_stalled:
             return ReadReason.STARTING
-        if self._context.now_ms() - self._records.heard_ms > _ISOLATED_AFTER_MS:
+        if self._records.gap:
+            return ReadReason.GAP
+        if self._context.now_ms() - self._records.heard_ms > self._policy.isolated_after_ms:
             return ReadReason.ISOLATED
         return ReadReason.NONE
 
@@ -191,13 +224,13 @@
         return self._reads
 
     def _asks_seeds(self) -> bool:
-        if self._membership.revision:
+        if self._membership.revision or not self._hosts.published:
             return False
         return self._context.now_ms() - self._started_ms >= _SEEDS_AFTER_MS
 
     def _order(self, stream: Stream, after: int) -> PollOrder:
         delay_ms = max(0.0, self._backoffs[stream].next_ms - self._context.now_ms())
-        return PollOrder(after=after, wait_ms=_POLL_WAIT_MS, delay_ms=delay_ms)
+        return PollOrder(after=after, wait_ms=self._policy.poll_wait_ms, delay_ms=delay_ms)
 
     def _note(self, stream: Stream, good: bool) -> None:
         backoff = self._backoffs[stream]
@@ -206,6 +239,6 @@
             backoff.failures = 0
             backoff.next_ms = now_ms + _POLL_GAP_MS
             return
-        ceiling_ms = min(_BACKOFF_CAP_MS, _BACKOFF_BASE_MS * 2.0**backoff.failures)
+        ceiling_ms = min(self._policy.backoff_cap_ms, _BACKOFF_BASE_MS * 2.0**backoff.failures)
         backoff.failures = min(backoff.failures + 1, 16)
         backoff.next_ms = now_ms + ceiling_ms * (0.5 + 0.5 * self._context.rng.random())
--- a/verbenadrum/dissemination/host_lists.py
+++ b/verbenadrum/dissemination/host_lists.py
@@ -5,7 +5,7 @@
 from verbenadrum import ids
 from verbenadrum.core import context, ports, system
 from verbenadrum.decisions import ring
-from verbenadrum.dissemination import messages, sampler
+from verbenadrum.dissemination import messages, registry, sampler
 from verbenadrum.membership import table as host_table
 
 __all__ = ["HostListSpread"]
@@ -17,6 +17,7 @@
 _Rows = dict[ids.HostId, ports.HostRow]
 
 
+@registry.host_list_systems.register("published")
 class HostListSpread(system.System):
     """Takes host lists from the platform and from peers, and passes on newer ones.
 
@@ -30,8 +31,12 @@
         Chooses whom to tell.
     address : str
         ``ip:port`` of this host's peer port, for answers before the list names it.
+    seeds : tuple of str
+        Not used here: the shell asks the seeds while the platform gives no list.
     """
 
+    published = True
+
     def __init__(
         self,
         *,
@@ -39,6 +44,7 @@
         membership: host_table.HostTable,
         peers: sampler.PeerSampler,
         address: str = "",
+        seeds: tuple[str, ...] = (),
     ) -> None:
         super().__init__(context=context)
         self._membership = membership
--- a/verbenadrum/dissemination/messages.py
+++ b/verbenadrum/dissemination/messages.py
@@ -42,13 +42,15 @@
     """Envelopes of the records that changed in ``(after, to]``.
 
     ``final`` states that the sender knew of nothing else beyond ``after``; otherwise more
-    follows, to be pulled from the same sender with ``after`` set to this ``to``.
+    follows, to be pulled from the same sender with ``after`` set to this ``to``. The sender knows
+    of every withdrawal after ``known_from``, and perhaps of none before.
     """
 
     after: int
     to: int
     final: bool
     envelopes: tuple[bytes, ...]
+    known_from: int = 0
 
 
 @base.register
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -84,6 +84,9 @@
         self._next_load_ms = 0.0
         self._heard_ms = context.now_ms()
         # Time of each step of `complete_to` and where it stood before, newest last.
+        # Revision since which every withdrawal is known, and whether some are known to be missing.
+        self._known_from = 0
+        self._gap = False
         self._steps: collections.deque[tuple[float, int]] = collections.deque()
 
     @property
@@ -96,6 +99,11 @@
         """Monotonic time of the newest digest or changes of a peer."""
         return self._heard_ms
 
+    @property
+    def gap(self) -> bool:
+        """Whether records may have been withdrawn that no peer can tell of any more."""
+        return self._gap
+
     @property
     def load_stalled(self) -> bool:
         """Whether peers have not given a first set of records for too long."""
@@ -105,10 +113,16 @@
 
     def platform_cursor(self) -> int:
         """Return the revision after which to ask the platform."""
-        return self._progress.cursor(PLATFORM)
+        return 0 if self._gap else self._progress.cursor(PLATFORM)
 
     def on_platform(
-        self, *, after: int, revision: int, complete: bool, envelopes: tuple[bytes, ...]
+        self,
+        *,
+        after: int,
+        revision: int,
+        complete: bool,
+        envelopes: tuple[bytes, ...],
+        whole: bool = False,
     ) -> bool:
         """Take an answer of the platform; one that is older than what is held changes nothing.
 
@@ -118,6 +132,11 @@
             False if the answer is older than its question or leads no further.
         """
         to = revision if complete else max(map(envelope.revision_of, envelopes), default=0)
+        if whole:
+            self._gap = False
+            if not self.complete_to:
+                self._known_from = revision
+            envelopes += self._store.withdrawals(envelopes, revision)
         self._take(PLATFORM, after, to, complete, envelopes)
         return to >= after if complete else to > after
 
@@ -134,6 +153,7 @@
     def on_changes(self, sender: ids.HostId, message: messages.RecordChanges) -> None:
         """Take changes that a peer pushed or that were pulled from it."""
         self._heard_ms = self._context.now_ms()
+        self._compare_history(message)
         self._take(sender, message.after, message.to, message.final, message.envelopes)
 
     @system.handles(messages.RecordPull)
@@ -158,6 +178,17 @@
         for raw in message.envelopes:
             self._store.offer(raw)
 
+    def _compare_history(self, message: messages.RecordChanges) -> None:
+        """Note where the sender never knew of withdrawals that this host lacks too."""
+        if not self.complete_to:
+            self._known_from = max(self._known_from, message.known_from)
+        elif message.known_from > self.complete_to and not self._gap:
+            self._gap = True
+            detail = {"complete_to": self.complete_to, "known_from": message.known_from}
+            self._context.decide(
+                ring.DecisionKind.RECORD, "read-whole", "withdrawals-unknown", detail=detail
+            )
+
     def _take(
         self, source: str, after: int, to: int, final: bool, envelopes: tuple[bytes, ...]
     ) -> None:
@@ -256,11 +287,15 @@
         last = after
         for revision, raw in self._store.after(after):
             if size + len(raw) > _MAX_CHUNK_BYTES and revision != last and envelopes:
-                return messages.RecordChanges(after, last, False, tuple(envelopes))
+                return messages.RecordChanges(
+                    after, last, False, tuple(envelopes), self._known_from
+                )
             envelopes.append(raw)
             size += len(raw)
             last = revision
-        return messages.RecordChanges(after, self.complete_to, True, tuple(envelopes))
+        return messages.RecordChanges(
+            after, self.complete_to, True, tuple(envelopes), self._known_from
+        )
 
     # Pulling
 
--- a/verbenadrum/dissemination/registry.py
+++ b/verbenadrum/dissemination/registry.py
@@ -1,8 +1,11 @@
-"""Register of the rules that say which hosts read the platform."""
+"""Registers of the rules that say which hosts read the platform, and of the host lists."""
 
 from verbenadrum.utils import registry
 
-__all__ = ["reader_duties"]
+__all__ = ["host_list_systems", "reader_duties"]
 
 # Each entry is a class with the constructor and the methods of ``duty.ReaderDuty``.
 reader_duties: registry.Registry = registry.Registry(kind="reader duty")
+
+# Each entry is a class with the constructor and the methods of ``host_lists.HostListSpread``.
+host_list_systems: registry.Registry = registry.Registry(kind="host list")
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -6,6 +6,7 @@
 from verbenadrum.core import context, ports, system
 from verbenadrum.decisions import ring
 from verbenadrum.entry import keys, refusals, table
+from verbenadrum.records import types
 
 __all__ = ["EntryPipeline"]
 
@@ -43,6 +44,9 @@
     def begin(self, head: ports.RequestHead, sink: ports.RequestSink) -> None:
         """Start a request; the sink hears what becomes of it."""
         found = self._records.route(head.host, head.path)
+        if found is None and not self._records.configured:
+            self._refuse_head(head, sink, refusals.not_configured(head))
+            return
         if found is None:
             self._refuse_head(head, sink, refusals.no_route(head))
             return
@@ -51,9 +55,10 @@
         if workspace is None and not route.public:
             self._refuse_head(head, sink, refusals.not_authenticated(head))
             return
+        service = self._choose_service(route)
         self._context.decide(
             ring.DecisionKind.ROUTE,
-            route.service,
+            service,
             "longest-prefix",
             subject=name,
             request=head.request,
@@ -64,6 +69,7 @@
             sink=sink,
             route_name=name,
             route=route,
+            service=service,
             workspace=workspace or ids.WorkspaceId(""),
             idempotent=head.method in route.idempotent_methods,
             fingerprint=_fingerprint(head, workspace),
@@ -98,6 +104,8 @@
             return
         attempt = row.attempts.pop(lease)
         row.byte_sent = row.byte_sent or outcome.bytes_sent
+        row.may_have_run = row.may_have_run or outcome.may_have_run
+        row.run_count += outcome.may_have_run
         self._log_outcome(row, attempt, outcome)
         if row.stage is table.RequestStage.COMMITTED:
             if not row.attempts:
@@ -130,13 +138,22 @@
             elif now_ms >= row.hedge_at_ms:
                 self._hedge(row)
 
+    def _choose_service(self, route: types.RouteSpec) -> ids.ServiceId:
+        """Return the service of a request, at random by weight where a route has several."""
+        weights = [share.weight for share in route.backends]
+        if not sum(weights):
+            return ids.ServiceId(route.service)
+        (chosen,) = self._context.rng.choices(route.backends, weights)
+        return ids.ServiceId(chosen.service)
+
     def _authenticate(self, head: ports.RequestHead) -> ids.WorkspaceId | None:
         if not head.key:
             return None
         return self._records.key_workspace(keys.hash_key(head.key))
 
     def _admit(self, row: table.RequestRow) -> None:
-        if not row.workspace:
+        spec = self._records.workspace(row.workspace)
+        if not row.workspace or (spec is not None and not spec.limited):
             self._claim(row)
             return
 
@@ -207,7 +224,7 @@
             request=row.head.request,
             attempt=row.attempt_count,
             workspace=row.workspace,
-            service=ids.ServiceId(row.route.service),
+            service=row.service,
             idempotent=row.idempotent,
             fingerprint=_placement_fingerprint(row),
             deadline_ms=row.deadline_ms,
@@ -228,7 +245,7 @@
             if row.attempts and placement.retry_after_ms > 0:
                 row.hedge_at_ms = self._context.now_ms() + placement.retry_after_ms
             if not row.attempts:
-                refusal = refusals.not_placed(row.head, placement, row.byte_sent)
+                refusal = refusals.not_placed(row.head, placement, row.may_have_run)
                 self._refuse(row, refusal)
             return
         self._dispatch(row, request, placement)
@@ -258,13 +275,14 @@
                 workspace=row.workspace,
                 deadline_ms=row.deadline_ms,
                 route=row.route_name,
-                pass_errors=not row.idempotent,
+                pass_errors=not row.idempotent or not self._attempt_left(row),
                 echo_required=self._echo_required(row),
+                repeatable=row.idempotent,
             )
         )
 
     def _echo_required(self, row: table.RequestRow) -> bool:
-        pool = self._records.pool(ids.ServiceId(row.route.service))
+        pool = self._records.pool(row.service)
         return pool is None or pool.echoes_request_id
 
     def _after_failure(self, row: table.RequestRow, outcome: ports.Outcome) -> None:
@@ -272,20 +290,32 @@
             self._log_retry(row, "retry", outcome.kind.value)
             self._place(row)
             return
-        self._refuse(row, refusals.attempt_failed(row.head, outcome, row.byte_sent))
+        self._refuse(row, refusals.attempt_failed(row.head, outcome, row.may_have_run))
 
     def _retry_allowed(self, row: table.RequestRow, outcome: ports.Outcome) -> bool:
-        safe = row.idempotent or not row.byte_sent
+        safe = row.idempotent or not row.may_have_run
         sendable = row.head.replayable or not row.byte_sent
         if not (safe and sendable) or outcome.kind is ports.OutcomeKind.CANCELLED:
             return False
+        if not self._attempt_left(row):
+            return False
         if self._context.now_ms() >= row.deadline_ms:
             return False
         return self._placer.may_retry(self._placement_request(row))
 
+    def _attempt_left(self, row: table.RequestRow) -> bool:
+        """Return whether the route lets the request go to one more server.
+
+        An attempt that certainly has not run does not count.
+        """
+        most = row.route.max_attempts
+        return not most or row.run_count + len(row.attempts) < most
+
     def _hedge(self, row: table.RequestRow) -> None:
         row.hedge_at_ms = float("inf")
-        if row.placing or not self._placer.may_retry(self._placement_request(row), hedge=True):
+        if row.placing or not self._attempt_left(row):
+            return
+        if not self._placer.may_retry(self._placement_request(row), hedge=True):
             return
         self._log_retry(row, "hedge", "slower-than-expected")
         current = [attempt.server for attempt in row.attempts.values()]
@@ -295,10 +325,10 @@
             row.excluded.remove(server)
 
     def _expire(self, row: table.RequestRow) -> None:
-        may_have_run = row.byte_sent or bool(row.attempts)
+        may_have_run = row.may_have_run or bool(row.attempts)
         for lease in list(row.attempts):
             row.sink.cancel(lease)
-        row.byte_sent = may_have_run
+        row.may_have_run = may_have_run
         self._refuse(row, refusals.deadline_passed(row.head, may_have_run))
 
     def _refuse(self, row: table.RequestRow, refusal: ports.Refusal) -> None:
@@ -319,7 +349,7 @@
 
     def _end(self, row: table.RequestRow, answer: ports.StoredAnswer | None) -> None:
         if row.claim is not None:
-            if row.byte_sent or row.attempts:
+            if row.may_have_run or row.attempts:
                 self._claims.finish(row.claim, answer)
             else:
                 self._claims.release(row.claim)
--- a/verbenadrum/entry/refusals.py
+++ b/verbenadrum/entry/refusals.py
@@ -7,6 +7,7 @@
     "claim_refused",
     "deadline_passed",
     "no_route",
+    "not_configured",
     "not_admitted",
     "not_authenticated",
     "not_placed",
@@ -17,12 +18,26 @@
     ports.ClaimState.UNKNOWN: 409,
     ports.ClaimState.NOT_RUN: 503,
 }
+# A host learns the routes within this time of its start unless it reaches nobody.
+NOT_CONFIGURED_RETRY_MS = 200.0
 KEY_REUSED = "key-reused"
 POISON_REQUEST = "poison-request"
 LIMIT_UNAVAILABLE = "limit-unavailable"
 _OUTCOME_STATUS = {ports.OutcomeKind.TIMEOUT: 504, ports.OutcomeKind.CANCELLED: 504}
 
 
+def not_configured(head: ports.RequestHead) -> ports.Refusal:
+    """Return the refusal of any request to a host that knows no routes yet."""
+    return ports.Refusal(
+        request=head.request,
+        status=503,
+        code="not-configured",
+        detail="this host has not learned the routes yet",
+        not_run=ports.NotRun.TRUE,
+        retry_after_ms=NOT_CONFIGURED_RETRY_MS,
+    )
+
+
 def no_route(head: ports.RequestHead) -> ports.Refusal:
     """Return the refusal of a path that no route covers."""
     return ports.Refusal(
@@ -74,14 +89,14 @@
 
 
 def not_placed(
-    head: ports.RequestHead, placement: ports.Placement, byte_sent: bool
+    head: ports.RequestHead, placement: ports.Placement, may_have_run: bool
 ) -> ports.Refusal:
     """Return the refusal of a request that got no backend server."""
     # A poison request's earlier copies have run, so its refusal never claims that nothing ran.
-    unsure = byte_sent or placement.reason == POISON_REQUEST
+    unsure = may_have_run or placement.reason == POISON_REQUEST
     return ports.Refusal(
         request=head.request,
-        status=502 if byte_sent else 503,
+        status=502 if may_have_run else 503,
         code=placement.reason,
         detail="no backend server could take the request",
         not_run=ports.NotRun.UNKNOWN if unsure else ports.NotRun.TRUE,
@@ -90,25 +105,25 @@
 
 
 def attempt_failed(
-    head: ports.RequestHead, outcome: ports.Outcome, byte_sent: bool
+    head: ports.RequestHead, outcome: ports.Outcome, may_have_run: bool
 ) -> ports.Refusal:
     """Return the refusal of a request whose last attempt failed."""
     status = _OUTCOME_STATUS.get(outcome.kind, 502)
     return ports.Refusal(
         request=head.request,
-        status=status if byte_sent else 503,
+        status=status if may_have_run else 503,
         code=outcome.kind.value,
         detail="the backend server did not give a whole answer",
-        not_run=ports.NotRun.UNKNOWN if byte_sent else ports.NotRun.TRUE,
+        not_run=ports.NotRun.UNKNOWN if may_have_run else ports.NotRun.TRUE,
     )
 
 
-def deadline_passed(head: ports.RequestHead, byte_sent: bool) -> ports.Refusal:
+def deadline_passed(head: ports.RequestHead, may_have_run: bool) -> ports.Refusal:
     """Return the refusal of a request whose deadline passed before an answer began."""
     return ports.Refusal(
         request=head.request,
-        status=504 if byte_sent else 503,
+        status=504 if may_have_run else 503,
         code="deadline-passed",
         detail="the request's deadline passed",
-        not_run=ports.NotRun.UNKNOWN if byte_sent else ports.NotRun.TRUE,
+        not_run=ports.NotRun.UNKNOWN if may_have_run else ports.NotRun.TRUE,
     )
--- a/verbenadrum/entry/table.py
+++ b/verbenadrum/entry/table.py
@@ -36,8 +36,14 @@
     ----------
     claim : ClaimRequest or None
         The claim that this request has won, if it needed one.
+    service : ServiceId
+        The service that was chosen for it.
     byte_sent : bool
         Whether any attempt may have sent a byte.
+    may_have_run : bool
+        Whether any server may have begun to work on it.
+    run_count : int
+        Attempts that have ended and may have run.
     attempts : dict
         Attempts that have not ended, by lease.
     attempt_count : int
@@ -54,6 +60,7 @@
     sink: ports.RequestSink
     route_name: str
     route: types.RouteSpec
+    service: ids.ServiceId
     workspace: ids.WorkspaceId
     idempotent: bool
     fingerprint: str
@@ -61,6 +68,8 @@
     stage: RequestStage = RequestStage.ADMITTING
     claim: ports.ClaimRequest | None = None
     byte_sent: bool = False
+    may_have_run: bool = False
+    run_count: int = 0
     attempts: dict[ids.LeaseId, AttemptRow] = msgspec.field(default_factory=dict)
     attempt_count: int = 0
     excluded: list[ids.ServerId] = msgspec.field(default_factory=list)
--- /dev/null
+++ b/verbenadrum/platform/store.py
@@ -0,0 +1,166 @@
+"""Calls to the platform's store: a listing at first, then watches for what changes."""
+
+import logging
+import urllib.parse
+
+import gevent
+import msgspec
+import urllib3
+
+from verbenadrum.daemon import sources
+from verbenadrum.dissemination import duty
+from verbenadrum.platform import wire
+
+__all__ = ["StoreSource"]
+
+_KEY_PATH = "/verbenadrum/kv-key"
+_RANGE_PATH = "/verbenadrum/kv-range"
+_WATCH_PATH = "/verbenadrum/kv-watch"
+_HISTORY_GONE = 410
+_NOT_FOUND = 404
+_OK = 200
+# Every key of the store is watched by one call: they are few, and calls are priced.
+_EVERY_KEY = ""
+_MAX_ANSWER_BYTES = 8_388_608
+_MS_PER_S = 1000.0
+
+_log = logging.getLogger(__name__)
+
+
+@sources.sources.register("store")
+class StoreSource:
+    """Reads records from the platform's store.
+
+    Parameters
+    ----------
+    options : SourceOptions
+        Time limits, data centres and the ejection floor.
+    """
+
+    def __init__(self, *, options: sources.SourceOptions) -> None:
+        self._options = options
+        self._http = urllib3.PoolManager(num_pools=2, maxsize=2, retries=False)
+        self._reported: set[tuple[str, int]] = set()
+
+    def poll(self, base: str, stream: duty.Stream, order: duty.PollOrder) -> duty.RecordsAnswer:
+        """Return what changed after ``order.after``, or everything there is.
+
+        Raises
+        ------
+        SourceError
+            If a call failed.
+        """
+        if order.after:
+            page = self._watch(base, order)
+            if page is not None:
+                return self._answer(order.after, page.current_rev, page.events, whole=False)
+        return self._list(base)
+
+    def _list(self, base: str) -> duty.RecordsAnswer:
+        # Pages are no snapshot: what changes after the first call comes in the next watch.
+        status, data = self._get(base, _KEY_PATH, {"key": wire.CONFIGURATION_KEY})
+        revisions = []
+        items: list[wire.Item] = []
+        if status == _OK:
+            found = _decode(data, wire.KeyAnswer)
+            items.append(found)
+            revisions.append(found.current_rev)
+        elif status != _NOT_FOUND:
+            raise sources.SourceError(f"status {status} from {base}{_KEY_PATH}")
+        after = ""
+        while True:
+            page = self._range(base, after)
+            revisions.append(page.current_rev)
+            items.extend(page.items)
+            if not page.more_pages or not page.items:
+                break
+            after = page.items[-1].key
+        return self._answer(0, min(revisions), tuple(items), whole=True)
+
+    def _range(self, base: str, after: str) -> wire.Page:
+        query = {"prefix": wire.SERVERS_PREFIX}
+        if after:
+            query["after"] = after
+        status, data = self._get(base, _RANGE_PATH, query)
+        if status != _OK:
+            raise sources.SourceError(f"status {status} from {base}{_RANGE_PATH}")
+        return _decode(data, wire.Page)
+
+    def _watch(self, base: str, order: duty.PollOrder) -> wire.Page | None:
+        """Return the changes, or None where the store's history does not reach back."""
+        query = {
+            "prefix": _EVERY_KEY,
+            "after": str(order.after),
+            "wait_ms": f"{order.wait_ms:.0f}",
+        }
+        status, data = self._get(base, _WATCH_PATH, query, order.wait_ms)
+        if status == _HISTORY_GONE:
+            _log.info("the store's history was dropped", extra={"after": order.after})
+            return None
+        if status != _OK:
+            raise sources.SourceError(f"status {status} from {base}{_WATCH_PATH}")
+        return _decode(data, wire.Page)
+
+    def _answer(
+        self, after: int, revision: int, items: tuple[wire.Item, ...], *, whole: bool
+    ) -> duty.RecordsAnswer:
+        envelopes = []
+        for item in sorted(items, key=lambda each: each.mod_revision):
+            raw = self._decode(item)
+            if raw is not None:
+                envelopes.append(raw)
+        return duty.RecordsAnswer(
+            after=after,
+            revision=max(after, revision),
+            complete=True,
+            envelopes=tuple(envelopes),
+            whole=whole,
+        )
+
+    def _decode(self, item: wire.Item) -> bytes | None:
+        try:
+            return wire.decode_item(item, zones=self._options.zones, floor=self._options.floor)
+        except wire.MalformedValueError as error:
+            if (item.key, item.mod_revision) not in self._reported:
+                self._reported.add((item.key, item.mod_revision))
+                _log.warning(
+                    "value skipped",
+                    extra={
+                        "key": item.key,
+                        "revision": item.mod_revision,
+                        "fault": error.message,
+                    },
+                )
+            # An entry that cannot be read names no server to use.
+            return wire.withdrawal(item)
+
+    def _get(
+        self, base: str, path: str, query: dict[str, str], wait_ms: float = 0.0
+    ) -> tuple[int, bytes]:
+        limit_s = wait_ms / _MS_PER_S + self._options.read_timeout_s
+        url = f"{base}{path}?{urllib.parse.urlencode(query)}"
+        with gevent.Timeout(limit_s + self._options.connect_timeout_s):
+            response = self._http.request(
+                "GET",
+                url,
+                timeout=urllib3.Timeout(connect=self._options.connect_timeout_s, read=limit_s),
+                redirect=False,
+                preload_content=False,
+            )
+            try:
+                data = response.read(_MAX_ANSWER_BYTES + 1)
+            except BaseException:
+                response.close()
+                raise
+            finally:
+                response.release_conn()
+        if len(data) > _MAX_ANSWER_BYTES:
+            raise sources.SourceError(f"answer of more than {_MAX_ANSWER_BYTES} bytes from {base}")
+        return response.status, data
+
+
+def _decode(data: bytes, expected: type):
+    try:
+        return msgspec.json.decode(data, type=expected)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise sources.SourceError(f"unreadable answer: {error}") from error
--- /dev/null
+++ b/verbenadrum/platform/wire.py
@@ -0,0 +1,302 @@
+"""Values of the platform's store, decoded into records."""
+
+import base64
+import binascii
+import hashlib
+from typing import Annotated
+
+import msgspec
+
+from verbenadrum.records import envelope, types
+from verbenadrum.utils import errors
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "SERVERS_PREFIX",
+    "Item",
+    "KeyAnswer",
+    "MalformedValueError",
+    "Page",
+    "decode_item",
+    "duration_ms",
+    "withdrawal",
+]
+
+CONFIGURATION_KEY = "op/config"
+SERVERS_PREFIX = "servers/"
+# Every version of a configuration is a new value of one record.
+_CONFIGURATION_NAME = "configuration"
+_UNITS_MS = {"ms": 1.0, "s": 1000.0}
+# Kinds of routes whose requests may run more than once, whatever their method.
+_REPEATABLE = frozenset({"safe", "download"})
+_ROUTE_TYPES = frozenset({"safe", "download", "unsafe"})
+_EVERY_METHOD = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE")
+_STATES = {"ready": types.ServerState.LIVE, "draining": types.ServerState.LEAVING}
+
+Whole = Annotated[int, msgspec.Meta(ge=0)]
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+
+class MalformedValueError(errors.VerbenadrumError):
+    """A value of the store that is not of the platform's format."""
+
+    code = "malformed-value"
+
+
+class Item(msgspec.Struct, frozen=True, kw_only=True):
+    """One key of the store, as written or, in a watch, as deleted."""
+
+    key: str
+    mod_revision: int
+    value: str = ""
+    deleted: bool = False
+
+
+class Page(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a range (``items``) or a watch (``events``).
+
+    ``current_rev`` is the store's revision when it answered, not that of an item.
+    """
+
+    current_rev: int
+    items: tuple[Item, ...] = ()
+    events: tuple[Item, ...] = ()
+    more_pages: bool = False
+
+
+class KeyAnswer(Item, frozen=True, kw_only=True):
+    """Answer to a look-up of one key that exists."""
+
+    current_rev: int
+
+
+class _ServerInfo(msgspec.Struct, frozen=True, kw_only=True):
+    # ``config_version`` is the version of the server's software, not of a configuration.
+    service: Text
+    zone: Text
+    capacity: Annotated[int, msgspec.Meta(ge=1)]
+    config_version: str = ""
+
+
+class _ServerStatus(msgspec.Struct, frozen=True, kw_only=True):
+    # ``warmup_left`` is how much longer the server stays slow after its start.
+    state: Text
+    sequence: Whole
+    warmup_left: str = "0ms"
+
+
+class _Server(msgspec.Struct, frozen=True, kw_only=True):
+    # ``born`` is the Unix millisecond of the server's start.
+    address: Text
+    info: _ServerInfo
+    status: _ServerStatus
+    born: Whole = 0
+
+
+class _Backend(msgspec.Struct, frozen=True, kw_only=True):
+    service: Text
+    weight: Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _Route(msgspec.Struct, frozen=True, kw_only=True):
+    # ``public`` means that no key is needed; ``timeout`` bounds the wait of one request.
+    name: Text
+    hostname: Text
+    prefix: Text
+    type: Text
+    timeout: str
+    target_latency: str = "0ms"
+    priority: Whole = 0
+    service: str = ""
+    backends: tuple[_Backend, ...] = ()
+    max_attempts: Whole = 0
+    public: bool = False
+
+
+class _Service(msgspec.Struct, frozen=True, kw_only=True):
+    # ``max_connections`` is what one server accepts from all callers together.
+    name: Text
+    health_path: str = "/"
+    max_connections: Annotated[int, msgspec.Meta(ge=1)] = 300
+
+
+class _Tenant(msgspec.Struct, frozen=True, kw_only=True):
+    # ``rate_per_s`` of 0 means no limit.
+    name: Text
+    api_keys: tuple[str, ...] = ()
+    priority: Whole | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+class _Configuration(msgspec.Struct, frozen=True, kw_only=True):
+    # ``config_version`` has eight hexadecimal digits. ``tenants`` may be missing: then no route
+    # needs a key.
+    config_version: str
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+def duration_ms(text: str) -> float:
+    """Return a time such as ``1500ms`` or ``2.5s`` in milliseconds.
+
+    Raises
+    ------
+    MalformedValueError
+        If it is not a number with one of the two units.
+
+    Examples
+    --------
+    >>> duration_ms("2.5s"), duration_ms("300ms")
+    (2500.0, 300.0)
+    """
+    for unit, factor in _UNITS_MS.items():
+        number = text.removesuffix(unit)
+        if number != text and number.replace(".", "", 1).isdigit():
+            return float(number) * factor
+    raise MalformedValueError(f"{text!r} is no time with the unit ms or s")
+
+
+def decode_item(item: Item, *, zones: frozenset[str], floor: float) -> bytes | None:
+    """Return the envelope of the record that a key of the store stands for.
+
+    Parameters
+    ----------
+    item : Item
+        The key with its value.
+    zones : frozenset of str
+        Names of the data centres that a server may stand in.
+    floor : float
+        Fraction of a pool's servers that ejection must leave in service.
+
+    Returns
+    -------
+    bytes or None
+        None for a key that stands for no record.
+
+    Raises
+    ------
+    MalformedValueError
+        If the value cannot be read.
+    """
+    if item.key == CONFIGURATION_KEY:
+        if item.deleted:
+            raise MalformedValueError("the configuration was deleted; the last one stays in force")
+        spec = _configuration(_decode(item.value, _Configuration), floor)
+        return _envelope(types.RecordKind.CONFIGURATION, _CONFIGURATION_NAME, item, spec)
+    if not item.key.startswith(SERVERS_PREFIX):
+        return None
+    name = item.key.removeprefix(SERVERS_PREFIX)
+    if item.deleted:
+        return withdrawal(item)
+    server = _decode(item.value, _Server)
+    return _envelope(types.RecordKind.SERVER, name, item, _server(server, zones))
+
+
+def withdrawal(item: Item) -> bytes | None:
+    """Return the envelope that withdraws the server of a key, or None for another key."""
+    if not item.key.startswith(SERVERS_PREFIX):
+        return None
+    name = item.key.removeprefix(SERVERS_PREFIX)
+    return _envelope(types.RecordKind.SERVER, name, item, None)
+
+
+def _envelope(
+    kind: types.RecordKind, name: str, item: Item, spec: types.Spec | None
+) -> bytes:
+    record = types.Record(kind=kind, name=name, revision=item.mod_revision, spec=spec)
+    return envelope.render(record)
+
+
+def _decode(value: str, expected: type):
+    try:
+        return msgspec.json.decode(base64.b64decode(value, validate=True), type=expected)
+    except (msgspec.DecodeError, binascii.Error, RecursionError, ValueError) as error:
+        raise MalformedValueError(f"unreadable value: {error}") from error
+
+
+def _server(server: _Server, zones: frozenset[str]) -> types.ServerSpec:
+    state = _STATES.get(server.status.state)
+    if state is None:
+        raise MalformedValueError(f"state {server.status.state!r} is not known")
+    if server.info.zone not in zones:
+        raise MalformedValueError(f"zone {server.info.zone!r} is not in the settings")
+    return types.ServerSpec(
+        service=server.info.service,
+        address=server.address,
+        data_centre=server.info.zone,
+        state=state,
+        slots=server.info.capacity,
+        started_wall_ms=float(server.born),
+        warm_after_ms=duration_ms(server.status.warmup_left),
+    )
+
+
+def _configuration(wire: _Configuration, floor: float) -> types.ConfigurationSpec:
+    try:
+        version = int(wire.config_version, 16)
+    except ValueError as error:
+        raise MalformedValueError(f"version {wire.config_version!r} is not hexadecimal") from error
+    keyless = not wire.tenants
+    return types.ConfigurationSpec(
+        version=version,
+        routes=tuple(_route(route, keyless) for route in wire.routes),
+        workspaces=tuple(_workspace(tenant) for tenant in wire.tenants or ()),
+        keys=tuple(key for tenant in wire.tenants or () for key in _keys(tenant)),
+        pools=tuple(_pool(service, floor) for service in wire.services),
+    )
+
+
+def _route(route: _Route, keyless: bool) -> types.NamedRoute:
+    if route.type not in _ROUTE_TYPES:
+        raise MalformedValueError(f"type {route.type!r} of route {route.name!r} is not known")
+    if not route.service and not route.backends:
+        raise MalformedValueError(f"route {route.name!r} names no service")
+    backends = tuple(
+        types.BackendShare(service=each.service, weight=each.weight) for each in route.backends
+    )
+    spec = types.RouteSpec(
+        path_prefix=route.prefix,
+        service=route.service or backends[0].service,
+        host=route.hostname.lower(),
+        public=route.public or keyless,
+        timeout_ms=duration_ms(route.timeout),
+        idempotent_methods=_EVERY_METHOD if route.type in _REPEATABLE else (),
+        backends=backends,
+        max_attempts=route.max_attempts,
+        target_latency_ms=duration_ms(route.target_latency),
+        priority=route.priority,
+    )
+    return types.NamedRoute(name=route.name, spec=spec)
+
+
+def _workspace(tenant: _Tenant) -> types.NamedWorkspace:
+    limited = tenant.rate_per_s > 0
+    spec = types.WorkspaceSpec(
+        rate_per_s=tenant.rate_per_s if limited else 1.0,
+        burst=max(1.0, tenant.burst),
+        limited=limited,
+        priority=tenant.priority,
+    )
+    return types.NamedWorkspace(name=tenant.name, spec=spec)
+
+
+def _keys(tenant: _Tenant) -> list[types.NamedKey]:
+    digests = (hashlib.sha256(key.encode()).hexdigest() for key in tenant.api_keys)
+    return [
+        types.NamedKey(
+            name=digest, spec=types.KeySpec(workspace=tenant.name, sha256=digest)
+        )
+        for digest in digests
+    ]
+
+
+def _pool(service: _Service, floor: float) -> types.NamedPool:
+    spec = types.PoolSpec(
+        servers=(),
+        floor=floor,
+        max_connections=service.max_connections,
+        probe_path=service.health_path or "/",
+    )
+    return types.NamedPool(name=service.name, spec=spec)
--- a/verbenadrum/records/checks.py
+++ b/verbenadrum/records/checks.py
@@ -97,6 +97,29 @@
         yield "spec.data_centres: the weights add up to 0"
 
 
+@register(types.RecordKind.SERVER)
+def _check_server(name: str, spec: types.ServerSpec) -> Iterator[str]:
+    if not _is_address(spec.address):
+        yield f"spec.address: {spec.address!r} is not of the form ip:port"
+    if spec.slots > _MAX_SLOTS:
+        yield f"spec.slots: {spec.slots} is more than {_MAX_SLOTS}"
+
+
+@register(types.RecordKind.CONFIGURATION)
+def _check_configuration(name: str, spec: types.ConfigurationSpec) -> Iterator[str]:
+    groups = (
+        ("routes", types.RecordKind.ROUTE, spec.routes),
+        ("workspaces", types.RecordKind.WORKSPACE, spec.workspaces),
+        ("keys", types.RecordKind.KEY, spec.keys),
+        ("pools", types.RecordKind.POOL, spec.pools),
+    )
+    for group, kind, entries in groups:
+        yield from _check_unique(f"spec.{group}", "name", (entry.name for entry in entries))
+        for entry in entries:
+            for fault in faults(kind, entry.name, entry.spec):
+                yield f"spec.{group}.{entry.name}.{fault}"
+
+
 def _check_path(where: str, path: str) -> Iterator[str]:
     if not path.startswith("/"):
         yield f"{where}: {path!r} is not a path that begins with '/'"
--- a/verbenadrum/records/envelope.py
+++ b/verbenadrum/records/envelope.py
@@ -28,6 +28,8 @@
     types.RecordKind.KEY: types.KeySpec,
     types.RecordKind.POOL: types.PoolSpec,
     types.RecordKind.FLEET: types.FleetSpec,
+    types.RecordKind.CONFIGURATION: types.ConfigurationSpec,
+    types.RecordKind.SERVER: types.ServerSpec,
 }
 
 
--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -138,6 +138,33 @@
             return None
         return _accepted(row)
 
+    def withdrawals(self, listed: tuple[bytes, ...], revision: int) -> tuple[bytes, ...]:
+        """Return envelopes that withdraw the servers which a whole listing does not hold.
+
+        Parameters
+        ----------
+        listed : tuple of bytes
+            Envelopes of every record that existed at ``revision``.
+        revision : int
+            Revision of the listing, which the withdrawals get.
+        """
+        names = set()
+        for raw in listed:
+            header = envelope.read_header(raw)
+            names.add((header.kind, header.name))
+        gone = []
+        for (kind, name), row in self._rows.items():
+            held = row.record is not None and row.record.spec is not None
+            listed_now = (kind, name) in names
+            if kind != types.RecordKind.SERVER.value or not held or listed_now:
+                continue
+            if row.accepted_revision < revision:
+                record = types.Record(
+                    kind=types.RecordKind.SERVER, name=name, revision=revision, spec=None
+                )
+                gone.append(envelope.render(record))
+        return tuple(gone)
+
     def rejections(self) -> tuple[Rejection, ...]:
         """Return the refused revisions that no good one has replaced, newest last."""
         return tuple(sorted(self._rejections.values(), key=lambda entry: entry.revision))
--- a/verbenadrum/records/table.py
+++ b/verbenadrum/records/table.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+import msgspec
+
 from verbenadrum import ids
 from verbenadrum.records import checks, types
 
@@ -24,15 +26,25 @@
         self._routes: dict[str, dict[str, dict[str, types.RouteSpec]]] = {}
         self._workspaces: dict[ids.WorkspaceId, types.WorkspaceSpec] = {}
         self._pools: dict[ids.ServiceId, types.PoolSpec] = {}
-        # Names of the key records that hold each hash; nearly always one.
-        self._key_holders: dict[str, tuple[str, ...]] = {}
+        # Workspaces by the names of the keys that hold each hash; nearly always one.
+        self._key_holders: dict[str, dict[str, str]] = {}
         self._fleet: types.FleetSpec | None = None
+        self._configuration: types.ConfigurationSpec | None = None
+        # Pools as their records have them, and the servers that are published by themselves.
+        self._base_pools: dict[ids.ServiceId, types.PoolSpec] = {}
+        self._servers: dict[ids.ServiceId, dict[ids.ServerId, types.ServerSpec]] = {}
+        self._lapsed: dict[ids.ServerId, ids.ServiceId] = {}
 
     @property
     def revision(self) -> int:
         """Greatest revision seen; 0 before the first record."""
         return self._revision
 
+    @property
+    def configured(self) -> bool:
+        """Whether anything is known of what callers may ask for."""
+        return self._configuration is not None or bool(self._routes)
+
     def put(self, record: types.Record) -> bool:
         """Accept a record if it is newer than the row in force.
 
@@ -50,6 +62,17 @@
         self._index(record, None if current is None else current.spec)
         return True
 
+    def lapsed(self) -> tuple[ids.ServerId, ...]:
+        """Return the servers whose record was withdrawn while they were live, oldest first."""
+        return tuple(self._lapsed)
+
+    def drop_lapsed(self, server: ids.ServerId) -> None:
+        """Take a lapsed server out of its pool; one that has returned meanwhile stays."""
+        service = self._lapsed.pop(server, None)
+        if service is not None:
+            self._servers[service].pop(server, None)
+            self._compose(service)
+
     def rows(self) -> list[types.Record]:
         """Return every row, withdrawn ones included, in ascending revision."""
         records = (record for rows in self._rows.values() for record in rows.values())
@@ -82,8 +105,7 @@
         holders = self._key_holders.get(sha256)
         if not holders:
             return None
-        row = self._rows[types.RecordKind.KEY][max(holders)]
-        return ids.WorkspaceId(row.spec.workspace)
+        return ids.WorkspaceId(holders[max(holders)])
 
     def pool(self, service: ids.ServiceId) -> types.PoolSpec | None:
         """Return a service's pool, or None if it is unknown."""
@@ -105,7 +127,11 @@
         elif record.kind is types.RecordKind.WORKSPACE:
             _replace(self._workspaces, ids.WorkspaceId(record.name), record.spec)
         elif record.kind is types.RecordKind.POOL:
-            _replace(self._pools, ids.ServiceId(record.name), record.spec)
+            self._index_pool(ids.ServiceId(record.name), record.spec)
+        elif record.kind is types.RecordKind.SERVER:
+            self._index_server(ids.ServerId(record.name), previous, record.spec)
+        elif record.kind is types.RecordKind.CONFIGURATION:
+            self._index_configuration(record.spec)
         elif record.name == checks.FLEET_RECORD_NAME and record.spec is not None:
             self._fleet = record.spec
 
@@ -122,11 +148,83 @@
         self, name: str, previous: types.KeySpec | None, spec: types.KeySpec | None
     ) -> None:
         if previous is not None:
-            left = tuple(each for each in self._key_holders[previous.sha256] if each != name)
+            left = dict(self._key_holders[previous.sha256])
+            left.pop(name, None)
             _replace(self._key_holders, previous.sha256, left or None)
         if spec is not None:
-            holders = self._key_holders.get(spec.sha256, ())
-            self._key_holders[spec.sha256] = (*holders, name)
+            holders = self._key_holders.get(spec.sha256, {})
+            self._key_holders[spec.sha256] = {**holders, name: spec.workspace}
+
+    def _index_pool(self, service: ids.ServiceId, spec: types.PoolSpec | None) -> None:
+        _replace(self._base_pools, service, spec)
+        self._compose(service)
+
+    def _index_server(
+        self,
+        server: ids.ServerId,
+        previous: types.ServerSpec | None,
+        spec: types.ServerSpec | None,
+    ) -> None:
+        self._lapsed.pop(server, None)
+        if previous is not None and (spec is None or spec.service != previous.service):
+            service = ids.ServiceId(previous.service)
+            if spec is None and previous.state is types.ServerState.LIVE:
+                lapsed = msgspec.structs.replace(previous, state=types.ServerState.LAPSED)
+                self._servers[service][server] = lapsed
+                self._lapsed[server] = service
+            else:
+                self._servers[service].pop(server, None)
+            self._compose(service)
+        if spec is not None:
+            service = ids.ServiceId(spec.service)
+            self._servers.setdefault(service, {})[server] = spec
+            self._compose(service)
+
+    def _compose(self, service: ids.ServiceId) -> None:
+        """Put the servers that are published by themselves into their pool."""
+        base = self._base_pools.get(service)
+        published = self._servers.get(service)
+        if base is not None and published:
+            entries = tuple(_entry(server, published[server]) for server in sorted(published))
+            base = msgspec.structs.replace(base, servers=base.servers + entries)
+        _replace(self._pools, service, base)
+
+    def _index_configuration(self, spec: types.ConfigurationSpec | None) -> None:
+        """Put a whole configuration in force in the place of the last one."""
+        held = self._configuration
+        if spec is None or (held is not None and spec.version < held.version):
+            return
+        self._configuration = spec
+        old = held or types.ConfigurationSpec(version=0)
+        for name, before, after in _changes(old.routes, spec.routes):
+            self._index_route(name, before, after)
+        for name, before, after in _changes(old.keys, spec.keys):
+            self._index_key(name, before, after)
+        for name, _, after in _changes(old.workspaces, spec.workspaces):
+            _replace(self._workspaces, ids.WorkspaceId(name), after)
+        for name, _, after in _changes(old.pools, spec.pools):
+            self._index_pool(ids.ServiceId(name), after)
+
+
+def _entry(server: ids.ServerId, spec: types.ServerSpec) -> types.ServerEntry:
+    return types.ServerEntry(
+        server=server,
+        address=spec.address,
+        data_centre=spec.data_centre,
+        state=spec.state,
+        slots=spec.slots,
+        started_wall_ms=spec.started_wall_ms,
+        warm_after_ms=spec.warm_after_ms,
+    )
+
+
+def _changes(before: tuple, after: tuple) -> Iterator[tuple[str, object, object]]:
+    """Yield name, old spec and new spec of each entry that two configurations differ in."""
+    old = {entry.name: entry.spec for entry in before}
+    new = {entry.name: entry.spec for entry in after}
+    for name in old.keys() | new.keys():
+        if old.get(name) != new.get(name):
+            yield name, old.get(name), new.get(name)
 
 
 def _prefixes(path: str) -> Iterator[str]:
--- a/verbenadrum/records/types.py
+++ b/verbenadrum/records/types.py
@@ -9,15 +9,22 @@
 import msgspec
 
 __all__ = [
+    "BackendShare",
+    "ConfigurationSpec",
     "DataCentreShare",
     "FleetSpec",
     "KeySpec",
+    "NamedKey",
+    "NamedPool",
+    "NamedRoute",
+    "NamedWorkspace",
     "PoolSpec",
     "Record",
     "RecordKind",
     "RouteSpec",
     "SCHEMA_VERSION",
     "ServerEntry",
+    "ServerSpec",
     "ServerState",
     "Spec",
     "WorkspaceSpec",
@@ -38,13 +45,26 @@
     KEY = "key"
     POOL = "pool"
     FLEET = "fleet"
+    CONFIGURATION = "configuration"
+    SERVER = "server"
 
 
 class ServerState(enum.Enum):
-    """Whether a backend server may get new work."""
+    """Whether a backend server may get new work.
+
+    A server is ``LAPSED`` for a short while after its record was withdrawn, if it was live then.
+    """
 
     LIVE = "live"
     LEAVING = "leaving"
+    LAPSED = "lapsed"
+
+
+class BackendShare(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
+    """One of the services that a route's requests are split between, in proportion to weights."""
+
+    service: Name
+    weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
 
 
 class RouteSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
@@ -52,6 +72,17 @@
 
     ``public`` routes need no key. ``timeout_ms`` bounds the whole request. Methods in
     ``idempotent_methods`` may be retried.
+
+    Attributes
+    ----------
+    backends : tuple of BackendShare
+        Services that the requests are split between; then ``service`` names the first of them.
+    max_attempts : int
+        Most backend servers that one request is sent to; 0 for no limit but the retry budget.
+    target_latency_ms : float
+        Time within which an answer has its full worth to the caller; 0 where none is stated.
+    priority : int
+        Rank under load; 0 is the most urgent.
     """
 
     path_prefix: Name
@@ -60,19 +91,26 @@
     public: bool = False
     timeout_ms: Positive = 10_000.0
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS", "TRACE")
+    backends: tuple[BackendShare, ...] = ()
+    max_attempts: Annotated[int, msgspec.Meta(ge=0)] = 0
+    target_latency_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    priority: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class WorkspaceSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """Limits of one workspace, summed over the whole fleet.
 
     ``rate_per_s`` and ``burst`` count requests; ``weight`` is its share of a pool under load;
-    ``home_data_centre`` holds its claims, or empty to spread workspaces over the fleet.
+    ``home_data_centre`` holds its claims, or empty to spread workspaces over the fleet. Without
+    ``limited`` every request is within the rate. ``priority`` goes before that of a route.
     """
 
     rate_per_s: Positive
     burst: Annotated[float, msgspec.Meta(ge=1)]
     weight: Positive = 1.0
     home_data_centre: str = ""
+    limited: bool = True
+    priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
 
 
 class KeySpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
@@ -83,12 +121,33 @@
 
 
 class ServerEntry(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
-    """One backend server of a pool."""
+    """One backend server of a pool; ``slots`` of 0 stands for the pool's.
+
+    ``started_wall_ms`` tells two runs of a server apart, in milliseconds since the Unix epoch.
+    """
 
     server: Name
     address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
     data_centre: str = ""
     state: ServerState = ServerState.LIVE
+    slots: Annotated[int, msgspec.Meta(ge=0)] = 0
+    started_wall_ms: float = 0.0
+    warm_after_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+class ServerSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
+    """One backend server that is published by itself; the record's name is the server.
+
+    ``warm_after_ms`` is how much longer the server is slow after its start.
+    """
+
+    service: Name
+    address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
+    data_centre: str = ""
+    state: ServerState = ServerState.LIVE
+    slots: Annotated[int, msgspec.Meta(ge=0)] = 0
+    started_wall_ms: float = 0.0
+    warm_after_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class PoolSpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
@@ -134,7 +193,49 @@
     serve_from_wall_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
-Spec = RouteSpec | WorkspaceSpec | KeySpec | PoolSpec | FleetSpec
+class NamedRoute(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
+    """A route of a whole configuration."""
+
+    name: Name
+    spec: RouteSpec
+
+
+class NamedWorkspace(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
+    """A workspace of a whole configuration."""
+
+    name: Name
+    spec: WorkspaceSpec
+
+
+class NamedKey(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
+    """A key of a whole configuration."""
+
+    name: Name
+    spec: KeySpec
+
+
+class NamedPool(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
+    """A pool of a whole configuration; its servers may be published by themselves."""
+
+    name: Name
+    spec: PoolSpec
+
+
+class ConfigurationSpec(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Every route, workspace, key and pool in one record, put in force as a whole.
+
+    ``version`` is the operators' own number; a record with a smaller one than the version in
+    force is not put in force.
+    """
+
+    version: Annotated[int, msgspec.Meta(ge=0)]
+    routes: tuple[NamedRoute, ...] = ()
+    workspaces: tuple[NamedWorkspace, ...] = ()
+    keys: tuple[NamedKey, ...] = ()
+    pools: tuple[NamedPool, ...] = ()
+
+
+Spec = RouteSpec | WorkspaceSpec | KeySpec | PoolSpec | FleetSpec | ConfigurationSpec | ServerSpec
 
 
 class Record(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "CallersTable",
+    "HeadersTable",
     "HostTable",
     "LogTable",
     "MetricsTable",
@@ -15,6 +16,7 @@
     "PeersTable",
     "PlatformTable",
     "Settings",
+    "ShutdownTable",
 ]
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
@@ -25,6 +27,13 @@
 Url = Annotated[str, msgspec.Meta(pattern=r"^https?://", description="http:// or https:// URL")]
 
 
+Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+HeaderName = Annotated[
+    str,
+    msgspec.Meta(pattern=r"^[A-Za-z0-9-]{1,100}$", description="letters, digits and hyphens"),
+]
+
+
 class Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Base of every table: a key that is not declared is an error."""
 
@@ -66,9 +75,68 @@
 
 
 class PlatformTable(Table):
-    """Where the platform's configuration service is read."""
+    """Where the platform's configuration service is read, and how long a call may take.
+
+    ``source`` names the interface that is spoken there. The read time-out counts beyond
+    ``poll_wait_ms``, for which a call may wait for a change. A host that has heard no other
+    one for ``isolated_after_ms`` reads for itself. ``floor`` is the fraction of a pool's servers
+    that ejection leaves in service where the records do not say.
+    """
 
     urls: Annotated[tuple[Url, ...], msgspec.Meta(min_length=1)]
+    source: Name = "records"
+    connect_timeout_ms: Milliseconds = 1_000.0
+    read_timeout_ms: Milliseconds = 2_000.0
+    poll_wait_ms: Milliseconds = 10_000.0
+    backoff_cap_ms: Milliseconds = 5_000.0
+    isolated_after_ms: Milliseconds = 10_000.0
+    floor: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.5
+
+
+class HeadersTable(Table):
+    """Names of the headers that callers and backend servers exchange with the hosts.
+
+    Attributes
+    ----------
+    request_id, deadline_ms, workspace : str
+        Sent to backend servers. An answer that echoes another request identifier is not the
+        request's. The deadline is what is left of the caller's time, in milliseconds.
+    not_run, draining : str
+        Set by a backend server that did not run the request, and by one that wants no new work.
+    expected_server : str
+        Tells a backend server which one is meant, so that another one at its address refuses;
+        empty for none.
+    key_scheme : str
+        Scheme of the Authorization header that carries a caller's key.
+    keep_request_id : bool
+        Whether a caller's own request identifier goes to backend servers.
+    fractional_retry_after : bool
+        Whether Retry-After may hold fractions of a second.
+    unframed_answers : bool
+        Whether an answer without a length counts as whole if its connection ends cleanly.
+    """
+
+    request_id: HeaderName = "X-Request-Id"
+    deadline_ms: HeaderName = "X-Deadline-Ms"
+    workspace: HeaderName = "X-Workspace"
+    not_run: HeaderName = "X-Not-Run"
+    draining: HeaderName = "X-Draining"
+    expected_server: str = ""
+    key_scheme: HeaderName = "Bearer"
+    keep_request_id: bool = False
+    fractional_retry_after: bool = False
+    unframed_answers: bool = False
+
+
+class ShutdownTable(Table):
+    """How a host ends after SIGTERM.
+
+    For ``linger_ms`` it still accepts connections, since callers or a balancer learn of the end
+    late. After ``limit_ms`` it ends whatever is still in flight.
+    """
+
+    linger_ms: Milliseconds = 500.0
+    limit_ms: Milliseconds = 3_600_000.0
 
 
 class LogTable(Table):
@@ -102,3 +170,7 @@
     decisions: DecisionsTable = DecisionsTable()
     log: LogTable = LogTable()
     metrics: MetricsTable = MetricsTable()
+    headers: HeadersTable = HeadersTable()
+    shutdown: ShutdownTable = ShutdownTable()
+    # Regions by the names of their data centres, where no record says it.
+    data_centres: dict[Name, Name] = {}
