Beliefs about servers, metered limits, chunked answers whole

- MIXED: a chunked answer beyond the prefetch was read by two iterators; dropping the first closed the answer, and the second found it complete.
One iterator now reads the whole body.
- 500s: in each pool about a third of the servers fail nine requests in ten for seconds while their probe is good.
The sequential judge needs several failures; the new belief judge takes the first for what it is, and placement weighs the probability.
Ruled out: probes (all were good).
- 429 after 1.5 s: the escrow limiter waited for tokens of homes that had yet to gather leases.
The metered limiter admits without a token until the fleet's use nears the limit.
- Repeats are now counted at the pool's home, over the users' window, not by entry hosts.

--- a/verbenadrum/core/behaviours.py
+++ b/verbenadrum/core/behaviours.py
@@ -3,12 +3,13 @@
 from verbenadrum.claims import local, witnessed
 from verbenadrum.dissemination import duty, every_host, host_lists
 from verbenadrum.epochs import counted, listed, vouched
-from verbenadrum.health import consecutive, sequential
+from verbenadrum.health import belief, consecutive, sequential
+from verbenadrum.limits import escrow, global_owner, metered, static_split
 from verbenadrum.membership import seeded
-from verbenadrum.limits import escrow, global_owner, static_split
 from verbenadrum.placement import pool_home, power_of_two
 
 __all__ = [
+    "belief",
     "consecutive",
     "counted",
     "duty",
@@ -17,6 +18,7 @@
     "global_owner",
     "host_lists",
     "listed",
+    "metered",
     "local",
     "pool_home",
     "power_of_two",
--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -12,15 +12,16 @@
 from verbenadrum.claims import registry as claim_registry
 from verbenadrum.core import context, ports, system
 from verbenadrum.dissemination import duty as platform_duty
-from verbenadrum.dissemination import sampler
 from verbenadrum.dissemination import records as record_spread
 from verbenadrum.dissemination import registry as duty_registry
+from verbenadrum.dissemination import sampler
 from verbenadrum.entry import pipeline
 from verbenadrum.epochs import registry as epoch_registry
 from verbenadrum.limits import registry as limit_registry
 from verbenadrum.membership import detector
 from verbenadrum.membership import table as host_table
 from verbenadrum.messages import base
+from verbenadrum.placement import budget
 from verbenadrum.placement import registry as placement_registry
 from verbenadrum.records import store as record_store
 from verbenadrum.records import table as record_table
@@ -58,6 +59,8 @@
         Peer addresses through which the other hosts are found.
     read_policy : ReadPolicy
         Times of the platform's readers.
+    retries : RetryLimits
+        How many requests of a service may be repeated.
     """
 
     def __init__(
@@ -67,7 +70,8 @@
         choices: Choices,
         address: str = "",
         seeds: tuple[str, ...] = (),
-        read_policy: platform_duty.ReadPolicy = platform_duty.ReadPolicy(),
+        read_policy: platform_duty.ReadPolicy = platform_duty.DEFAULT_POLICY,
+        retries: budget.RetryLimits = budget.DEFAULT_LIMITS,
     ) -> None:
         self._context = context
         self.records = record_table.RecordTable()
@@ -118,6 +122,7 @@
             records=self.records,
             membership=self.membership,
             judge=choices.health,
+            retries=retries,
         )
         self.entry = pipeline.EntryPipeline(
             context=context,
--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -303,6 +303,10 @@
         Servers that failed this request already.
     hedge : bool
         Whether an earlier attempt is still under way.
+    priority : int
+        Rank under load; 0 is the most urgent.
+    target_ms : float
+        Monotonic time until which an answer has its full worth; 0 where none is stated.
     """
 
     request: ids.RequestId
@@ -314,6 +318,8 @@
     deadline_ms: float
     excluded: tuple[ids.ServerId, ...] = ()
     hedge: bool = False
+    priority: int = 0
+    target_ms: float = 0.0
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -51,7 +51,7 @@
         pools: upstream.ConnectionPools,
         clock: clock.Clock,
         meters: metrics.RequestMeters,
-        headers: types.HeadersTable = types.HeadersTable(),
+        headers: types.HeadersTable = types.DEFAULT_HEADERS,
     ) -> None:
         self._headers = headers
         self._names = upstream.HeaderNames(
--- a/verbenadrum/daemon/exchange.py
+++ b/verbenadrum/daemon/exchange.py
@@ -55,7 +55,7 @@
         pools: upstream.ConnectionPools,
         clock: clock.Clock,
         sent: upstream.SentRequest,
-        names: upstream.HeaderNames = upstream.HeaderNames(),
+        names: upstream.HeaderNames = upstream.DEFAULT_NAMES,
     ) -> None:
         self._names = names
         self._engine = engine
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -26,6 +26,7 @@
 from verbenadrum.decisions import ring
 from verbenadrum.dissemination import duty
 from verbenadrum.messages import base, codec
+from verbenadrum.placement import budget
 from verbenadrum.platform import store
 from verbenadrum.records import checks
 from verbenadrum.records import types as record_types
@@ -207,6 +208,11 @@
                 backoff_cap_ms=table.backoff_cap_ms,
                 isolated_after_ms=table.isolated_after_ms,
             ),
+            retries=budget.RetryLimits(
+                ratio=self._settings.retries.ratio,
+                slack=self._settings.retries.slack,
+                window_ms=self._settings.retries.window_ms,
+            ),
         )
         if self._settings.data_centres:
             made_engine.apply_records([_fleet_record(self._settings.data_centres)])
--- a/verbenadrum/daemon/platform_reader.py
+++ b/verbenadrum/daemon/platform_reader.py
@@ -177,7 +177,12 @@
         base = self._urls[self._url_index[stream] % len(self._urls)]
         try:
             fresh = self._take(self._source.poll(base, stream, order))
-        except (urllib3.exceptions.HTTPError, OSError, sources.SourceError, gevent.Timeout) as error:
+        except (
+            urllib3.exceptions.HTTPError,
+            OSError,
+            sources.SourceError,
+            gevent.Timeout,
+        ) as error:
             self._note_failure(stream, error)
             self._engine.on_platform_failure(stream)
             fresh = False
--- a/verbenadrum/daemon/prober.py
+++ b/verbenadrum/daemon/prober.py
@@ -26,7 +26,7 @@
     """
 
     def __init__(
-        self, *, engine: engine.Engine, names: upstream.HeaderNames = upstream.HeaderNames()
+        self, *, engine: engine.Engine, names: upstream.HeaderNames = upstream.DEFAULT_NAMES
     ) -> None:
         self._engine = engine
         self._names = names
--- a/verbenadrum/daemon/targets.py
+++ b/verbenadrum/daemon/targets.py
@@ -154,9 +154,7 @@
     return found.pop() if found else ""
 
 
-def clean_headers(
-    environ: dict, key: str, own: frozenset[str] = _OWN
-) -> Iterator[tuple[str, str]]:
+def clean_headers(environ: dict, key: str, own: frozenset[str] = _OWN) -> Iterator[tuple[str, str]]:
     """Yield the caller's headers that a backend server may see.
 
     Every header that holds the key is left out, wherever the caller put it, and so are those
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -22,13 +22,16 @@
     "Attempt",
     "AttemptError",
     "ConnectionPools",
+    "DEFAULT_NAMES",
     "HeaderNames",
     "SentRequest",
     "outcome_kind",
     "says_draining",
 ]
 
-PREFETCH_BYTES = 65_536
+# Answers up to this size are known whole before the first byte passes, so a broken one can be
+# asked for again; the larger ones are streamed.
+PREFETCH_BYTES = 786_432
 _CHUNK_BYTES = 65_536
 # Twice the round trip between distant regions, with room for a busy server.
 _CONNECT_TIMEOUT_S = 0.4
@@ -88,6 +91,9 @@
     unframed: bool = False
 
 
+DEFAULT_NAMES = HeaderNames()
+
+
 class SentRequest(msgspec.Struct, frozen=True, kw_only=True):
     """What is sent to a backend server.
 
@@ -113,8 +119,8 @@
         Called with whether the connection can carry another request.
     prefetched : bytes
         The first bytes of the body.
-    whole : bool
-        Whether ``prefetched`` is the whole body.
+    rest : iterator of bytes or None
+        What follows; None where ``prefetched`` is the whole body.
     latency_ms : float
         From sending to the head.
     address : str
@@ -129,19 +135,24 @@
         response: urllib3.BaseHTTPResponse,
         release: Callable[[bool], None],
         prefetched: bytes,
-        whole: bool,
+        rest: Iterator[bytes] | None,
         latency_ms: float,
         address: str,
-        names: HeaderNames = HeaderNames(),
+        names: HeaderNames = DEFAULT_NAMES,
     ) -> None:
         self._names = names
         self._response = response
         self._address = address
         self._release = release
         self.prefetched = prefetched
-        self.whole = whole
+        self._rest = rest
         self.latency_ms = latency_ms
 
+    @property
+    def whole(self) -> bool:
+        """Whether ``prefetched`` is the whole body."""
+        return self._rest is None
+
     @property
     def status(self) -> int:
         """HTTP status."""
@@ -173,10 +184,10 @@
         AttemptError
             If the body ends early.
         """
-        if self.whole:
+        if self._rest is None:
             return
         try:
-            yield from self._response.stream(_CHUNK_BYTES, decode_content=False)
+            yield from self._rest
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
             self.discard()
             raise AttemptError(
@@ -306,7 +317,7 @@
         order: ports.DispatchOrder,
         sent: SentRequest,
         timeout_s: float,
-        names: HeaderNames = HeaderNames(),
+        names: HeaderNames = DEFAULT_NAMES,
         reuse_idle_s: float = math.inf,
     ) -> None:
         self._names = names
@@ -341,7 +352,7 @@
         latency_ms = self._elapsed_ms()
         try:
             self._check_identity(response)
-            prefetched, whole = self._prefetch(response)
+            prefetched, rest = self._prefetch(response)
         except AttemptError:
             self._release(False)
             raise
@@ -349,7 +360,7 @@
             response=response,
             release=self._release,
             prefetched=prefetched,
-            whole=whole,
+            rest=rest,
             latency_ms=latency_ms,
             address=self._order.address,
             names=self._names,
@@ -422,12 +433,12 @@
             self._outcome(ports.OutcomeKind.CROSSED, response.status),
         )
 
-    def _prefetch(self, response: urllib3.BaseHTTPResponse) -> tuple[bytes, bool]:
+    def _prefetch(self, response: urllib3.BaseHTTPResponse) -> tuple[bytes, Iterator[bytes] | None]:
         """Read the start of the body, so that a small answer is known whole before it passes."""
         if self._sent.method == "HEAD" or response.status in _BODILESS_STATUSES:
             response.read(decode_content=False)
             self._release(True)
-            return b"", True
+            return b"", None
         length = response.headers.get("Content-Length")
         chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
         unframed = length is None and self._names.unframed
@@ -452,20 +463,23 @@
 
     def _read_start(
         self, response: urllib3.BaseHTTPResponse, chunked: bool, length: str | None
-    ) -> tuple[bytes, bool]:
+    ) -> tuple[bytes, Iterator[bytes] | None]:
         if not chunked and length is not None:
             if int(length) > PREFETCH_BYTES:
-                return b"", False
+                return b"", response.stream(_CHUNK_BYTES, decode_content=False)
             data = response.read(decode_content=False)
             self._release(True)
-            return data, True
+            return data, None
+        # One iterator for the whole body: dropping it half-way would close the answer, which
+        # then looks complete.
+        pieces = response.stream(_CHUNK_BYTES, decode_content=False)
         data = bytearray()
-        for piece in response.stream(_CHUNK_BYTES, decode_content=False):
+        for piece in pieces:
             data += piece
             if len(data) >= PREFETCH_BYTES:
-                return bytes(data), False
+                return bytes(data), pieces
         self._release(True)
-        return bytes(data), True
+        return bytes(data), None
 
     def _check_status(self, answer: Answer) -> None:
         kind = answer.kind()
@@ -477,9 +491,7 @@
         raise AttemptError(f"status {answer.status}", answer.outcome(kind))
 
 
-def says_draining(
-    headers: urllib3.HTTPHeaderDict, names: HeaderNames = HeaderNames()
-) -> bool:
+def says_draining(headers: urllib3.HTTPHeaderDict, names: HeaderNames = DEFAULT_NAMES) -> bool:
     """Return whether an answer's headers say that its server wants no new work."""
     return headers.get(names.draining, "").lower() not in _FALSE
 
@@ -494,7 +506,7 @@
 
 
 def outcome_kind(
-    status: int, headers: urllib3.HTTPHeaderDict, names: HeaderNames = HeaderNames()
+    status: int, headers: urllib3.HTTPHeaderDict, names: HeaderNames = DEFAULT_NAMES
 ) -> ports.OutcomeKind:
     """Return how a whole answer counts as evidence about its server."""
     if status == _MISDIRECTED_STATUS and names.expected_server:
--- a/verbenadrum/dissemination/duty.py
+++ b/verbenadrum/dissemination/duty.py
@@ -10,6 +10,7 @@
 from verbenadrum.membership import table as host_table
 
 __all__ = [
+    "DEFAULT_POLICY",
     "Duty",
     "HostsAnswer",
     "PollOrder",
@@ -74,6 +75,9 @@
     isolated_after_ms: float = 10_000.0
 
 
+DEFAULT_POLICY = ReadPolicy()
+
+
 class Duty(msgspec.Struct, frozen=True, kw_only=True):
     """What the shell should read now; None for a stream that is left alone.
 
@@ -144,7 +148,7 @@
         membership: host_table.HostTable,
         records: records.RecordSpread,
         hosts: host_lists.HostListSpread,
-        policy: ReadPolicy = ReadPolicy(),
+        policy: ReadPolicy = DEFAULT_POLICY,
     ) -> None:
         super().__init__(context=context)
         self._membership = membership
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -64,6 +64,8 @@
             request=head.request,
             detail={"workspace": workspace or ""},
         )
+        now_ms = self._context.now_ms()
+        spec = self._records.workspace(workspace) if workspace else None
         row = table.RequestRow(
             head=head,
             sink=sink,
@@ -73,7 +75,9 @@
             workspace=workspace or ids.WorkspaceId(""),
             idempotent=head.method in route.idempotent_methods,
             fingerprint=_fingerprint(head, workspace),
-            deadline_ms=min(head.deadline_ms, self._context.now_ms() + route.timeout_ms),
+            deadline_ms=min(head.deadline_ms, now_ms + route.timeout_ms),
+            priority=route.priority if spec is None or spec.priority is None else spec.priority,
+            target_ms=now_ms + route.target_latency_ms if route.target_latency_ms else 0.0,
         )
         self._rows[head.request] = row
         self._admit(row)
@@ -230,6 +234,8 @@
             deadline_ms=row.deadline_ms,
             excluded=tuple(row.excluded),
             hedge=bool(row.attempts),
+            priority=row.priority,
+            target_ms=row.target_ms,
         )
 
     def _on_placement(
--- a/verbenadrum/entry/table.py
+++ b/verbenadrum/entry/table.py
@@ -65,6 +65,8 @@
     idempotent: bool
     fingerprint: str
     deadline_ms: float
+    priority: int = 0
+    target_ms: float = 0.0
     stage: RequestStage = RequestStage.ADMITTING
     claim: ports.ClaimRequest | None = None
     byte_sent: bool = False
--- a/verbenadrum/health/consecutive.py
+++ b/verbenadrum/health/consecutive.py
@@ -48,6 +48,10 @@
             if count >= _FAILURES_IN_A_ROW
         ]
 
+    def doubt(self, server: ids.ServerId, now_ms: float) -> float:
+        """Return 0: this judge gives verdicts."""
+        return 0.0
+
     def forget(self, server: ids.ServerId) -> None:
         """Start counting again."""
         self._failures.pop(server, None)
--- a/verbenadrum/health/evidence.py
+++ b/verbenadrum/health/evidence.py
@@ -78,5 +78,8 @@
     def review(self, *, now_ms: float, flights: Iterable[Flight]) -> list[Verdict]:
         """Return the suspected servers, worst first."""
 
+    def doubt(self, server: ids.ServerId, now_ms: float) -> float:
+        """Return the probability that a server is sick; 0 from a judge that gives verdicts."""
+
     def forget(self, server: ids.ServerId) -> None:
         """Drop all evidence about a server: it was ejected, restored or excused."""
--- a/verbenadrum/health/sequential.py
+++ b/verbenadrum/health/sequential.py
@@ -146,6 +146,10 @@
         found = [verdict for verdict in verdicts if verdict is not None]
         return sorted(found, key=lambda verdict: -verdict.score)
 
+    def doubt(self, server: ids.ServerId, now_ms: float) -> float:
+        """Return 0: this judge gives verdicts."""
+        return 0.0
+
     def forget(self, server: ids.ServerId) -> None:
         """Drop all evidence about a server."""
         self._rows.pop(server, None)
--- a/verbenadrum/limits/messages.py
+++ b/verbenadrum/limits/messages.py
@@ -1,14 +1,29 @@
-"""Messages of the escrow limiter: leases between hosts and tokens for requests.
+"""Messages of the limiters: leases between hosts, tokens for requests, and reports of use.
 
 Bit ``p`` of a ``wanted``, ``granted`` or ``partitions`` mask stands for partition ``p``.
 """
 
 import enum
 
+import msgspec
+
 from verbenadrum import ids
 from verbenadrum.messages import base
 
-__all__ = ["Ask", "Grant", "GrantState", "Lend", "Poll", "Release", "Settle", "Settlement"]
+__all__ = [
+    "Ask",
+    "Grant",
+    "GrantState",
+    "Lend",
+    "Poll",
+    "RatePart",
+    "RateParts",
+    "Release",
+    "Settle",
+    "Settlement",
+    "UsageReport",
+    "Use",
+]
 
 
 class GrantState(enum.IntEnum):
@@ -91,3 +106,34 @@
     """The holder of grants has finished with them."""
 
     grants: tuple[Settlement, ...]
+
+
+class Use(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What an entry host was asked for and admitted for a workspace since its last report."""
+
+    workspace: str
+    asked: int
+    admitted: int
+    throttled: bool = False
+
+
+@base.register
+class UsageReport(base.Message, frozen=True, tag="lu"):
+    """An entry host's use of the workspaces that the receiver is home of."""
+
+    elapsed_ms: float
+    uses: tuple[Use, ...]
+
+
+class RatePart(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """An entry host's part of a workspace's rate; below zero to end a throttle."""
+
+    workspace: str
+    rate_per_s: float
+
+
+@base.register
+class RateParts(base.Message, frozen=True, tag="lt"):
+    """A home tells an entry host how much it may admit."""
+
+    parts: tuple[RatePart, ...]
--- a/verbenadrum/membership/seeded.py
+++ b/verbenadrum/membership/seeded.py
@@ -129,9 +129,7 @@
         if not message.reply:
             return
         theirs = {row.host: row for row in message.rows}
-        missing = tuple(
-            row for row in self._rows() if _newer(row, theirs.get(row.host))
-        )
+        missing = tuple(row for row in self._rows() if _newer(row, theirs.get(row.host)))
         if missing:
             self._context.send(sender, messages.Roster(missing, reply=False))
 
@@ -165,9 +163,7 @@
         if not news:
             return
         self._news_ms = self._context.now_ms()
-        self._next_digest_ms = min(
-            self._next_digest_ms, self._news_ms + _NEWS_DIGEST_INTERVAL_MS
-        )
+        self._next_digest_ms = min(self._next_digest_ms, self._news_ms + _NEWS_DIGEST_INTERVAL_MS)
         self._put_in_force()
         self._context.decide(
             ring.DecisionKind.MEMBERSHIP,
@@ -220,9 +216,7 @@
 
     def _remove_silent(self, now_ms: float) -> None:
         suspected = set(self._membership.suspected())
-        self._silent_since = {
-            host: self._silent_since.get(host, now_ms) for host in suspected
-        }
+        self._silent_since = {host: self._silent_since.get(host, now_ms) for host in suspected}
         gone = []
         for host, since_ms in self._silent_since.items():
             entry = self._entries.get(host)
--- a/verbenadrum/placement/budget.py
+++ b/verbenadrum/placement/budget.py
@@ -1,6 +1,10 @@
-"""Budget of the retries and hedges that an entry host may send to a service."""
+"""Budgets of the retries and hedges that may be sent to a service."""
 
-__all__ = ["RetryBudget"]
+import collections
+
+import msgspec
+
+__all__ = ["DEFAULT_LIMITS", "RetryBudget", "RetryLimits", "WindowBudget"]
 
 _TOKENS_PER_REQUEST = 0.2
 _MOST_TOKENS = 20.0
@@ -33,3 +37,70 @@
             return False
         self._tokens -= 1.0
         return True
+
+
+class RetryLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """How many repeats a service may get from all hosts together.
+
+    Attributes
+    ----------
+    ratio : float
+        Repeats allowed for each first attempt.
+    slack : float
+        Repeats allowed besides, in any window.
+    window_ms : float
+        Length of the window.
+    """
+
+    ratio: float = 0.2
+    slack: float = 0.0
+    window_ms: float = 10_000.0
+
+
+DEFAULT_LIMITS = RetryLimits()
+
+
+class WindowBudget:
+    """Repeats of the last window, kept within a part of the service's limits by a pool's home.
+
+    Parameters
+    ----------
+    limits : RetryLimits
+        Limits of the whole service.
+    parts : int
+        Number of homes that share the slack.
+
+    Examples
+    --------
+    >>> budget = WindowBudget(limits=RetryLimits(ratio=0.5, slack=1.0, window_ms=100.0), parts=1)
+    >>> budget.draw(now_ms=0.0), budget.draw(now_ms=1.0)
+    (True, False)
+    >>> budget.earn(now_ms=2.0); budget.earn(now_ms=2.0)
+    >>> budget.draw(now_ms=3.0), budget.draw(now_ms=4.0), budget.draw(now_ms=150.0)
+    (True, False, True)
+    """
+
+    def __init__(self, *, limits: RetryLimits, parts: int) -> None:
+        self._limits = limits
+        self._slack = limits.slack / parts
+        self._firsts: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    def earn(self, *, now_ms: float) -> None:
+        """Count a first attempt."""
+        self._firsts.append(now_ms)
+        self._expire(now_ms)
+
+    def draw(self, *, now_ms: float) -> bool:
+        """Count a repeat if one more is within the limits, and return whether it is."""
+        self._expire(now_ms)
+        if len(self._repeats) + 1 > self._limits.ratio * len(self._firsts) + self._slack:
+            return False
+        self._repeats.append(now_ms)
+        return True
+
+    def _expire(self, now_ms: float) -> None:
+        oldest_ms = now_ms - self._limits.window_ms
+        for times in (self._firsts, self._repeats):
+            while times and times[0] <= oldest_ms:
+                times.popleft()
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -122,8 +122,8 @@
         self._ask_part(row)
 
     def may_retry(self, request: ports.PlacementRequest, *, hedge: bool) -> bool:
-        """Draw one retry or hedge of the service's budget."""
-        return self._budgets[request.service].draw(hedge=hedge)
+        """Return whether to ask for one more attempt; the home that grants it keeps the budget."""
+        return True
 
     def answered(self, lease: ids.LeaseId) -> None:
         """Note that an attempt's answer has begun, so that its wait is over."""
@@ -258,6 +258,9 @@
                 data_centre=self._context.data_centre,
                 excluded=request.excluded,
                 hedge=request.hedge,
+                attempt=request.attempt,
+                priority=request.priority,
+                target_ms=max(0.0, round(request.target_ms - now_ms, 1)),
             ),
         )
 
@@ -331,6 +334,11 @@
         """Choose the less loaded of two servers, within a small allowance of this host's own."""
         part = row.regions[0]
         now_ms = self._context.now_ms()
+        request = row.request
+        repeat = request.attempt > 0 or request.hedge
+        if repeat and not self._budgets[request.service].draw(hedge=request.hedge):
+            self._finish(row, _refusal("retry-budget-spent"))
+            return
         suspicion = self._ledger.suspicion(row.request.fingerprint, now_ms)
         if suspicion is poison.Suspicion.SUSPECTED:
             self._finish(row, _refusal("poison-suspected", _LOCAL_AVOID_MS))
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -11,7 +11,7 @@
 from verbenadrum.decisions import ring
 from verbenadrum.health import ejection, evidence, latency
 from verbenadrum.messages import base
-from verbenadrum.placement import fair_queue, gate, messages, parts, poison, servers
+from verbenadrum.placement import budget, fair_queue, gate, messages, parts, poison, servers
 
 __all__ = ["PartHome"]
 
@@ -65,6 +65,8 @@
         Asks the other regions' homes for their allowance of a fingerprint.
     spread : callable
         Tells the other candidates a `messages.PoisonNotice`.
+    retries : RetryLimits
+        How many requests may be repeated.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         send: Callable[[ids.HostId, base.Message], None],
         reserve: Callable[[str], None],
         spread: Callable[[messages.PoisonNotice], None],
+        retries: budget.RetryLimits = budget.DEFAULT_LIMITS,
     ) -> None:
         self._context = context
         self._part = part
@@ -90,13 +93,18 @@
         self._reserve = reserve
         self._spread = spread
         self._ejector = ejection.Ejector(context=context, judge=judge, permits=permits)
-        self._servers = servers.ServerTable(ejector=self._ejector, rng=context.rng)
+        self._servers = servers.ServerTable(
+            ejector=self._ejector,
+            rng=context.rng,
+            doubt=lambda server: judge.doubt(server, context.now_ms()),
+        )
         self._servers.sync(part)
         self._gate = gate.PoisonGate(ledger=ledger, region=part.region)
         self._queue: fair_queue.FairQueue[_Waiter] = fair_queue.FairQueue(
             weight=weight, now_ms=context.now_ms
         )
         self._weight = weight
+        self._budget = budget.WindowBudget(limits=retries, parts=max(1, regions()))
         self._held_back: collections.deque[_Waiter] = collections.deque()
         self._leases: dict[ids.LeaseId, servers.LeaseRow] = {}
         self._asks: dict[tuple[ids.HostId, int], messages.PlaceAnswer | None] = {}
@@ -159,6 +167,9 @@
         )
         if not self._pass_gate(waiter):
             return
+        if not self._within_budget(ask, now_ms):
+            self._refuse(waiter, "retry-budget-spent")
+            return
         if ask.hedge and self._loaded():
             self._refuse(waiter, "pool-loaded", self._hedge_ms)
             return
@@ -314,6 +325,13 @@
             self._reserve(fingerprint)
         return False
 
+    def _within_budget(self, ask: messages.PlaceAsk, now_ms: float) -> bool:
+        """Count a first attempt, or return whether one more repeat is within the budget."""
+        if not ask.attempt and not ask.hedge:
+            self._budget.earn(now_ms=now_ms)
+            return True
+        return self._budget.draw(now_ms=now_ms)
+
     def _enqueue(self, waiter: _Waiter) -> None:
         workspace = waiter.ask.workspace
         slots = max(1, self._servers.total_slots)
@@ -340,7 +358,8 @@
         """Give a waiter a slot if a server has one."""
         now_ms = self._context.now_ms()
         ask = waiter.ask
-        entry = self._servers.choose(waiter.observer, ask.excluded, now_ms)
+        trial = ask.idempotent and not ask.attempt
+        entry = self._servers.choose(waiter.observer, ask.excluded, now_ms, trial=trial)
         if entry is None:
             return False
         server = ids.ServerId(entry.server)
--- a/verbenadrum/placement/messages.py
+++ b/verbenadrum/placement/messages.py
@@ -32,7 +32,9 @@
 class PlaceAsk(base.Message, frozen=True, array_like=True, gc=False, tag="pA"):
     """An entry host asks a pool home for a slot; ``number`` is the entry host's own.
 
-    ``last`` says that there is no other region to try.
+    ``last`` says that there is no other region to try, ``attempt`` is 0 for a request's first
+    attempt, and ``priority`` its rank under load, 0 being the most urgent. The caller wants its
+    answer within ``target_ms``, where that is not 0.
     """
 
     number: int
@@ -46,6 +48,9 @@
     data_centre: str
     excluded: tuple[str, ...] = ()
     hedge: bool = False
+    attempt: int = 0
+    priority: int = 0
+    target_ms: float = 0.0
 
 
 @base.register
--- a/verbenadrum/placement/pool_home.py
+++ b/verbenadrum/placement/pool_home.py
@@ -9,6 +9,7 @@
 from verbenadrum.health import registry as health_registry
 from verbenadrum.messages import base
 from verbenadrum.placement import (
+    budget,
     entry_side,
     gate,
     home_side,
@@ -42,8 +43,10 @@
         records: ports.RecordsPort,
         membership: ports.MembershipPort,
         judge: str,
+        retries: budget.RetryLimits = budget.DEFAULT_LIMITS,
     ) -> None:
         super().__init__(context=context)
+        self._retries = retries
         self._records = records
         self._membership = membership
         self._judge_type = health_registry.judges.get(judge)
@@ -275,6 +278,7 @@
             send=self._send,
             reserve=lambda fingerprint: self._reserve(key, fingerprint),
             spread=lambda notice: self._spread(part.service, notice),
+            retries=self._retries,
         )
 
     def _weight(self, workspace: str) -> float:
--- a/verbenadrum/placement/power_of_two.py
+++ b/verbenadrum/placement/power_of_two.py
@@ -9,7 +9,7 @@
 from verbenadrum.core import context, ports, system
 from verbenadrum.health import ejection, evidence
 from verbenadrum.health import registry as health_registry
-from verbenadrum.placement import registry
+from verbenadrum.placement import budget, registry
 from verbenadrum.records import types
 
 __all__ = ["PowerOfTwoPlacer"]
@@ -41,6 +41,7 @@
         records: ports.RecordsPort,
         membership: ports.MembershipPort,
         judge: str,
+        retries: budget.RetryLimits = budget.DEFAULT_LIMITS,
     ) -> None:
         super().__init__(context=context)
         self._records = records
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -3,6 +3,7 @@
 import collections
 import math
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -19,6 +20,14 @@
 _NEVER = (0.0, 0.0)
 # A warm connection weighs as much as this part of a server's slots.
 _WARM_BONUS = 0.3
+# A server that is this likely to be sick gets no work, one that is less so a single request.
+_AVOID_DOUBT = 0.5
+_UNSURE_DOUBT = 0.25
+# Requests that may be repeated try doubtful servers first, since a failure costs them little.
+_TRIAL_DOUBT = 0.75
+# Cost of certain sickness, in parts of a server's slots.
+_DOUBT_WEIGHT = 1.5
+_TRIAL_WEIGHT = 0.2
 
 
 class LeaseRow(msgspec.Struct, kw_only=True):
@@ -56,9 +65,16 @@
 class ServerTable:
     """Rows of the servers, with the choice among them."""
 
-    def __init__(self, *, ejector: ejection.Ejector, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        ejector: ejection.Ejector,
+        rng: random.Random,
+        doubt: Callable[[ids.ServerId], float] = lambda server: 0.0,
+    ) -> None:
         self._ejector = ejector
         self._rng = rng
+        self._doubt = doubt
         self._part: parts.Part | None = None
         self._live: tuple[types.ServerEntry, ...] = ()
         self._in_use: collections.Counter[ids.ServerId] = collections.Counter()
@@ -70,8 +86,7 @@
     @property
     def total_slots(self) -> int:
         """Slots that may be used now, over all servers."""
-        slots = self._part.spec.slots
-        return sum(self._ejector.slots(entry.server, slots) for entry in self._live)
+        return sum(self._slots(entry, _AVOID_DOUBT) for entry in self._live)
 
     @property
     def in_use(self) -> int:
@@ -140,13 +155,30 @@
         return sum(most for most, _ in self._connections.get(server, {}).values())
 
     def choose(
-        self, observer: ids.HostId, excluded: tuple[str, ...], now_ms: float
+        self,
+        observer: ids.HostId,
+        excluded: tuple[str, ...],
+        now_ms: float,
+        *,
+        trial: bool = False,
     ) -> types.ServerEntry | None:
-        """Return the least loaded server with a free slot, a warm one among equals."""
+        """Return the least loaded server with a free slot, a warm one among equals.
+
+        Parameters
+        ----------
+        observer : HostId
+            The entry host that asks.
+        excluded : tuple of str
+            Servers that failed the request already.
+        now_ms : float
+            Monotonic time.
+        trial : bool
+            Whether the request may be sent again, so that it can try a doubtful server.
+        """
         best = None
         best_cost = math.inf
         for entry in self._live:
-            cost = self._cost(entry, observer, excluded, now_ms)
+            cost = self._cost(entry, observer, excluded, now_ms, trial)
             if cost < best_cost:
                 best, best_cost = entry, cost
         if best is not None and best.server in excluded and self._any_other(excluded):
@@ -173,13 +205,15 @@
         observer: ids.HostId,
         excluded: tuple[str, ...],
         now_ms: float,
+        trial: bool,
     ) -> float:
         server = ids.ServerId(entry.server)
-        slots = self._ejector.slots(server, self._part.spec.slots)
+        slots = self._slots(entry, _TRIAL_DOUBT if trial else _AVOID_DOUBT)
         used = self._in_use.get(server, 0)
         if used >= slots:
             return math.inf
-        cost = used / slots + self._rng.random() * 0.1
+        cost = used / (entry.slots or self._part.spec.slots) + self._rng.random() * 0.1
+        cost += (_TRIAL_WEIGHT if trial else _DOUBT_WEIGHT) * self._doubt(server)
         if self._is_warm(server, observer):
             cost -= _WARM_BONUS
         elif self._is_full(server):
@@ -193,12 +227,28 @@
         return cost
 
     def _any_other(self, excluded: tuple[str, ...]) -> bool:
-        slots = self._part.spec.slots
         return any(
-            entry.server not in excluded and self._ejector.slots(entry.server, slots)
+            entry.server not in excluded and self._slots(entry, _AVOID_DOUBT)
             for entry in self._live
         )
 
+    def _slots(self, entry: types.ServerEntry, avoid_from: float) -> int:
+        """Return how many of a server's slots may be used, given the doubts about it.
+
+        Where every server is doubtful, the one that is least so stays in use.
+        """
+        server = ids.ServerId(entry.server)
+        slots = self._ejector.slots(server, entry.slots or self._part.spec.slots)
+        doubt = self._doubt(server)
+        if doubt < _UNSURE_DOUBT:
+            return slots
+        if doubt < avoid_from or doubt <= min(self._doubts()):
+            return min(1, slots)
+        return 0
+
+    def _doubts(self) -> list[float]:
+        return [self._doubt(ids.ServerId(entry.server)) for entry in self._live]
+
     def _is_warm(self, server: ids.ServerId, observer: ids.HostId) -> bool:
         held = self._connections.get(server, {}).get(observer)
         return held is not None and self._by_pair.get((observer, server), 0) < held[0]
@@ -212,11 +262,11 @@
         return self.connections(server) >= cap
 
     def _select(self) -> None:
-        self._live = tuple(
-            entry
-            for entry in self._part.servers
-            if entry.state is types.ServerState.LIVE and entry.server not in self._draining
-        )
+        usable = [entry for entry in self._part.servers if entry.server not in self._draining]
+        live = [entry for entry in usable if entry.state is types.ServerState.LIVE]
+        lapsed = [entry for entry in usable if entry.state is types.ServerState.LAPSED]
+        # Records that lapse together tell of the platform, not of the servers.
+        self._live = tuple(live + lapsed if len(lapsed) > len(live) else live)
         self._ejector.sync([entry.server for entry in self._live], self._part.spec.floor)
 
 
--- a/verbenadrum/platform/wire.py
+++ b/verbenadrum/platform/wire.py
@@ -202,9 +202,7 @@
     return _envelope(types.RecordKind.SERVER, name, item, None)
 
 
-def _envelope(
-    kind: types.RecordKind, name: str, item: Item, spec: types.Spec | None
-) -> bytes:
+def _envelope(kind: types.RecordKind, name: str, item: Item, spec: types.Spec | None) -> bytes:
     record = types.Record(kind=kind, name=name, revision=item.mod_revision, spec=spec)
     return envelope.render(record)
 
@@ -285,9 +283,7 @@
 def _keys(tenant: _Tenant) -> list[types.NamedKey]:
     digests = (hashlib.sha256(key.encode()).hexdigest() for key in tenant.api_keys)
     return [
-        types.NamedKey(
-            name=digest, spec=types.KeySpec(workspace=tenant.name, sha256=digest)
-        )
+        types.NamedKey(name=digest, spec=types.KeySpec(workspace=tenant.name, sha256=digest))
         for digest in digests
     ]
 
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "CallersTable",
+    "DEFAULT_HEADERS",
     "HeadersTable",
     "HostTable",
     "LogTable",
@@ -15,6 +16,7 @@
     "OperatorsTable",
     "PeersTable",
     "PlatformTable",
+    "RetriesTable",
     "Settings",
     "ShutdownTable",
 ]
@@ -128,6 +130,20 @@
     unframed_answers: bool = False
 
 
+DEFAULT_HEADERS = HeadersTable()
+
+
+class RetriesTable(Table):
+    """Repeats of requests that one service may get from all hosts together.
+
+    In any ``window_ms`` they are at most ``ratio`` times the requests, and ``slack`` besides.
+    """
+
+    ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
+    slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    window_ms: Milliseconds = 10_000.0
+
+
 class ShutdownTable(Table):
     """How a host ends after SIGTERM.
 
@@ -172,5 +188,6 @@
     metrics: MetricsTable = MetricsTable()
     headers: HeadersTable = HeadersTable()
     shutdown: ShutdownTable = ShutdownTable()
+    retries: RetriesTable = RetriesTable()
     # Regions by the names of their data centres, where no record says it.
     data_centres: dict[Name, Name] = {}
