--- a/standins/spreading.py
+++ b/standins/spreading.py
@@ -170,7 +170,11 @@
                 send=self._send,
                 decisions=self.decisions,
             ),
-            choices=msgspec.structs.replace(_CHOICES, readers=fleet.readers),
+            choices=msgspec.structs.replace(
+                _CHOICES, readers=fleet.readers, host_list=fleet.host_list
+            ),
+            address=row.host,
+            seeds=tuple(fleet.seeds),
         )
         self._polls: dict[duty.Stream, _Poll] = {}
         self._next_tick_ms = fleet.time.now_ms() + fleet.rng.random() * engine.TICK_MS
@@ -267,6 +271,10 @@
         Regions, data centres of each region and hosts of each data centre.
     readers : str
         Registered name of the rule that chooses the platform's readers.
+    host_list : str
+        Registered name of the host list; one that hosts keep themselves starts with ``seeds``.
+    seeds : tuple of str
+        Hosts whose addresses the others know.
     """
 
     def __init__(
@@ -277,12 +285,15 @@
         data_centres: int = 2,
         hosts: int = 10,
         readers: str = "rendezvous",
+        host_list: str = "published",
+        seeds: tuple[str, ...] = (),
     ) -> None:
         self.readers = readers
+        self.host_list = host_list
         self.rng = random.Random(seed)
         self.time = clock.SteppedClock()
         self.platform = SteppedPlatform()
-        self.seeds: list[str] = []
+        self.seeds: list[str] = list(seeds)
         self.channel = channel.PeerChannel(
             time=self.time, rng=random.Random(self.rng.random()), region_of=self._region_of
         )
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -45,7 +45,9 @@
 # Pool homes count a connection for 60 s after its last use, so it must be closed by then.
 _IDLE_CONNECTION_S = 45.0
 _SWEEP_INTERVAL_S = 5.0
-_INCARNATION_BITS = 62
+_SEED_BITS = 62
+# With the 41 bits of the time of day, an incarnation fits into 64 bits for decades.
+_RANDOM_BITS = 20
 
 _log = logging.getLogger(__name__)
 
@@ -176,6 +178,10 @@
         self._log.flush()
         _log.info("stopped", extra={"host": self._settings.host.id})
 
+    def _make_incarnation(self) -> int:
+        """Return a number that grows from run to run, unless the time of day is set back."""
+        return int(self._clock.wall_ms()) << _RANDOM_BITS | secrets.randbits(_RANDOM_BITS)
+
     def _make_source(self) -> sources.Source:
         table = self._settings.platform
         options = sources.SourceOptions(
@@ -191,12 +197,12 @@
     def _make_engine(self) -> engine.Engine:
         host = self._settings.host
         table = self._settings.platform
-        seed = self._settings.decisions.seed or secrets.randbits(_INCARNATION_BITS)
+        seed = self._settings.decisions.seed or secrets.randbits(_SEED_BITS)
         made = context.Context(
             host=ids.HostId(host.id),
             data_centre=ids.DataCentreId(host.data_centre),
             region=ids.RegionId(host.region),
-            incarnation=secrets.randbits(_INCARNATION_BITS),
+            incarnation=self._make_incarnation(),
             clock=self._clock,
             rng=random.Random(seed),
             send=self._send,
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -19,11 +19,13 @@
 _FAR_PUSHES_PER_REGION = 3.0
 _FAR_DIGESTS_PER_REGION = 2.0
 _DIGEST_PERIOD_MS = 500.0
-_NEWS_DIGEST_PERIOD_MS = 100.0
+_NEWS_DIGEST_PERIOD_MS = 200.0
 _NEWS_MS = 1_000.0
-_MAX_PUSH_BYTES = 32_768
+# Larger news is announced by a digest and pulled, so that each host gets it once and not three times.
+_MAX_PUSH_BYTES = 1_500
 _MAX_CHUNK_BYTES = 262_144
-_MAX_TAIL_BYTES = 4_096
+# Digests go out several times a second while there is news, so their tail fits one packet.
+_MAX_TAIL_BYTES = 700
 _TAIL_AGE_MS = 5_000.0
 _PULL_TIMEOUT_MS = 1_000.0
 _PULL_TRIES = 3
--- a/verbenadrum/membership/seeded.py
+++ b/verbenadrum/membership/seeded.py
@@ -23,7 +23,7 @@
 # One seed is asked now and then for good: after a long cut it joins the two sides again.
 _REJOIN_INTERVAL_MS = 4_000.0
 _DIGEST_INTERVAL_MS = 500.0
-_NEWS_DIGEST_INTERVAL_MS = 100.0
+_NEWS_DIGEST_INTERVAL_MS = 200.0
 _NEWS_MS = 1_000.0
 _FAR_DIGESTS_PER_REGION = 3.0
 _RUMOR_FANOUT = 3
