--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -21,7 +21,7 @@
 _DIGEST_PERIOD_MS = 500.0
 _NEWS_DIGEST_PERIOD_MS = 200.0
 _NEWS_MS = 1_000.0
-# Larger news is announced by a digest and pulled, so that each host gets it once and not three times.
+# Larger news is announced by a digest and pulled, so that each host gets it once.
 _MAX_PUSH_BYTES = 1_500
 _MAX_CHUNK_BYTES = 262_144
 # Digests go out several times a second while there is news, so their tail fits one packet.
--- a/verbenadrum/limits/metered.py
+++ b/verbenadrum/limits/metered.py
@@ -143,7 +143,10 @@
             spec = self._records.workspace(workspace)
             if spec is None or not spec.limited:
                 continue
-            meter = self._charge(workspace, spec, sender, use, message.elapsed_ms, now_ms)
+            meter = self._charge(workspace, spec, use)
+            asked_per_s = use.asked / max(message.elapsed_ms, 1.0) * _MS_PER_S
+            self._note_demand(meter, sender, asked_per_s, now_ms)
+            self._watch_level(workspace, spec, meter, sender)
             if meter.throttled:
                 parts.append(self._part(workspace, spec, meter, sender))
             elif use.throttled:
@@ -210,11 +213,9 @@
         self,
         workspace: ids.WorkspaceId,
         spec: types.WorkspaceSpec,
-        sender: ids.HostId,
         use: messages.Use,
-        elapsed_ms: float,
-        now_ms: float,
     ) -> _Meter:
+        now_ms = self._context.now_ms()
         meter = self._meters.get(workspace)
         if meter is None:
             meter = _Meter(level=spec.burst * _FIRST_LEVEL, at_ms=now_ms)
@@ -225,14 +226,21 @@
         # A debt of more than a burst would throttle for longer than the bound asks for.
         meter.level = max(-spec.burst, meter.level)
         meter.at_ms = now_ms
-        self._note_demand(meter, sender, use.asked / max(elapsed_ms, 1.0) * _MS_PER_S, now_ms)
+        return meter
+
+    def _watch_level(
+        self,
+        workspace: ids.WorkspaceId,
+        spec: types.WorkspaceSpec,
+        meter: _Meter,
+        sender: ids.HostId,
+    ) -> None:
         was_throttled = meter.throttled
         limit = _FREE_ABOVE if was_throttled else _THROTTLE_BELOW
         # A burst of a request or two is no sign of a rush.
         meter.throttled = meter.level < limit * spec.burst - (0.0 if was_throttled else 1.0)
         if meter.throttled and not was_throttled:
             self._tell_all(workspace, spec, meter, sender)
-        return meter
 
     def _note_demand(
         self, meter: _Meter, sender: ids.HostId, rate_per_s: float, now_ms: float
