--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -1,5 +1,6 @@
 """Takes each request from its head to its end, on the host that the caller reached."""
 
+import msgspec
 import xxhash
 
 from verbenadrum import ids
@@ -10,6 +11,8 @@
 
 __all__ = ["EntryPipeline"]
 
+# Callers honour Retry-After up to a third of the time that they have left.
+_PATIENCE_SHARE = 0.33
 _IDLE_STAGES = (table.RequestStage.COMMITTED, table.RequestStage.ENDED)
 
 
@@ -344,6 +347,7 @@
     def _refuse_head(
         self, head: ports.RequestHead, sink: ports.RequestSink, refusal: ports.Refusal
     ) -> None:
+        refusal = self._within_patience(head, refusal)
         self._context.decide(
             ring.DecisionKind.REFUSE,
             "refused",
@@ -353,6 +357,15 @@
         )
         sink.refuse(refusal)
 
+    def _within_patience(
+        self, head: ports.RequestHead, refusal: ports.Refusal
+    ) -> ports.Refusal:
+        """Shorten the time after which to come back to what callers will wait."""
+        most_ms = max(0.0, head.deadline_ms - self._context.now_ms()) * _PATIENCE_SHARE
+        if refusal.retry_after_ms <= most_ms:
+            return refusal
+        return msgspec.structs.replace(refusal, retry_after_ms=most_ms)
+
     def _end(self, row: table.RequestRow, answer: ports.StoredAnswer | None) -> None:
         if row.claim is not None:
             if row.may_have_run or row.attempts:
--- a/verbenadrum/entry/refusals.py
+++ b/verbenadrum/entry/refusals.py
@@ -20,6 +20,8 @@
 }
 # A host learns the routes within this time of its start unless it reaches nobody.
 NOT_CONFIGURED_RETRY_MS = 200.0
+# A server that sheds, or a home that does not answer, is likely to have room after a work time.
+SHED_RETRY_MS = 150.0
 KEY_REUSED = "key-reused"
 POISON_REQUEST = "poison-request"
 LIMIT_UNAVAILABLE = "limit-unavailable"
@@ -115,6 +117,7 @@
         code=outcome.kind.value,
         detail="the backend server did not give a whole answer",
         not_run=ports.NotRun.UNKNOWN if may_have_run else ports.NotRun.TRUE,
+        retry_after_ms=0.0 if may_have_run else SHED_RETRY_MS,
     )
 
 
@@ -126,4 +129,5 @@
         code="deadline-passed",
         detail="the request's deadline passed",
         not_run=ports.NotRun.UNKNOWN if may_have_run else ports.NotRun.TRUE,
+        retry_after_ms=0.0 if may_have_run else SHED_RETRY_MS,
     )
--- a/verbenadrum/health/belief.py
+++ b/verbenadrum/health/belief.py
@@ -28,8 +28,11 @@
 # ten, a well one two in a hundred.
 _FAILED_RATIO = 35.0
 _OK_RATIO = 0.3
-# A refusal without a run may only say that another caller was sooner.
+# A refusal without a run may only say that another caller was sooner. Where the whole pool sheds,
+# it tells nothing of one server.
 _SHED_RATIO = 8.0
+_SHED_CHANCE = 0.7
+_SHED_DECAY = 0.95
 # A path may be at fault as well as the server.
 _UNREACHED_RATIO = 12.0
 _LATE_RATIO = 3.0
@@ -67,12 +70,15 @@
         self._rows: dict[ids.ServerId, _Row] = {}
         self._latencies = latency.LatencyHistogram()
         self._late_ms = _UNKNOWN_LATE_MS
+        self._shed_rate = 0.0
         self._reviews = 0
 
     def ended(self, evidence: evidence.Evidence) -> None:
         """Take in the end of an attempt."""
         if evidence.kind is ports.OutcomeKind.OK:
             self._latencies.add(evidence.latency_ms)
+        shed = evidence.kind is ports.OutcomeKind.SHED
+        self._shed_rate = self._shed_rate * _SHED_DECAY + shed * (1.0 - _SHED_DECAY)
         ratio = self._ratio(evidence)
         if ratio == 1.0:
             return
@@ -124,7 +130,7 @@
         if evidence.kind in _FAILURES:
             return _FAILED_RATIO
         if evidence.kind is ports.OutcomeKind.SHED:
-            return _SHED_RATIO
+            return max(1.0, min(_SHED_RATIO, _SHED_CHANCE / max(0.01, self._shed_rate)))
         if evidence.kind in (ports.OutcomeKind.CONNECT_FAILED, ports.OutcomeKind.MISDIRECTED):
             return _UNREACHED_RATIO
         if evidence.kind is ports.OutcomeKind.OK:
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -19,6 +19,15 @@
 _QUEUE_PER_SLOT = 8
 _MIN_QUEUE = 8
 _ELSEWHERE_AFTER_MS = 250.0
+# A request with a target waits for a slot for at most this part of what is left of it, so that
+# its answer still comes in time, and one that will not get a slot is refused while its caller can
+# come back.
+_WAIT_SHARE = 0.35
+# With a target, the other region is asked when the wait here is longer than the way there.
+_ELSEWHERE_TARGET_MS = 80.0
+# Callers that are refused together must not come back together.
+_RETRY_AFTER_MS = 120.0
+_RETRY_SPREAD_MS = 240.0
 _FIRST_SERVICE_MS = 50.0
 _SERVICE_SMOOTHING = 0.05
 _HEDGE_QUANTILE = 0.98
@@ -162,13 +171,13 @@
         waiter = _Waiter(
             observer=observer,
             ask=ask,
-            deadline_ms=now_ms + ask.remaining_ms,
+            deadline_ms=now_ms + self._patience_ms(ask),
             arrived_ms=now_ms,
         )
         if not self._pass_gate(waiter):
             return
         if not self._within_budget(ask, now_ms):
-            self._refuse(waiter, "retry-budget-spent")
+            self._refuse(waiter, "retry-budget-spent", self._come_back_ms(0.0))
             return
         if ask.hedge and self._loaded():
             self._refuse(waiter, "pool-loaded", self._hedge_ms)
@@ -332,19 +341,32 @@
             return True
         return self._budget.draw(now_ms=now_ms)
 
+    def _patience_ms(self, ask: messages.PlaceAsk) -> float:
+        """Return how long a request may wait for a slot."""
+        if not ask.target_ms:
+            return ask.remaining_ms
+        return max(0.0, min(_WAIT_SHARE * ask.target_ms, ask.remaining_ms - self._service_ms))
+
+    def _come_back_ms(self, wait_ms: float) -> float:
+        """Return when a refused caller finds room: after the wait, spread over a while."""
+        return wait_ms + _RETRY_AFTER_MS + _RETRY_SPREAD_MS * self._context.rng.random()
+
     def _enqueue(self, waiter: _Waiter) -> None:
         workspace = waiter.ask.workspace
         slots = max(1, self._servers.total_slots)
         ahead = self._queue.waiting(workspace)
         wait_ms = self._expected_wait_ms(workspace, ahead, slots)
+        elsewhere_ms = _ELSEWHERE_TARGET_MS if waiter.ask.target_ms else _ELSEWHERE_AFTER_MS
+        patience_ms = waiter.deadline_ms - waiter.arrived_ms
+        come_back_ms = self._come_back_ms(max(0.0, wait_ms - patience_ms))
         if not self._servers.live:
-            self._refuse(waiter, "no-eligible-server")
-        elif not waiter.ask.last and wait_ms > _ELSEWHERE_AFTER_MS:
+            self._refuse(waiter, "no-eligible-server", self._come_back_ms(0.0))
+        elif not waiter.ask.last and wait_ms > elsewhere_ms:
             self._reply(waiter, messages.PlaceState.ELSEWHERE, "other-region-sooner")
-        elif wait_ms > waiter.ask.remaining_ms:
-            self._refuse(waiter, "deadline-unreachable", wait_ms)
+        elif wait_ms > patience_ms:
+            self._refuse(waiter, "deadline-unreachable", come_back_ms)
         elif ahead >= max(_MIN_QUEUE, slots * _QUEUE_PER_SLOT):
-            self._refuse(waiter, "queue-full", wait_ms)
+            self._refuse(waiter, "queue-full", come_back_ms)
         else:
             self._queue.push(workspace, waiter)
             self._queued(waiter, "queued")
@@ -402,7 +424,7 @@
             waiter = self._queue.pop()
             now_ms = self._context.now_ms()
             if waiter.deadline_ms <= now_ms:
-                self._refuse(waiter, "deadline-passed")
+                self._refuse(waiter, "waited-too-long", self._come_back_ms(0.0))
                 continue
             # Another copy of the request may have crashed a server in the meantime.
             if not self._pass_gate(waiter):
@@ -424,8 +446,8 @@
 
     def _shed(self, now_ms: float) -> None:
         for waiter in self._queue.remove(lambda item: item.deadline_ms <= now_ms):
-            self._refuse(waiter, "deadline-passed")
-        self._refuse_held_back(lambda item: item.deadline_ms <= now_ms, "deadline-passed")
+            self._refuse(waiter, "waited-too-long", self._come_back_ms(0.0))
+        self._refuse_held_back(lambda item: item.deadline_ms <= now_ms, "waited-too-long")
 
     def _refuse_held_back(
         self, unwanted: Callable[[_Waiter], bool], reason: str, retry_after_ms: float = 0.0
