--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -13,6 +13,8 @@
 
 # Callers honour Retry-After up to a third of the time that they have left.
 _PATIENCE_SHARE = 0.33
+# Attempts that servers refused to run, beyond those that a route allows; after that a pool is full.
+_MOST_UNRUN_ATTEMPTS = 2
 _IDLE_STAGES = (table.RequestStage.COMMITTED, table.RequestStage.ENDED)
 
 
@@ -315,10 +317,14 @@
     def _attempt_left(self, row: table.RequestRow) -> bool:
         """Return whether the route lets the request go to one more server.
 
-        An attempt that certainly has not run does not count.
+        An attempt that certainly has not run does not count, up to a number of them.
         """
         most = row.route.max_attempts
-        return not most or row.run_count + len(row.attempts) < most
+        if not most:
+            return True
+        if row.attempt_count >= most + _MOST_UNRUN_ATTEMPTS:
+            return False
+        return row.run_count + len(row.attempts) < most
 
     def _hedge(self, row: table.RequestRow) -> None:
         row.hedge_at_ms = float("inf")
--- a/verbenadrum/placement/budget.py
+++ b/verbenadrum/placement/budget.py
@@ -7,8 +7,11 @@
 __all__ = ["DEFAULT_LIMITS", "RetryBudget", "RetryLimits", "WindowBudget"]
 
 _TOKENS_PER_REQUEST = 0.2
-_MOST_TOKENS = 20.0
+# A host repeats alone only while no home answers; all hosts together may do so at once.
+_MOST_TOKENS = 1.0
 _HEDGE_RESERVE = 2.0
+# Part of the slack that the homes use; repeats that hosts place alone take the rest.
+_SLACK_USED = 0.8
 
 
 class RetryBudget:
@@ -72,7 +75,7 @@
 
     Examples
     --------
-    >>> budget = WindowBudget(limits=RetryLimits(ratio=0.5, slack=1.0, window_ms=100.0), parts=1)
+    >>> budget = WindowBudget(limits=RetryLimits(ratio=0.5, slack=1.25, window_ms=100.0), parts=1)
     >>> budget.draw(now_ms=0.0), budget.draw(now_ms=1.0)
     (True, False)
     >>> budget.earn(now_ms=2.0); budget.earn(now_ms=2.0)
@@ -82,7 +85,7 @@
 
     def __init__(self, *, limits: RetryLimits, parts: int) -> None:
         self._limits = limits
-        self._slack = limits.slack / parts
+        self._slack = limits.slack * _SLACK_USED / parts
         self._firsts: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -184,6 +184,7 @@
             return
         if not len(self._queue) and self._grant(waiter):
             self._queue.charge(ask.workspace)
+            self._count_first(ask, now_ms)
             return
         self._enqueue(waiter)
 
@@ -335,12 +336,16 @@
         return False
 
     def _within_budget(self, ask: messages.PlaceAsk, now_ms: float) -> bool:
-        """Count a first attempt, or return whether one more repeat is within the budget."""
+        """Return whether an ask is a first attempt, or one more repeat within the budget."""
         if not ask.attempt and not ask.hedge:
-            self._budget.earn(now_ms=now_ms)
             return True
         return self._budget.draw(now_ms=now_ms)
 
+    def _count_first(self, ask: messages.PlaceAsk, now_ms: float) -> None:
+        """Count a first attempt, once in the whole fleet: not where it goes elsewhere."""
+        if not ask.attempt and not ask.hedge:
+            self._budget.earn(now_ms=now_ms)
+
     def _patience_ms(self, ask: messages.PlaceAsk) -> float:
         """Return how long a request may wait for a slot."""
         if not ask.target_ms:
@@ -363,6 +368,7 @@
             self._refuse(waiter, "no-eligible-server", self._come_back_ms(0.0))
         elif not waiter.ask.last and wait_ms > elsewhere_ms:
             self._reply(waiter, messages.PlaceState.ELSEWHERE, "other-region-sooner")
+            return
         elif wait_ms > patience_ms:
             self._refuse(waiter, "deadline-unreachable", come_back_ms)
         elif ahead >= max(_MIN_QUEUE, slots * _QUEUE_PER_SLOT):
@@ -370,6 +376,7 @@
         else:
             self._queue.push(workspace, waiter)
             self._queued(waiter, "queued")
+        self._count_first(waiter.ask, waiter.arrived_ms)
 
     def _expected_wait_ms(self, workspace: str, ahead: int, slots: int) -> float:
         own = self._weight(workspace)
