Callers' port: malformed chunks and bare line feeds are refused at once; half frames time out

A streamed body that failed while it was passed on left its caller without an answer: the wait for the verdict had no end. Small chunked bodies are now read whole before placement, so that they can be sent again and the caller's leaving is seen; a larger one that breaks ends its answer. Heads must use CR LF, on the callers' port as on the operators'.

--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -1,6 +1,7 @@
 """The callers' port: turns HTTP requests into requests of the core, and verdicts into answers."""
 
 import http.client
+import itertools
 import json
 import math
 import socket
@@ -152,7 +153,7 @@
     ) -> tuple[int, bytes | Iterator[bytes] | None]:
         """Return the body's length and the body: whole where it is small, else in pieces."""
         if "HTTP_TRANSFER_ENCODING" in environ:
-            return -1, self._pieces(environ, request)
+            return self._read_chunked(environ, request)
         length = int(environ.get("CONTENT_LENGTH") or 0)
         if length == 0:
             has_length = "CONTENT_LENGTH" in environ
@@ -167,18 +168,33 @@
             raise targets.BadRequestError("the body is shorter than its Content-Length")
         return length, body
 
+    def _read_chunked(
+        self, environ: dict, request: ids.RequestId
+    ) -> tuple[int, bytes | Iterator[bytes]]:
+        """Return a small body whole, so that it can be sent again; pass a larger one on."""
+        try:
+            start = environ["wsgi.input"].read(MAX_REPLAYABLE_BYTES + 1)
+        except http_server.MALFORMED_BODY:
+            # The server answers 400 and closes the connection.
+            raise
+        except OSError as error:
+            raise http_server.AbortAnswer("the caller's body did not come") from error
+        if len(start) <= MAX_REPLAYABLE_BYTES:
+            return len(start), start
+        return -1, itertools.chain((start,), self._pieces(environ, request))
+
     def _pieces(self, environ: dict, request: ids.RequestId) -> Iterator[bytes]:
         remaining = int(environ.get("CONTENT_LENGTH") or -1)
         while remaining != 0:
             try:
                 piece = environ["wsgi.input"].read(_PIECE_BYTES)
-            except OSError:
+            except OSError as error:
                 self._engine.abandon(request)
-                raise
+                raise http_server.CallerBodyError(str(error)) from error
             if not piece:
                 if remaining > 0:
                     self._engine.abandon(request)
-                    raise OSError("the caller left before its body was complete")
+                    raise http_server.CallerBodyError("it ended before its length")
                 return
             remaining -= len(piece) if remaining > 0 else 0
             yield piece
@@ -207,6 +223,8 @@
                 return joined.wait(timeout_s if watched else None)
             except gevent.Timeout:
                 timeout_s = _WATCH_INTERVAL_S
+            except http_server.CallerBodyError as error:
+                raise http_server.AbortAnswer("the caller's body did not come") from error
             if _caller_left(environ[http_server.SOCKET_KEY]):
                 raise http_server.AbortAnswer("the caller left")
 
--- a/verbenadrum/daemon/exchange.py
+++ b/verbenadrum/daemon/exchange.py
@@ -8,7 +8,7 @@
 
 from verbenadrum import ids
 from verbenadrum.core import engine, ports
-from verbenadrum.daemon import upstream
+from verbenadrum.daemon import http_server, upstream
 from verbenadrum.utils import clock
 
 __all__ = ["Exchange", "Passed"]
@@ -117,6 +117,8 @@
             answer = attempt.run()
         except upstream.AttemptError as error:
             self._end(order, error.outcome)
+            if isinstance(error.__cause__, http_server.CallerBodyError):
+                self._verdict.set_exception(error.__cause__)
             return
         if not self._engine.commit(order.request, order.lease):
             answer.discard()
--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -11,7 +11,14 @@
 from verbenadrum.daemon import sockets
 from verbenadrum.utils import errors
 
-__all__ = ["AbortAnswer", "HttpServer", "SOCKET_KEY", "TARGET_KEY"]
+__all__ = [
+    "AbortAnswer",
+    "CallerBodyError",
+    "HttpServer",
+    "MALFORMED_BODY",
+    "SOCKET_KEY",
+    "TARGET_KEY",
+]
 
 # Keys of the WSGI environment that the handler adds.
 SOCKET_KEY = "verbenadrum.socket"
@@ -33,10 +40,49 @@
     code = "answer-aborted"
 
 
+class CallerBodyError(OSError):
+    """A caller's body that broke off, or is malformed, while it was passed on."""
+
+
+# What gevent raises for a chunk that cannot be read; it answers 400 and closes.
+MALFORMED_BODY = pywsgi._InvalidClientInput  # noqa: SLF001
+
+
 class _FramingError(ValueError):
     """A request whose extent is not certain."""
 
 
+class _Input(pywsgi.Input):
+    """Body of a request, for which an empty chunk size is malformed like any other."""
+
+    __slots__ = ()
+
+    def read(self, length: int | None = None) -> bytes:
+        """Return up to ``length`` bytes of the body."""
+        try:
+            return super().read(length)
+        except ValueError as error:
+            self._chunked_input_error = True
+            raise MALFORMED_BODY(f"unreadable chunk size: {error}") from error
+
+
+class _CrlfLines:
+    """Lines of a head, which must end with CR and LF.
+
+    Another parser may take a bare LF for a part of a header's value, and see another request.
+    """
+
+    def __init__(self, source: object) -> None:
+        self._source = source
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line."""
+        line = self._source.readline(limit)
+        if line.endswith(b"\n") and not line.endswith(b"\r\n"):
+            raise _FramingError("a header line does not end with CR and LF")
+        return line
+
+
 class _Handler(pywsgi.WSGIHandler):
     """Reads requests of one connection."""
 
@@ -45,7 +91,8 @@
 
         This is checked before the base class drops a Content-Length beside a Transfer-Encoding.
         """
-        headers = super().MessageClass(*arguments)
+        lines, *rest = arguments
+        headers = super().MessageClass(_CrlfLines(lines), *rest)
         _check_head(self.request_version, headers)
         return headers
 
@@ -54,11 +101,17 @@
         self.socket.settimeout(_IDLE_TIMEOUT_S)
         line = super().read_requestline()
         self.socket.settimeout(_HEAD_TIMEOUT_S)
+        if line and not line.endswith("\r\n"):
+            raise _FramingError("the request line does not end with CR and LF")
         return line
 
     def get_environ(self) -> dict:
         """Add the raw target and the socket to the WSGI environment."""
         environ = super().get_environ()
+        given = environ["wsgi.input"]
+        self.wsgi_input = environ["wsgi.input"] = _Input(
+            given.rfile, given.content_length, given.socket, given.chunked_input
+        )
         environ[TARGET_KEY] = self.path
         environ[SOCKET_KEY] = self.socket
         return environ
--- a/verbenadrum/daemon/peers.py
+++ b/verbenadrum/daemon/peers.py
@@ -23,6 +23,8 @@
 _CONNECT_TIMEOUT_S = 1.0
 _SEND_TIMEOUT_S = 5.0
 _IDLE_TIMEOUT_S = 120.0
+# A message leaves its sender in one piece, so the rest of a frame follows at once.
+_FRAME_TIMEOUT_S = 5.0
 _FIRST_RETRY_S = 0.05
 _LAST_RETRY_S = 2.0
 
@@ -138,6 +140,7 @@
     def _frames(self, sock: socket.socket):
         buffer = bytearray()
         while True:
+            sock.settimeout(_FRAME_TIMEOUT_S if buffer else 2.0 * _IDLE_TIMEOUT_S)
             data = sock.recv(_READ_BYTES)
             if not data:
                 return
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -80,6 +80,8 @@
         b"GET /guarded\r\n\r\n",
         b"GET /guarded HTTP/1.1\r\nHost: a\r\n" + b"X: y\r\n" * 200 + b"\r\n",
         b"GET /guarded HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 70_000 + b"\r\n\r\n",
+        b"GET /guarded HTTP/1.1\nHost: a\n\n",
+        b"GET /guarded HTTP/1.1\r\nHost: a\nX: b\r\n\r\n",
         b"GET /" + b"g" * 9_000 + b" HTTP/1.1\r\nHost: a\r\n\r\n",
     ],
 )
@@ -90,6 +92,19 @@
     assert server.bodies == []
 
 
+@pytest.mark.parametrize("size", [b"-1", b"f" * 18, b"0x4", b"", b"g"])
+def test_malformed_chunk_size_is_refused_at_once(server, size):
+    server.bodies.clear()
+    data = post(b"Transfer-Encoding: chunked", body=size + b"\r\nabcd\r\n0\r\n\r\n")
+    with socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as sock:
+        sock.sendall(data)
+        received = b""
+        while piece := sock.recv(65_536):
+            received += piece
+    assert received.startswith(b"HTTP/1.1 400")
+    assert server.bodies == []
+
+
 def test_pipelined_requests_get_their_own_answers(server):
     server.bodies.clear()
     data = post(b"Content-Length: 3", body=b"one") + post(b"Content-Length: 3", body=b"two")
--- a/verbenadrum/daemon/tests/test_peers.py
+++ b/verbenadrum/daemon/tests/test_peers.py
@@ -136,3 +136,12 @@
     finally:
         node.streams.stop()
         other.streams.stop()
+
+
+def test_half_a_frame_does_not_hold_its_connection(nodes, monkeypatch):
+    monkeypatch.setattr(peers, "_FRAME_TIMEOUT_S", 0.05)
+    node = Node(host="h1", addresses={})
+    nodes.append(node)
+    with socket.create_connection(sockets.split_address(node.address), TIMEOUT_S) as sock:
+        sock.sendall(struct.pack(">I", 100) + b"half")
+        assert sock.recv(1) == b""
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -363,9 +363,7 @@
         )
         sink.refuse(refusal)
 
-    def _within_patience(
-        self, head: ports.RequestHead, refusal: ports.Refusal
-    ) -> ports.Refusal:
+    def _within_patience(self, head: ports.RequestHead, refusal: ports.Refusal) -> ports.Refusal:
         """Shorten the time after which to come back to what callers will wait."""
         most_ms = max(0.0, head.deadline_ms - self._context.now_ms()) * _PATIENCE_SHARE
         if refusal.retry_after_ms <= most_ms:
