--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -110,6 +110,7 @@
     ended_ms: float = math.inf
     ok: bool = False
     refusal: str = ""
+    retry_after_ms: float = 0.0
     attempts: list[str] = []
 
 
@@ -191,6 +192,7 @@
 
     def refuse(self, refusal):
         self.log.refusal = refusal.code
+        self.log.retry_after_ms = refusal.retry_after_ms
         self.log.ended_ms = self.fleet.clock.now_ms()
 
     def replay(self, answer):
@@ -231,7 +233,9 @@
         weights: dict[str, float] | None = None,
         tick_ms: float = engine.TICK_MS,
         timeout_ms: float = 10_000.0,
+        target_ms: float = 0.0,
     ) -> None:
+        self._target_ms = target_ms
         self.clock = clock.SteppedClock()
         self.rng = random.Random(seed)
         self.logs: list[RequestLog] = []
@@ -517,7 +521,12 @@
         return (NEAR_MS if same else FAR_MS) + self.extra_ms(host.row.host, link)
 
     def _route(self) -> types.RouteSpec:
-        return types.RouteSpec(path_prefix="/", service=SERVICE, timeout_ms=self._timeout_ms)
+        return types.RouteSpec(
+            path_prefix="/",
+            service=SERVICE,
+            timeout_ms=self._timeout_ms,
+            target_latency_ms=self._target_ms,
+        )
 
 
 def two_regions(hosts_per_centre: int) -> tuple[ports.HostRow, ...]:
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -164,7 +164,9 @@
         # Callers, and a balancer before this host, learn of the end late.
         gevent.sleep(table.linger_ms / _MS_PER_S)
         self._caller_server.drain()
-        while self._caller_server.in_flight and self._clock.now_ms() < limit_ms:
+        # A request may arrive on a kept connection until the moment at which that is closed.
+        while self._caller_server.connections and self._clock.now_ms() < limit_ms:
+            self._caller_server.close_idle()
             gevent.sleep(_SHUTDOWN_POLL_S)
         # The last releases and ends of claims are still on their way to other hosts.
         gevent.sleep(_LAST_MESSAGES_S)
--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -99,7 +99,9 @@
     def read_requestline(self) -> str:
         """Wait a bounded time for the next request on the connection."""
         self.socket.settimeout(_IDLE_TIMEOUT_S)
+        self.server.note_idle(self.socket)
         line = super().read_requestline()
+        self.server.note_busy(self.socket)
         self.socket.settimeout(_HEAD_TIMEOUT_S)
         if line and not line.endswith("\r\n"):
             raise _FramingError("the request line does not end with CR and LF")
@@ -193,6 +195,20 @@
         self.stopping = False
         self.in_flight = 0
         self._open: set[socket.socket] = set()
+        self._idle: set[socket.socket] = set()
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._open)
+
+    def note_idle(self, sock: socket.socket) -> None:
+        """Note that a connection waits for its next request."""
+        self._idle.add(sock)
+
+    def note_busy(self, sock: socket.socket) -> None:
+        """Note that a request has begun to arrive on a connection."""
+        self._idle.discard(sock)
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Serve one connection."""
@@ -202,6 +218,7 @@
             super().handle(sock, address)
         finally:
             self._open.discard(sock)
+            self._idle.discard(sock)
 
     def announce_end(self) -> None:
         """Ask each client to close its connection, and go on serving."""
@@ -212,6 +229,12 @@
         self.stopping = True
         self.close()
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun to arrive."""
+        for sock in list(self._idle):
+            self._idle.discard(sock)
+            sock.close()
+
     def close_connections(self) -> None:
         """Close every connection that is still open."""
         for sock in list(self._open):
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """Tests of framing on the callers' port, with raw sockets."""
 
 import socket
+import time
 
 import hypothesis
 import pytest
@@ -135,3 +136,18 @@
     received = server.send(prefix + junk)
     assert received == b"" or received.startswith(b"HTTP/1.1 ")
     assert server.send(GOOD).startswith(b"HTTP/1.1 200 OK")
+
+
+def test_closing_idle_connections_leaves_one_with_a_request_alone(server):
+    with (
+        socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as idle,
+        socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as busy,
+    ):
+        busy.sendall(b"POST /good HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n")
+        deadline = time.monotonic() + TIMEOUT_S
+        while server.server.in_flight < 1 and time.monotonic() < deadline:
+            time.sleep(0)
+        server.server.close_idle()
+        assert idle.recv(1) == b""
+        busy.sendall(b"ab")
+        assert busy.recv(65_536).startswith(b"HTTP/1.1 200 OK")
--- a/verbenadrum/health/belief.py
+++ b/verbenadrum/health/belief.py
@@ -36,6 +36,7 @@
 # A path may be at fault as well as the server.
 _UNREACHED_RATIO = 12.0
 _LATE_RATIO = 3.0
+_SLOW_QUANTILE = 0.9
 _LATE_QUANTILE = 0.99
 # A sick server leaves this part of its requests without an answer; the rest come as usual.
 _STALLED = 0.5
@@ -69,6 +70,7 @@
     def __init__(self) -> None:
         self._rows: dict[ids.ServerId, _Row] = {}
         self._latencies = latency.LatencyHistogram()
+        self._slow_ms = _UNKNOWN_LATE_MS / 2.0
         self._late_ms = _UNKNOWN_LATE_MS
         self._shed_rate = 0.0
         self._reviews = 0
@@ -99,7 +101,8 @@
         """Weigh the requests under way; this judge gives no verdicts."""
         self._reviews += 1
         if self._reviews % 20 == 1 and self._latencies.total >= _MIN_SAMPLES:
-            self._late_ms = self._latencies.quantile(_LATE_QUANTILE)
+            self._slow_ms = self._latencies.quantile(_SLOW_QUANTILE)
+            self._late_ms = max(self._slow_ms * 1.1, self._latencies.quantile(_LATE_QUANTILE))
         for row in self._rows.values():
             row.stalled_ratio = 1.0
         for flight in flights:
@@ -142,10 +145,15 @@
     def _stalled_ratio(self, waited_ms: float) -> float:
         """Return the likelihood ratio of a request that has had no answer for so long.
 
-        The tail beyond the late quantile is taken to fall with the third power of the time.
+        Between the two quantiles the survival function of a well server is taken to fall with a
+        power of the time, and beyond the later one with the third power.
         """
-        if waited_ms <= self._late_ms / 2.0:
+        if waited_ms <= self._slow_ms:
             return 1.0
-        well = (1.0 - _LATE_QUANTILE) * (self._late_ms / waited_ms) ** 3.0
-        well = min(1.0, max(1e-4, well))
+        if waited_ms < self._late_ms:
+            share = math.log(waited_ms / self._slow_ms) / math.log(self._late_ms / self._slow_ms)
+            slow, late = 1.0 - _SLOW_QUANTILE, 1.0 - _LATE_QUANTILE
+            well = slow * (late / slow) ** share
+        else:
+            well = max(1e-4, (1.0 - _LATE_QUANTILE) * (self._late_ms / waited_ms) ** 3.0)
         return min(_FAILED_RATIO, (_STALLED + (1.0 - _STALLED) * well) / well)
--- a/verbenadrum/placement/budget.py
+++ b/verbenadrum/placement/budget.py
@@ -89,6 +89,11 @@
         self._firsts: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
+    @property
+    def firsts(self) -> int:
+        """First attempts counted in the last window."""
+        return len(self._firsts)
+
     def earn(self, *, now_ms: float) -> None:
         """Count a first attempt."""
         self._firsts.append(now_ms)
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -260,7 +260,10 @@
                 hedge=request.hedge,
                 attempt=request.attempt,
                 priority=request.priority,
-                target_ms=max(0.0, round(request.target_ms - now_ms, 1)),
+                target_ms=(
+                    max(1.0, round(request.target_ms - now_ms, 1)) if request.target_ms else 0.0
+                ),
+                far=part.region not in (self._context.region, parts.EVERYWHERE),
             ),
         )
 
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -23,6 +23,8 @@
 # its answer still comes in time, and one that will not get a slot is refused while its caller can
 # come back.
 _WAIT_SHARE = 0.35
+# A target of less than this many service times counts for nothing.
+_REACHABLE_TARGET = 1.5
 # With a target, the other region is asked when the wait here is longer than the way there.
 _ELSEWHERE_TARGET_MS = 80.0
 # Callers that are refused together must not come back together.
@@ -143,6 +145,11 @@
         """Slots in use; the caller must not change the mapping."""
         return self._leases
 
+    @property
+    def budget(self) -> budget.WindowBudget:
+        """Repeats that this home may still grant."""
+        return self._budget
+
     @property
     def waiting(self) -> int:
         """Number of asks that wait for a slot."""
@@ -350,7 +357,11 @@
         """Return how long a request may wait for a slot."""
         if not ask.target_ms:
             return ask.remaining_ms
-        return max(0.0, min(_WAIT_SHARE * ask.target_ms, ask.remaining_ms - self._service_ms))
+        left_ms = ask.target_ms
+        if left_ms < _REACHABLE_TARGET * self._service_ms:
+            # The target cannot be met at all, but the request can still be served.
+            left_ms = ask.remaining_ms
+        return max(0.0, min(_WAIT_SHARE * left_ms, ask.remaining_ms - self._service_ms))
 
     def _come_back_ms(self, wait_ms: float) -> float:
         """Return when a refused caller finds room: after the wait, spread over a while."""
@@ -369,6 +380,9 @@
         elif not waiter.ask.last and wait_ms > elsewhere_ms:
             self._reply(waiter, messages.PlaceState.ELSEWHERE, "other-region-sooner")
             return
+        elif waiter.ask.far and waiter.ask.target_ms:
+            # The way there and back keeps a slot from the callers of this region.
+            self._refuse(waiter, "no-free-slot-for-far", come_back_ms)
         elif wait_ms > patience_ms:
             self._refuse(waiter, "deadline-unreachable", come_back_ms)
         elif ahead >= max(_MIN_QUEUE, slots * _QUEUE_PER_SLOT):
--- a/verbenadrum/placement/messages.py
+++ b/verbenadrum/placement/messages.py
@@ -34,7 +34,7 @@
 
     ``last`` says that there is no other region to try, ``attempt`` is 0 for a request's first
     attempt, and ``priority`` its rank under load, 0 being the most urgent. The caller wants its
-    answer within ``target_ms``, where that is not 0.
+    answer within ``target_ms``, where that is not 0. ``far`` asks come from another region.
     """
 
     number: int
@@ -51,6 +51,7 @@
     attempt: int = 0
     priority: int = 0
     target_ms: float = 0.0
+    far: bool = False
 
 
 @base.register
--- /dev/null
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -0,0 +1,82 @@
+"""Plays twice the load that a pool can serve, and checks what callers get."""
+
+import itertools
+
+import pytest
+
+from standins import stepped_fleet
+from verbenadrum.core import behaviours
+
+assert behaviours
+
+TARGET_MS = 1_200.0
+TIMEOUT_MS = 1_500.0
+WORK_MS = 250.0
+SERVERS = 10
+# Slots over the mean of a log-normal time with this median and spread.
+CAPACITY_PER_S = SERVERS * stepped_fleet.SLOTS / (WORK_MS * 1.046) * 1000.0
+RUN_MS = 15_000.0
+SETTLED_MS = 3_000.0
+# Time in which a refusal still leaves its caller room to come back within its target.
+SOON_MS = TARGET_MS * 0.35 + 100.0
+
+
+def overload(seed, target_ms, times=2.0):
+    places = itertools.cycle(("r1a", "r1b", "r2a", "r2b"))
+    fleet = stepped_fleet.Fleet(
+        hosts=stepped_fleet.two_regions(4),
+        servers={f"s{index}": next(places) for index in range(SERVERS)},
+        health="belief",
+        seed=seed,
+        median_ms=WORK_MS,
+        sigma=0.3,
+        timeout_ms=TIMEOUT_MS,
+        target_ms=target_ms,
+    )
+    paths = (f"/{number}" for number in itertools.count())
+    fleet.load(workspace="w", per_s=CAPACITY_PER_S * times, path=lambda: next(paths))
+    fleet.run(RUN_MS)
+    logs = [log for log in fleet.logs if SETTLED_MS <= log.sent_ms < RUN_MS - TIMEOUT_MS]
+    return fleet, logs
+
+
+def in_target(logs):
+    return sum(log.ok and log.ended_ms - log.sent_ms <= TARGET_MS for log in logs)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_twice_the_capacity_keeps_the_slots_busy_with_answers_in_time(seed):
+    _, logs = overload(seed, TARGET_MS)
+    seconds = (RUN_MS - TIMEOUT_MS - SETTLED_MS) / 1000.0
+    assert in_target(logs) >= 0.85 * CAPACITY_PER_S * seconds
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_what_cannot_be_served_is_refused_soon_and_told_when_to_come_back(seed):
+    _, logs = overload(seed, TARGET_MS)
+    refused = [log for log in logs if log.refusal]
+    assert refused
+    assert all(log.ended_ms - log.sent_ms <= SOON_MS for log in refused if not log.attempts)
+    assert all(log.retry_after_ms > 0.0 for log in refused if not log.attempts)
+
+
+def test_refusing_early_serves_more_in_time_than_waiting_for_the_time_out():
+    _, early = overload(1, TARGET_MS)
+    _, late = overload(1, 0.0)
+    assert in_target(early) > 1.1 * in_target(late)
+
+
+def test_requests_that_go_to_the_other_region_earn_repeats_once():
+    fleet, _ = overload(2, TARGET_MS, times=1.5)
+    earned = sum(
+        home.budget.firsts for host in fleet.hosts.values() for home in host.placer.homes.values()
+    )
+    window_ms = 10_000.0
+    recent = sum(log.sent_ms >= fleet.clock.now_ms() - window_ms - 100.0 for log in fleet.logs)
+    assert earned <= recent
+
+
+def test_target_below_the_work_time_costs_a_route_nothing():
+    _, wide = overload(3, TARGET_MS, times=1.3)
+    _, narrow = overload(3, WORK_MS / 3.0, times=1.3)
+    assert sum(log.ok for log in narrow) >= 0.9 * sum(log.ok for log in wide)
