--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -1,5 +1,6 @@
 """gevent's WSGI server with strict framing of requests, for the callers' and operators' ports."""
 
+import contextlib
 import http.client
 import logging
 import re
@@ -233,12 +234,18 @@
         """Close the connections on which no request has begun to arrive."""
         for sock in list(self._idle):
             self._idle.discard(sock)
-            sock.close()
+            _end(sock)
 
     def close_connections(self) -> None:
         """Close every connection that is still open."""
         for sock in list(self._open):
-            sock.close()
+            _end(sock)
+
+
+def _end(sock: socket.socket) -> None:
+    """End a connection; closing it alone would wait for the greenlet that reads from it."""
+    with contextlib.suppress(OSError):  # The client may have ended it already.
+        sock.shutdown(socket.SHUT_RDWR)
 
 
 def _check_head(version: str, headers: http.client.HTTPMessage) -> None:
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -145,8 +145,10 @@
     ):
         busy.sendall(b"POST /good HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n")
         deadline = time.monotonic() + TIMEOUT_S
-        while server.server.in_flight < 1 and time.monotonic() < deadline:
-            time.sleep(0)
+        ready = (2, 1)
+        while (server.server.connections, server.server.in_flight) != ready:
+            assert time.monotonic() < deadline
+            time.sleep(0.001)
         server.server.close_idle()
         assert idle.recv(1) == b""
         busy.sendall(b"ab")
