--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -25,6 +25,11 @@
 _UNSURE_DOUBT = 0.25
 # Requests that may be repeated try doubtful servers first, since a failure costs them little.
 _TRIAL_DOUBT = 0.75
+# A server that has had no work for this long is preferred, unless it is doubtful: a new one must get
+# its part also where the others have room, and what is known of an idle one grows old.
+_UNUSED_MS = 1_500.0
+_UNUSED_BONUS = 0.5
+_UNUSED_DOUBT = 0.2
 # Cost of certain sickness, in parts of a server's slots.
 _DOUBT_WEIGHT = 1.5
 _TRIAL_WEIGHT = 0.2
@@ -82,6 +87,7 @@
         self._connections: dict[ids.ServerId, dict[ids.HostId, tuple[int, float]]] = {}
         self._pairs: dict[tuple[ids.HostId, ids.ServerId], tuple[float, float]] = {}
         self._draining: set[ids.ServerId] = set()
+        self._taken_ms: dict[ids.ServerId, float] = {}
 
     @property
     def total_slots(self) -> int:
@@ -105,6 +111,7 @@
         self._part = part
         listed = {entry.server for entry in part.servers}
         self._draining &= listed
+        self._taken_ms = {name: at for name, at in self._taken_ms.items() if name in listed}
         self._select()
 
     def used(self, server: ids.ServerId) -> int:
@@ -140,6 +147,7 @@
     def take(self, server: ids.ServerId, observer: ids.HostId, now_ms: float) -> None:
         """Count a slot as used by an entry host."""
         self._in_use[server] += 1
+        self._taken_ms[server] = now_ms
         self._by_pair[observer, server] += 1
         used = self._connections.setdefault(server, {})
         most = used.get(observer, (0, 0.0))[0]
@@ -213,7 +221,10 @@
         if used >= slots:
             return math.inf
         cost = used / (entry.slots or self._part.spec.slots) + self._rng.random() * 0.1
-        cost += (_TRIAL_WEIGHT if trial else _DOUBT_WEIGHT) * self._doubt(server)
+        doubt = self._doubt(server)
+        cost += (_TRIAL_WEIGHT if trial else _DOUBT_WEIGHT) * doubt
+        if doubt < _UNUSED_DOUBT and now_ms - self._taken_ms.get(server, -math.inf) > _UNUSED_MS:
+            cost -= _UNUSED_BONUS
         if self._is_warm(server, observer):
             cost -= _WARM_BONUS
         elif self._is_full(server):
--- a/verbenadrum/placement/tests/test_overload.py
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -80,3 +80,20 @@
     _, wide = overload(3, TARGET_MS, times=1.3)
     _, narrow = overload(3, WORK_MS / 3.0, times=1.3)
     assert sum(log.ok for log in narrow) >= 0.9 * sum(log.ok for log in wide)
+
+
+def test_servers_that_join_a_pool_with_room_get_work_soon():
+    fleet = stepped_fleet.Fleet(
+        hosts=stepped_fleet.two_regions(4),
+        servers={f"s{index}": "r1a" for index in range(SERVERS)},
+        health="belief",
+        median_ms=WORK_MS,
+        target_ms=TARGET_MS,
+    )
+    entries = fleet.entries
+    fleet.publish(entries[:-2])
+    fleet.load(workspace="w", per_s=0.2 * CAPACITY_PER_S, method="POST")
+    fleet.run(8_000.0)
+    fleet.publish(entries)
+    fleet.run(4_000.0)
+    assert all(fleet.servers[entry.server].received for entry in entries[-2:])
