--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -25,8 +25,8 @@
 _UNSURE_DOUBT = 0.25
 # Requests that may be repeated try doubtful servers first, since a failure costs them little.
 _TRIAL_DOUBT = 0.75
-# A server that has had no work for this long is preferred, unless it is doubtful: a new one must get
-# its part also where the others have room, and what is known of an idle one grows old.
+# A server that has had no work for this long is preferred, unless it is doubtful: a new one must
+# get its part also where the others have room, and what is known of an idle one grows old.
 _UNUSED_MS = 1_500.0
 _UNUSED_BONUS = 0.5
 _UNUSED_DOUBT = 0.2
