--- a/verbenadrum/daemon/platform_reader.py
+++ b/verbenadrum/daemon/platform_reader.py
@@ -16,7 +16,6 @@
 _WHOLE_MARGIN_S = 10.0
 _IDLE_S = 0.25
 _AFTER_FAULT_S = 1.0
-_MAX_ANSWER_BYTES = 8_388_608
 _CONNECTIONS_PER_URL = 2
 
 _log = logging.getLogger(__name__)
@@ -89,17 +88,9 @@
                 redirect=False,
                 preload_content=False,
             )
-            try:
-                data = response.read(_MAX_ANSWER_BYTES + 1)
-            except BaseException:
-                response.close()
-                raise
-            finally:
-                response.release_conn()
+            data = sources.read_whole(response, base)
         if response.status != 200:
             raise sources.SourceError(f"status {response.status} from {base}")
-        if len(data) > _MAX_ANSWER_BYTES:
-            raise sources.SourceError(f"answer of more than {_MAX_ANSWER_BYTES} bytes from {base}")
         return data
 
 
--- a/verbenadrum/daemon/sources.py
+++ b/verbenadrum/daemon/sources.py
@@ -3,11 +3,16 @@
 import typing
 
 import msgspec
+import urllib3
 
 from verbenadrum.dissemination import duty
 from verbenadrum.utils import errors, registry
 
-__all__ = ["Source", "SourceError", "SourceOptions", "sources"]
+__all__ = ["Source", "SourceError", "SourceOptions", "read_whole", "sources"]
+
+
+# Eight times the largest value that the platform holds.
+_MAX_ANSWER_BYTES = 8_388_608
 
 
 class SourceError(errors.VerbenadrumError):
@@ -53,3 +58,23 @@
 
 # Each entry is a class with the constructor ``(*, options)`` and the method of `Source`.
 sources: registry.Registry = registry.Registry(kind="record source")
+
+
+def read_whole(response: urllib3.BaseHTTPResponse, base: str) -> bytes:
+    """Return an answer's body and free its connection.
+
+    Raises
+    ------
+    SourceError
+        If it is too large.
+    """
+    try:
+        data = response.read(_MAX_ANSWER_BYTES + 1)
+    except BaseException:
+        response.close()
+        raise
+    finally:
+        response.release_conn()
+    if len(data) > _MAX_ANSWER_BYTES:
+        raise SourceError(f"answer of more than {_MAX_ANSWER_BYTES} bytes from {base}")
+    return data
--- a/verbenadrum/platform/store.py
+++ b/verbenadrum/platform/store.py
@@ -21,7 +21,6 @@
 _OK = 200
 # Every key of the store is watched by one call: they are few, and calls are priced.
 _EVERY_KEY = ""
-_MAX_ANSWER_BYTES = 8_388_608
 _MS_PER_S = 1000.0
 
 _log = logging.getLogger(__name__)
@@ -147,15 +146,7 @@
                 redirect=False,
                 preload_content=False,
             )
-            try:
-                data = response.read(_MAX_ANSWER_BYTES + 1)
-            except BaseException:
-                response.close()
-                raise
-            finally:
-                response.release_conn()
-        if len(data) > _MAX_ANSWER_BYTES:
-            raise sources.SourceError(f"answer of more than {_MAX_ANSWER_BYTES} bytes from {base}")
+            data = sources.read_whole(response, base)
         return response.status, data
 
 
