Poison: a dead server tells nothing of later requests; suspects run alone

Ruled out: shared flights at the moment of the crash (the read began 5 s after), late clearing notices. Change: the home remembers which servers died and have answered nothing since, and blames no request that was sent to one of them later. The home alone spreads deaths; an entry host does so for what it placed alone. A suspected request gets a server of its own, so that a second death has one cause only. Tests fail first: test_servers_that_were_dead_already_tell_nothing_of_a_request, test_suspected_requests_never_share_a_server, test_other_work_stays_away_from_a_suspected_request.

--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -49,6 +49,8 @@
         How often all its answers are late together, and by how much at most.
     down : bool
         Whether it refuses connections.
+    behind_proxy : bool
+        Whether connections to it are taken, and broken, while it is down.
     draining : bool
         Whether its answers say that it wants no new work.
     crashes_on : str
@@ -60,6 +62,7 @@
         self.stall_fraction = 0.0
         self.error_fraction = 0.0
         self.down = False
+        self.behind_proxy = False
         self.draining = False
         self.crashes_on = ""
         self.restart_ms = 2_000.0
@@ -393,7 +396,8 @@
             self.after(CONNECT_TIMEOUT_MS, lambda: self.end(attempt, lost))
             return
         if server.down:
-            refused = ports.OutcomeKind.CONNECT_FAILED
+            kinds = ports.OutcomeKind
+            refused = kinds.RESET if server.behind_proxy else kinds.CONNECT_FAILED
             self.after(attempt.distance_ms, lambda: self.end(attempt, refused))
             return
         server.backlog.append(attempt)
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -143,9 +143,9 @@
             self._shunned[row.server] = now_ms + _DRAINING_MS
         elif outcome.kind is ports.OutcomeKind.CONNECT_FAILED:
             self._shunned[row.server] = now_ms + _LOCAL_AVOID_MS
-        self._remember_death(row, outcome)
         if not row.home:
             self._local[row.server] -= 1
+            self._remember_death(row, outcome)
             return
         self._send(
             row.home,
@@ -426,7 +426,7 @@
         return _NEAR_TIMEOUT_MS if near else _FAR_TIMEOUT_MS
 
     def _remember_death(self, row: _HeldRow, outcome: ports.Outcome) -> None:
-        """Note a server's death under a request, here and at every host that may be home."""
+        """Note a server's death under a request that was placed alone, and tell the homes."""
         died = poison.is_death(outcome.kind, server_gone=outcome.server_gone)
         if not died or not row.fingerprint:
             return
@@ -448,7 +448,7 @@
         )
         for part in self._table.parts(row.service):
             for home in self._table.homes(row.service, part.region):
-                if home not in (row.home, self._context.host):
+                if home != self._context.host:
                     self._send(home, notice)
 
     def _say(self, rows: list[_HeldRow]) -> None:
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -42,6 +42,8 @@
 _SUSPECTED_RETRY_MS = 1_000.0
 _UNSURE_MS = 1_000.0
 _PROBE_OBSERVER = ids.HostId("")
+# Outcomes that show that a server lives.
+_ANSWERS = (ports.OutcomeKind.OK, ports.OutcomeKind.SERVER_ERROR, ports.OutcomeKind.SHED)
 
 
 class _Waiter(msgspec.Struct, kw_only=True):
@@ -116,6 +118,8 @@
         )
         self._weight = weight
         self._budget = budget.WindowBudget(limits=retries, parts=max(1, regions()))
+        # Servers that died, and when; none of them has answered anything since.
+        self._died_ms: dict[ids.ServerId, float] = {}
         self._held_back: collections.deque[_Waiter] = collections.deque()
         self._leases: dict[ids.LeaseId, servers.LeaseRow] = {}
         self._asks: dict[tuple[ids.HostId, int], messages.PlaceAnswer | None] = {}
@@ -312,6 +316,8 @@
         if lease is not None:
             self._close(lease)
         passed = outcome.kind is ports.OutcomeKind.OK
+        if passed:
+            self._died_ms.pop(order.server, None)
         self._context.decide(
             ring.DecisionKind.OUTCOME,
             order.server,
@@ -402,7 +408,11 @@
         now_ms = self._context.now_ms()
         ask = waiter.ask
         trial = ask.idempotent and not ask.attempt
-        entry = self._servers.choose(waiter.observer, ask.excluded, now_ms, trial=trial)
+        suspicion = self._ledger.suspicion(ask.fingerprint, now_ms)
+        suspected = suspicion is poison.Suspicion.SUSPECTED
+        entry = self._servers.choose(
+            waiter.observer, ask.excluded, now_ms, trial=trial, suspected=suspected
+        )
         if entry is None:
             return False
         server = ids.ServerId(entry.server)
@@ -410,7 +420,8 @@
             server, waiter.observer, ask.workspace, ask.fingerprint, number=ask.number
         )
         lease.group = ids.DataCentreId(ask.data_centre)
-        lease.trusted = self._ledger.suspicion(ask.fingerprint, now_ms) is poison.Suspicion.GOOD
+        lease.trusted = suspicion is poison.Suspicion.GOOD
+        lease.suspected = suspected
         self._open(lease)
         answer = _answer(
             ask,
@@ -524,13 +535,13 @@
 
     def _open(self, lease: servers.LeaseRow) -> None:
         self._leases[lease.lease] = lease
-        self._servers.take(lease.server, lease.observer, self._context.now_ms())
+        self._servers.take(lease, self._context.now_ms())
         self._gate.start(lease)
 
     def _close(self, lease: servers.LeaseRow) -> None:
         del self._leases[lease.lease]
         self._asks.pop((lease.observer, lease.number), None)
-        self._servers.give_back(lease.server, lease.observer)
+        self._servers.give_back(lease)
         self._gate.end(lease)
         held_ms = self._context.now_ms() - lease.started_ms
         self._service_ms += (held_ms - self._service_ms) * _SERVICE_SMOOTHING
@@ -554,22 +565,47 @@
     def _note_poison(
         self, lease: servers.LeaseRow, kind: ports.OutcomeKind, server_gone: bool
     ) -> None:
-        if not lease.fingerprint:
-            return
         now_ms = self._context.now_ms()
-        if kind is ports.OutcomeKind.OK:
+        if kind in _ANSWERS:
+            self._died_ms.pop(lease.server, None)
+        if kind is ports.OutcomeKind.OK and lease.fingerprint:
             if self._ledger.clear(lease.fingerprint, now_ms):
                 self._spread(_cleared(lease.fingerprint))
-        elif poison.is_death(kind, server_gone=server_gone):
-            unit = poison.Unit(
+        elif poison.is_death(kind, server_gone=server_gone) and not self._was_dead(lease):
+            self._died_ms.setdefault(lease.server, now_ms)
+            if lease.fingerprint:
+                self._blame(lease, now_ms)
+
+    def _was_dead(self, lease: servers.LeaseRow) -> bool:
+        """Return whether a server had died before a request was sent to it.
+
+        What stands before a server may take connections in its place. A suspected request is
+        blamed all the same, since it may have been the first at a server that has come back.
+        """
+        died_ms = self._died_ms.get(lease.server, math.inf)
+        return lease.started_ms > died_ms and not lease.suspected
+
+    def _blame(self, lease: servers.LeaseRow, now_ms: float) -> None:
+        """Remember a server's death under a request, here and at every host that may be home."""
+        unit = poison.Unit(
+            region=self._part.region,
+            server=lease.server,
+            borrower="",
+            trusted=lease.trusted,
+            at_ms=now_ms,
+        )
+        self._ledger.add(lease.fingerprint, lease.lease, unit)
+        self.suspicion_changed(lease.fingerprint)
+        self._spread(
+            messages.PoisonNotice(
+                fingerprint=lease.fingerprint,
+                unit=lease.lease,
                 region=self._part.region,
                 server=lease.server,
                 borrower="",
                 trusted=lease.trusted,
-                at_ms=now_ms,
             )
-            self._ledger.add(lease.fingerprint, lease.lease, unit)
-            self.suspicion_changed(lease.fingerprint)
+        )
 
     def _note_draining(self, server: ids.ServerId) -> None:
         if self._servers.drain(server):
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -32,6 +32,8 @@
 _UNUSED_DOUBT = 0.2
 # Cost of certain sickness, in parts of a server's slots.
 _DOUBT_WEIGHT = 1.5
+# A suspected request goes to a server with other work only where none is idle.
+_SHARED_COST = 10.0
 _TRIAL_WEIGHT = 0.2
 
 
@@ -52,6 +54,8 @@
         When the entry host last spoke of the lease.
     trusted : bool
         Whether the request was believed harmless.
+    suspected : bool
+        Whether a server had died under the request before, so that it runs on its own.
     """
 
     lease: ids.LeaseId
@@ -65,6 +69,7 @@
     heard_ms: float
     waited_ms: float = 0.0
     trusted: bool = False
+    suspected: bool = False
 
 
 class ServerTable:
@@ -87,6 +92,7 @@
         self._connections: dict[ids.ServerId, dict[ids.HostId, tuple[int, float]]] = {}
         self._pairs: dict[tuple[ids.HostId, ids.ServerId], tuple[float, float]] = {}
         self._draining: set[ids.ServerId] = set()
+        self._guarded: collections.Counter[ids.ServerId] = collections.Counter()
         self._taken_ms: dict[ids.ServerId, float] = {}
 
     @property
@@ -144,19 +150,24 @@
         self._pairs[observer, server] = (now_ms + wait_ms, wait_ms)
         return True
 
-    def take(self, server: ids.ServerId, observer: ids.HostId, now_ms: float) -> None:
+    def take(self, lease: LeaseRow, now_ms: float) -> None:
         """Count a slot as used by an entry host."""
+        server, observer = lease.server, lease.observer
         self._in_use[server] += 1
+        if lease.suspected:
+            self._guarded[server] += 1
         self._taken_ms[server] = now_ms
         self._by_pair[observer, server] += 1
         used = self._connections.setdefault(server, {})
         most = used.get(observer, (0, 0.0))[0]
         used[observer] = (max(self._by_pair[observer, server], most), now_ms)
 
-    def give_back(self, server: ids.ServerId, observer: ids.HostId) -> None:
+    def give_back(self, lease: LeaseRow) -> None:
         """Count a slot as free."""
-        _decrement(self._in_use, server)
-        _decrement(self._by_pair, (observer, server))
+        _decrement(self._in_use, lease.server)
+        _decrement(self._by_pair, (lease.observer, lease.server))
+        if lease.suspected:
+            _decrement(self._guarded, lease.server)
 
     def connections(self, server: ids.ServerId) -> int:
         """Return how many connections the entry hosts are believed to hold to a server."""
@@ -169,6 +180,7 @@
         now_ms: float,
         *,
         trial: bool = False,
+        suspected: bool = False,
     ) -> types.ServerEntry | None:
         """Return the least loaded server with a free slot, a warm one among equals.
 
@@ -182,11 +194,16 @@
             Monotonic time.
         trial : bool
             Whether the request may be sent again, so that it can try a doubtful server.
+        suspected : bool
+            Whether a server died under the request, so that it should run on its own: if the next
+            one dies too, no other request is to blame.
         """
         best = None
         best_cost = math.inf
         for entry in self._live:
             cost = self._cost(entry, observer, excluded, now_ms, trial)
+            if suspected and self._in_use.get(ids.ServerId(entry.server), 0):
+                cost += _SHARED_COST
             if cost < best_cost:
                 best, best_cost = entry, cost
         if best is not None and best.server in excluded and self._any_other(excluded):
@@ -218,7 +235,7 @@
         server = ids.ServerId(entry.server)
         slots = self._slots(entry, _TRIAL_DOUBT if trial else _AVOID_DOUBT)
         used = self._in_use.get(server, 0)
-        if used >= slots:
+        if used >= slots or server in self._guarded:
             return math.inf
         cost = used / (entry.slots or self._part.spec.slots) + self._rng.random() * 0.1
         doubt = self._doubt(server)
--- a/verbenadrum/placement/tests/test_pool_home.py
+++ b/verbenadrum/placement/tests/test_pool_home.py
@@ -259,3 +259,61 @@
     fleet.run(2_000.0)
     late = [log for log in fleet.logs if start_ms <= log.sent_ms < start_ms + 1_500.0]
     assert late and all(log.ok for log in late)
+
+
+def with_retries_earned():
+    """Return three idle servers behind one host that may repeat a few requests."""
+    fleet = one_region(servers=3, hosts=1, sigma=0.0, median_ms=300.0)
+    (host,) = fleet.hosts
+    for number in range(30):
+        fleet.request(host, path=f"/earlier/{number}")
+    fleet.run(4_000.0)
+    return fleet, host
+
+
+def test_suspected_requests_never_share_a_server():
+    fleet, host = with_retries_earned()
+    logs = []
+    for path in ("/first", "/second"):
+        logs.append(fleet.request(host, path=path))
+        fleet.run(20.0)
+        busy = next(
+            server
+            for server in fleet.servers.values()
+            if any(attempt.sink.log.path == path for attempt in server.open_attempts)
+        )
+        fleet.crash(busy)
+        fleet.run(20.0)
+    (left,) = [server for server in fleet.servers.values() if not server.down]
+    assert [attempt.sink.log.path for attempt in left.open_attempts] == ["/first"]
+    fleet.run(2_000.0)
+    assert all(log.ok for log in logs)
+
+
+def test_other_work_stays_away_from_a_suspected_request():
+    fleet, host = with_retries_earned()
+    fleet.request(host, path="/suspect")
+    fleet.run(20.0)
+    fleet.crash(next(server for server in fleet.servers.values() if server.open_attempts))
+    fleet.run(20.0)
+    for number in range(4):
+        fleet.request(host, path=f"/other/{number}")
+    fleet.run(20.0)
+    shared = [
+        {attempt.sink.log.path for attempt in server.open_attempts}
+        for server in fleet.servers.values()
+    ]
+    assert {"/suspect"} in shared
+
+
+def test_servers_that_were_dead_already_tell_nothing_of_a_request():
+    fleet, host = with_retries_earned()
+    for server in list(fleet.servers.values())[:2]:
+        server.restart_ms = 60_000.0
+        server.behind_proxy = True
+        fleet.crash(server)
+    for number in range(400):
+        fleet.request(host, path=f"/item/{number // 20}")
+        fleet.run(50.0)
+    assert sum(server.received for server in list(fleet.servers.values())[:2]) > 15
+    assert "poison-request" not in {log.refusal for log in fleet.logs}
