Callers' limits come from the configuration: head, body, time for a head, idle time

Cause: the configuration's limits were not decoded; heads were bounded by the library, bodies by nothing, an idle connection lived for 75 s whatever operators published, and a head that dripped in was waited for without end. Change: the record of a configuration carries CallerLimits; the callers' port reads them for each request. A longer idle time that comes into force counts for connections that wait already. A head that has come whole costs no timer. Tests fail first: the seven at the end of test_http_server.py, and the one of the adapter.

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -247,6 +247,7 @@
             listener=sockets.listen(table.listen),
             application=self._callers.application,
             tls=sockets.server_context(table.tls_cert, table.tls_key),
+            limits=lambda: self._engine.records.caller_limits,
         )
 
     def _make_operator_server(self) -> http_server.HttpServer:
--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -6,10 +6,13 @@
 import re
 import socket
 import ssl
+from collections.abc import Callable
 
+import gevent
 from gevent import pywsgi
 
 from verbenadrum.daemon import sockets
+from verbenadrum.records import types
 from verbenadrum.utils import errors
 
 __all__ = [
@@ -29,8 +32,9 @@
 _DIGITS = re.compile(r"^[0-9]{1,18}$")
 _VERSIONS = ("HTTP/1.0", "HTTP/1.1")
 _CLOSED_LINE = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-_HEAD_TIMEOUT_S = 30.0
-_IDLE_TIMEOUT_S = 75.0
+_MS_PER_S = 1000.0
+# A read of a body that gets nothing for this long ends; the operators' limits bound heads only.
+_BODY_TIMEOUT_S = 30.0
 
 _log = logging.getLogger(__name__)
 
@@ -53,18 +57,42 @@
     """A request whose extent is not certain."""
 
 
+class _HeadTooLongError(http.client.HTTPException):
+    """A head of more bytes than the operators allow."""
+
+
+class _HeadTimeoutError(ValueError):
+    """A head that took longer than the operators allow."""
+
+
+class _BodyTooLongError(ValueError):
+    """A body of more bytes than the operators allow."""
+
+
 class _Input(pywsgi.Input):
-    """Body of a request, for which an empty chunk size is malformed like any other."""
+    """Body of a request, for which an empty chunk size is malformed like any other.
+
+    ``most_bytes`` bounds a body in chunks, whose length no header tells.
+    """
 
-    __slots__ = ()
+    __slots__ = ("_left_bytes",)
+
+    def __init__(self, *given: object, most_bytes: int) -> None:
+        super().__init__(*given)
+        self._left_bytes = most_bytes
 
     def read(self, length: int | None = None) -> bytes:
         """Return up to ``length`` bytes of the body."""
         try:
-            return super().read(length)
+            data = super().read(length)
         except ValueError as error:
             self._chunked_input_error = True
             raise MALFORMED_BODY(f"unreadable chunk size: {error}") from error
+        self._left_bytes -= len(data)
+        if self._left_bytes < 0:
+            self._chunked_input_error = True
+            raise MALFORMED_BODY("the body is longer than the configuration allows")
+        return data
 
 
 class _CrlfLines:
@@ -73,12 +101,16 @@
     Another parser may take a bare LF for a part of a header's value, and see another request.
     """
 
-    def __init__(self, source: object) -> None:
+    def __init__(self, source: object, most_bytes: int) -> None:
         self._source = source
+        self._left_bytes = most_bytes
 
     def readline(self, limit: int = -1) -> bytes:
         """Return the next line."""
         line = self._source.readline(limit)
+        self._left_bytes -= len(line)
+        if self._left_bytes < 0:
+            raise _HeadTooLongError("the head is longer than the configuration allows")
         if line.endswith(b"\n") and not line.endswith(b"\r\n"):
             raise _FramingError("a header line does not end with CR and LF")
         return line
@@ -87,33 +119,83 @@
 class _Handler(pywsgi.WSGIHandler):
     """Reads requests of one connection."""
 
+    _head_is_here = False
+
     def MessageClass(self, *arguments: object) -> http.client.HTTPMessage:  # noqa: N802
         """Parse the head, and refuse every request whose framing is in doubt.
 
         This is checked before the base class drops a Content-Length beside a Transfer-Encoding.
         """
         lines, *rest = arguments
-        headers = super().MessageClass(_CrlfLines(lines), *rest)
+        limits = self.server.limits()
+        most_bytes = limits.max_head_bytes - len(self.requestline)
+        headers = super().MessageClass(_CrlfLines(lines, most_bytes), *rest)
         _check_head(self.request_version, headers)
+        if int(headers.get("Content-Length", 0)) > limits.max_body_bytes:
+            raise _BodyTooLongError("Content-Length is more than the configuration allows")
         return headers
 
     def read_requestline(self) -> str:
         """Wait a bounded time for the next request on the connection."""
-        self.socket.settimeout(_IDLE_TIMEOUT_S)
         self.server.note_idle(self.socket)
-        line = super().read_requestline()
+        begun = self._wait_for_head()
         self.server.note_busy(self.socket)
-        self.socket.settimeout(_HEAD_TIMEOUT_S)
+        self.socket.settimeout(_BODY_TIMEOUT_S)
+        if not begun:
+            return ""
+        # A timer would cost more than reading a head that has come whole.
+        self._head_is_here = b"\r\n\r\n" in self.rfile.peek(1)
+        line = self._within_head_timeout(super().read_requestline)
         if line and not line.endswith("\r\n"):
             raise _FramingError("the request line does not end with CR and LF")
         return line
 
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the rest of the head."""
+        read = super().read_request
+        return self._within_head_timeout(lambda: read(raw_requestline))
+
+    def handle_one_request(self) -> object:
+        """Answer 400 or 408 where not even the request line could be read."""
+        try:
+            return super().handle_one_request()
+        except (_FramingError, _HeadTimeoutError) as error:
+            return self._handle_client_error(error)
+
+    def _wait_for_head(self) -> bool:
+        """Return whether a request begins before the connection has been idle for too long.
+
+        A longer limit that comes into force meanwhile counts, so that no caller that has heard of
+        it finds its connection closed.
+        """
+        waited_s = 0.0
+        # A time-out of the socket would leave its buffered reader unusable.
+        self.socket.settimeout(None)
+        while True:
+            limit_s = self.server.limits().idle_timeout_ms / _MS_PER_S
+            if limit_s <= waited_s:
+                return False
+            with gevent.Timeout(limit_s - waited_s, False):
+                return bool(self.rfile.peek(1))
+            waited_s = limit_s
+
+    def _within_head_timeout(self, read: Callable[[], object]) -> object:
+        if self._head_is_here:
+            return read()
+        limit_s = self.server.limits().head_timeout_ms / _MS_PER_S
+        with gevent.Timeout(limit_s, _HeadTimeoutError("the head did not come in time")):
+            return read()
+
     def get_environ(self) -> dict:
         """Add the raw target and the socket to the WSGI environment."""
         environ = super().get_environ()
         given = environ["wsgi.input"]
         self.wsgi_input = environ["wsgi.input"] = _Input(
-            given.rfile, given.content_length, given.socket, given.chunked_input
+            given.rfile,
+            given.content_length,
+            given.socket,
+            given.chunked_input,
+            most_bytes=self.server.limits().max_body_bytes,
         )
         environ[TARGET_KEY] = self.path
         environ[SOCKET_KEY] = self.socket
@@ -157,8 +239,9 @@
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         status = "400 Bad Request"
-        if isinstance(ex, http.client.HTTPException):
-            status = "431 Request Header Fields Too Large"
+        for kind, answer in _STATUS_OF_FAULTS:
+            if isinstance(ex, kind):
+                status = answer
         _log.info("request refused", extra={"status": status, "fault": str(ex)})
         return status.split()[0], _CLOSED_LINE % status.encode()
 
@@ -166,6 +249,14 @@
         """Write nothing: decisions carry what operators need, and paths may hold secrets."""
 
 
+_STATUS_OF_FAULTS = (
+    (http.client.HTTPException, "431 Request Header Fields Too Large"),
+    (_BodyTooLongError, "413 Content Too Large"),
+    (_HeadTimeoutError, "408 Request Timeout"),
+    (TimeoutError, "408 Request Timeout"),
+)
+
+
 class HttpServer(pywsgi.WSGIServer):
     """WSGI server that refuses doubtful framing and stops without cutting requests.
 
@@ -177,6 +268,8 @@
         WSGI application.
     tls : ssl.SSLContext or None
         TLS towards clients.
+    limits : callable
+        Returns the `types.CallerLimits` in force.
 
     Attributes
     ----------
@@ -189,12 +282,18 @@
     handler_class = _Handler
 
     def __init__(
-        self, *, listener: socket.socket, application: object, tls: ssl.SSLContext | None = None
+        self,
+        *,
+        listener: socket.socket,
+        application: object,
+        tls: ssl.SSLContext | None = None,
+        limits: Callable[[], types.CallerLimits] = types.CallerLimits,
     ) -> None:
         options = {} if tls is None else {"ssl_context": tls}
         super().__init__(listener, application, log=None, error_log=_log, **options)
         self.stopping = False
         self.in_flight = 0
+        self.limits = limits
         self._open: set[socket.socket] = set()
         self._idle: set[socket.socket] = set()
 
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from verbenadrum.daemon import http_server, sockets
+from verbenadrum.records import types
 
 SETTINGS = hypothesis.settings(derandomize=True, deadline=None, database=None, max_examples=150)
 TIMEOUT_S = 5.0
@@ -153,3 +154,60 @@
         assert idle.recv(1) == b""
         busy.sendall(b"ab")
         assert busy.recv(65_536).startswith(b"HTTP/1.1 200 OK")
+
+
+@pytest.fixture
+def limited():
+    made = Server()
+    made.server.limits = lambda: types.CallerLimits(
+        max_head_bytes=300, max_body_bytes=10, head_timeout_ms=150.0, idle_timeout_ms=100.0
+    )
+    yield made
+    made.server.stop(timeout=0)
+
+
+def test_head_longer_than_configured_gets_431(limited):
+    answer = limited.send(post(b"X-Long: " + b"a" * 300))
+    assert answer.startswith(b"HTTP/1.1 431 ")
+    assert not limited.bodies
+
+
+def test_length_above_the_configured_one_gets_413_before_the_body(limited):
+    answer = limited.send(post(b"Content-Length: 11"))
+    assert answer.startswith(b"HTTP/1.1 413 ")
+    assert not limited.bodies
+
+
+def test_body_in_chunks_longer_than_configured_is_refused(limited):
+    answer = limited.send(
+        post(b"Transfer-Encoding: chunked", body=b"b\r\n01234567890\r\n0\r\n\r\n")
+    )
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert not limited.bodies
+
+
+@pytest.mark.parametrize("start", [b"GET", b"GET / HTTP/1.1\r\nHost:"])
+def test_head_that_stays_unfinished_gets_408(limited, start):
+    with socket.create_connection(("127.0.0.1", limited.server.server_port), TIMEOUT_S) as sock:
+        sock.sendall(start)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 408 ")
+
+
+def test_idle_connection_is_closed_after_the_configured_time(limited):
+    with socket.create_connection(("127.0.0.1", limited.server.server_port), TIMEOUT_S) as sock:
+        assert sock.recv(65_536) == b""
+
+
+def test_longer_idle_time_counts_for_connections_that_wait_already(limited):
+    limits = iter([100.0, 400.0])
+    last = [0.0]
+
+    def changing():
+        last[0] = next(limits, last[0])
+        return types.CallerLimits(idle_timeout_ms=last[0])
+
+    limited.server.limits = changing
+    started_s = time.monotonic()
+    with socket.create_connection(("127.0.0.1", limited.server.server_port), TIMEOUT_S) as sock:
+        assert sock.recv(65_536) == b""
+    assert time.monotonic() - started_s >= 0.35
--- a/verbenadrum/platform/tests/test_wire.py
+++ b/verbenadrum/platform/tests/test_wire.py
@@ -59,6 +59,16 @@
     return copy
 
 
+def test_limits_on_callers_are_read_and_missing_ones_left_at_the_default():
+    limits = {"max_body_bytes": 500, "header_timeout": "3000ms", "idle_timeout": "15s"}
+    record = decode("op/config", changed(CONFIGURATION, "limits", limits))
+    assert record.spec.callers == types.CallerLimits(
+        max_body_bytes=500, head_timeout_ms=3000.0, idle_timeout_ms=15_000.0
+    )
+    unlimited = decode("op/config", changed(CONFIGURATION, "limits", None))
+    assert unlimited.spec.callers == types.CallerLimits()
+
+
 def test_server_entry_becomes_a_server_record():
     record = decode("servers/i-1", SERVER)
     assert (record.kind, record.name, record.revision) == (types.RecordKind.SERVER, "i-1", 7)
--- a/verbenadrum/platform/wire.py
+++ b/verbenadrum/platform/wire.py
@@ -129,6 +129,15 @@
     burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
+class _Limits(msgspec.Struct, frozen=True, kw_only=True):
+    # ``max_header_bytes`` counts the whole head, not one header.
+    # A field that is missing leaves the product's own default in force.
+    max_header_bytes: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    max_body_bytes: Whole | None = None
+    header_timeout: str | None = None
+    idle_timeout: str | None = None
+
+
 class _Configuration(msgspec.Struct, frozen=True, kw_only=True):
     # ``config_version`` has eight hexadecimal digits. ``tenants`` may be missing: then no route
     # needs a key.
@@ -136,6 +145,7 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     tenants: tuple[_Tenant, ...] | None = None
+    limits: _Limits | None = None
 
 
 def duration_ms(text: str) -> float:
@@ -243,6 +253,21 @@
         workspaces=tuple(_workspace(tenant) for tenant in wire.tenants or ()),
         keys=tuple(key for tenant in wire.tenants or () for key in _keys(tenant)),
         pools=tuple(_pool(service, floor) for service in wire.services),
+        callers=_callers(wire.limits),
+    )
+
+
+def _callers(limits: _Limits | None) -> types.CallerLimits:
+    if limits is None:
+        return types.CallerLimits()
+    stated = {
+        "max_head_bytes": limits.max_header_bytes,
+        "max_body_bytes": limits.max_body_bytes,
+        "head_timeout_ms": limits.header_timeout and duration_ms(limits.header_timeout),
+        "idle_timeout_ms": limits.idle_timeout and duration_ms(limits.idle_timeout),
+    }
+    return types.CallerLimits(
+        **{name: value for name, value in stated.items() if value is not None}
     )
 
 
--- a/verbenadrum/records/table.py
+++ b/verbenadrum/records/table.py
@@ -45,6 +45,12 @@
         """Whether anything is known of what callers may ask for."""
         return self._configuration is not None or bool(self._routes)
 
+    @property
+    def caller_limits(self) -> types.CallerLimits:
+        """What callers may send; the defaults before the first configuration."""
+        held = self._configuration
+        return types.CallerLimits() if held is None else held.callers
+
     def put(self, record: types.Record) -> bool:
         """Accept a record if it is newer than the row in force.
 
--- a/verbenadrum/records/types.py
+++ b/verbenadrum/records/types.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "BackendShare",
+    "CallerLimits",
     "ConfigurationSpec",
     "DataCentreShare",
     "FleetSpec",
@@ -221,6 +222,27 @@
     spec: PoolSpec
 
 
+class CallerLimits(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
+    """What a caller may send on one connection, and how long it may take or stay idle.
+
+    Attributes
+    ----------
+    max_head_bytes : int
+        Longest head of a request, the request line included.
+    max_body_bytes : int
+        Longest body of a request.
+    head_timeout_ms : float
+        Longest time from the first byte of a head to its last.
+    idle_timeout_ms : float
+        How long a connection may wait for its next request.
+    """
+
+    max_head_bytes: Annotated[int, msgspec.Meta(ge=1)] = 65_536
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=0)] = 1 << 40
+    head_timeout_ms: Positive = 30_000.0
+    idle_timeout_ms: Positive = 75_000.0
+
+
 class ConfigurationSpec(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Every route, workspace, key and pool in one record, put in force as a whole.
 
@@ -233,6 +255,7 @@
     workspaces: tuple[NamedWorkspace, ...] = ()
     keys: tuple[NamedKey, ...] = ()
     pools: tuple[NamedPool, ...] = ()
+    callers: CallerLimits = CallerLimits()
 
 
 Spec = RouteSpec | WorkspaceSpec | KeySpec | PoolSpec | FleetSpec | ConfigurationSpec | ServerSpec
