A request keeps its place in the queue while the other region is asked

A home whose wait was over 80 ms sent the ask to the other region, which gives far asks a free slot or a refusal; nobody went back to the queue, so no request ever waited longer than 80 ms. Change: the home queues the request and tells its entry host to ask the other region as well; the first grant ends both, and the home that is not needed hears Withdraw. The second ask is not counted again in the retry budget. Test fails first: test_request_keeps_its_place_near_while_the_other_region_has_no_slot. Homes now log each refusal with its inputs.

--- a/verbenadrum/placement/budget.py
+++ b/verbenadrum/placement/budget.py
@@ -94,6 +94,11 @@
         """First attempts counted in the last window."""
         return len(self._firsts)
 
+    @property
+    def repeats(self) -> int:
+        """Repeats counted in the last window."""
+        return len(self._repeats)
+
     def earn(self, *, now_ms: float) -> None:
         """Count a first attempt."""
         self._firsts.append(now_ms)
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -39,6 +39,10 @@
     asked: ids.HostId = ids.HostId("")
     sent_ms: float = -math.inf
     queued: bool = False
+    # The same request's ask at another home; the first grant ends both.
+    twin: int = 0
+    # Whether another home keeps a place in its queue for the request meanwhile.
+    second: bool = False
 
 
 class _HeldRow(msgspec.Struct, kw_only=True):
@@ -172,6 +176,10 @@
         if answer.state == messages.PlaceState.QUEUED:
             row.queued = True
             row.sent_ms = self._context.now_ms()
+        elif answer.state == messages.PlaceState.QUEUED_OR_ELSEWHERE:
+            row.queued = True
+            row.sent_ms = self._context.now_ms()
+            self._ask_second(row)
         elif answer.state == messages.PlaceState.ELSEWHERE and len(row.regions) > 1:
             row.regions.pop(0)
             self._ask_part(row)
@@ -215,6 +223,9 @@
         """Turn to the next home where one is silent, and say which leases are still held."""
         now_ms = self._context.now_ms()
         for row in list(self._asks.values()):
+            if row.number not in self._asks:
+                # Its twin was granted a slot in this tick.
+                continue
             if now_ms >= row.request.deadline_ms:
                 self._finish(row, _refusal("deadline-passed"))
             elif now_ms - row.sent_ms >= self._timeout_ms(row):
@@ -233,7 +244,28 @@
         row.homes = self.homes(part.service, part.region)
         self._ask_home(row)
 
+    def _ask_second(self, row: _AskRow) -> None:
+        """Ask the next region as well, while the request waits in the first one's queue."""
+        if row.twin in self._asks or len(row.regions) < 2:
+            return
+        self._serial += 1
+        second = _AskRow(
+            number=self._serial,
+            request=row.request,
+            done=row.done,
+            regions=row.regions[1:],
+            homes=[],
+            twin=row.number,
+            second=True,
+        )
+        row.twin = second.number
+        self._asks[second.number] = second
+        self._ask_part(second)
+
     def _ask_home(self, row: _AskRow) -> None:
+        if not row.homes and row.second:
+            self._finish(row, _refusal("no-home"))
+            return
         if not row.homes:
             self._place_alone(row)
             return
@@ -264,6 +296,7 @@
                     max(1.0, round(request.target_ms - now_ms, 1)) if request.target_ms else 0.0
                 ),
                 far=part.region not in (self._context.region, parts.EVERYWHERE),
+                counted=row.second,
             ),
         )
 
@@ -407,6 +440,13 @@
 
     def _finish(self, row: _AskRow, placement: ports.Placement) -> None:
         del self._asks[row.number]
+        twin = self._asks.get(row.twin)
+        if twin is not None and placement.server is None:
+            # The request still waits at the other home.
+            return
+        if twin is not None:
+            del self._asks[twin.number]
+            self._withdraw(twin)
         self._context.decide(
             ring.DecisionKind.PLACE,
             placement.server or "refused",
@@ -414,10 +454,15 @@
             subject=row.request.service,
             request=row.request.request,
             alternatives=tuple(part.region for part in row.regions[1:]),
-            detail={"attempt": row.request.attempt, "home": row.asked},
+            detail={"attempt": row.request.attempt, "home": row.asked, "ask": row.number},
         )
         row.done(placement)
 
+    def _withdraw(self, row: _AskRow) -> None:
+        part = row.regions[0]
+        message = messages.Withdraw(service=part.service, region=part.region, number=row.number)
+        self._send(row.asked, message)
+
     def _timeout_ms(self, row: _AskRow) -> float:
         if row.queued:
             return _QUEUED_RENEW_MS
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -214,6 +214,21 @@
         self._note_poison(lease, kind, message.server_gone)
         self._serve()
 
+    def withdraw(self, observer: ids.HostId, message: messages.Withdraw) -> None:
+        """Forget an ask that waits; a slot that is on its way comes back by its release."""
+        known = (observer, message.number)
+        if self._asks.get(known, True) is not None:
+            return
+        del self._asks[known]
+
+        def withdrawn(waiter: _Waiter) -> bool:
+            return (waiter.observer, waiter.ask.number) == known
+
+        self._queue.remove(withdrawn)
+        self._held_back = collections.deque(
+            waiter for waiter in self._held_back if not withdrawn(waiter)
+        )
+
     def still_waiting(self, message: messages.Waiting) -> None:
         """Take in how long an entry host has waited for its answers."""
         now_ms = self._context.now_ms()
@@ -350,13 +365,13 @@
 
     def _within_budget(self, ask: messages.PlaceAsk, now_ms: float) -> bool:
         """Return whether an ask is a first attempt, or one more repeat within the budget."""
-        if not ask.attempt and not ask.hedge:
+        if ask.counted or not (ask.attempt or ask.hedge):
             return True
         return self._budget.draw(now_ms=now_ms)
 
     def _count_first(self, ask: messages.PlaceAsk, now_ms: float) -> None:
         """Count a first attempt, once in the whole fleet: not where it goes elsewhere."""
-        if not ask.attempt and not ask.hedge:
+        if not (ask.attempt or ask.hedge or ask.counted):
             self._budget.earn(now_ms=now_ms)
 
     def _patience_ms(self, ask: messages.PlaceAsk) -> float:
@@ -383,7 +398,7 @@
         come_back_ms = self._come_back_ms(max(0.0, wait_ms - patience_ms))
         if not self._servers.live:
             self._refuse(waiter, "no-eligible-server", self._come_back_ms(0.0))
-        elif not waiter.ask.last and wait_ms > elsewhere_ms:
+        elif not waiter.ask.last and wait_ms > max(elsewhere_ms, patience_ms):
             self._reply(waiter, messages.PlaceState.ELSEWHERE, "other-region-sooner")
             return
         elif waiter.ask.far and waiter.ask.target_ms:
@@ -395,7 +410,8 @@
             self._refuse(waiter, "queue-full", come_back_ms)
         else:
             self._queue.push(workspace, waiter)
-            self._queued(waiter, "queued")
+            sooner = not waiter.ask.last and wait_ms > elsewhere_ms
+            self._queued(waiter, "queued", elsewhere=sooner)
         self._count_first(waiter.ask, waiter.arrived_ms)
 
     def _expected_wait_ms(self, workspace: str, ahead: int, slots: int) -> float:
@@ -493,14 +509,36 @@
         for waiter in refused:
             self._refuse(waiter, reason, retry_after_ms)
 
-    def _queued(self, waiter: _Waiter, reason: str) -> None:
+    def _queued(self, waiter: _Waiter, reason: str, *, elsewhere: bool = False) -> None:
         known = (waiter.observer, waiter.ask.number)
         if known not in self._asks:
             self._asks[known] = None
-            answer = _answer(waiter.ask, messages.PlaceState.QUEUED, reason)
-            self._send(waiter.observer, answer)
+            states = messages.PlaceState
+            state = states.QUEUED_OR_ELSEWHERE if elsewhere else states.QUEUED
+            self._send(waiter.observer, _answer(waiter.ask, state, reason))
 
     def _refuse(self, waiter: _Waiter, reason: str, retry_after_ms: float = 0.0) -> None:
+        now_ms = self._context.now_ms()
+        self._context.decide(
+            ring.DecisionKind.PLACE,
+            "no-slot",
+            reason,
+            subject=self._part.service,
+            detail={
+                "entry": waiter.observer,
+                "ask": waiter.ask.number,
+                "workspace": waiter.ask.workspace,
+                "attempt": waiter.ask.attempt,
+                "waited_ms": round(now_ms - waiter.arrived_ms, 1),
+                "patience_ms": round(waiter.deadline_ms - waiter.arrived_ms, 1),
+                "service_ms": round(self._service_ms, 1),
+                "slots": self._servers.total_slots,
+                "in_use": self._servers.in_use,
+                "waiting": len(self._queue),
+                "repeats": self._budget.repeats,
+                "first_attempts": self._budget.firsts,
+            },
+        )
         self._reply(waiter, messages.PlaceState.REFUSED, reason, retry_after_ms)
 
     def _reply(self, waiter: _Waiter, state: int, reason: str, retry_after_ms: float = 0.0) -> None:
--- a/verbenadrum/placement/messages.py
+++ b/verbenadrum/placement/messages.py
@@ -16,16 +16,21 @@
     "ReserveAnswer",
     "ReserveAsk",
     "Waiting",
+    "Withdraw",
 ]
 
 
 class PlaceState:
-    """Kinds of `PlaceAnswer`."""
+    """Kinds of `PlaceAnswer`.
+
+    With ``QUEUED_OR_ELSEWHERE`` the ask keeps its place in the queue while another region is asked.
+    """
 
     GRANTED = 0
     QUEUED = 1
     REFUSED = 2
     ELSEWHERE = 3
+    QUEUED_OR_ELSEWHERE = 4
 
 
 @base.register
@@ -34,7 +39,8 @@
 
     ``last`` says that there is no other region to try, ``attempt`` is 0 for a request's first
     attempt, and ``priority`` its rank under load, 0 being the most urgent. The caller wants its
-    answer within ``target_ms``, where that is not 0. ``far`` asks come from another region.
+    answer within ``target_ms``, where that is not 0. ``far`` asks come from another region. An
+    ask is ``counted`` where another home has counted it in the retry budget.
     """
 
     number: int
@@ -52,6 +58,16 @@
     priority: int = 0
     target_ms: float = 0.0
     far: bool = False
+    counted: bool = False
+
+
+@base.register
+class Withdraw(base.Message, frozen=True, array_like=True, gc=False, tag="pJ"):
+    """An entry host no longer wants what it asked for as ``number``."""
+
+    service: str
+    region: str
+    number: int
 
 
 @base.register
--- a/verbenadrum/placement/pool_home.py
+++ b/verbenadrum/placement/pool_home.py
@@ -150,6 +150,13 @@
         if home is not None:
             home.release(sender, message)
 
+    @system.handles(messages.Withdraw)
+    def on_withdraw(self, sender: ids.HostId, message: messages.Withdraw) -> None:
+        """Forget an ask that waits."""
+        home = self._homes.get((ids.ServiceId(message.service), ids.RegionId(message.region)))
+        if home is not None:
+            home.withdraw(sender, message)
+
     @system.handles(messages.Waiting)
     def on_waiting(self, sender: ids.HostId, message: messages.Waiting) -> None:
         """Take in which leases an entry host still holds."""
--- a/verbenadrum/placement/tests/test_overload.py
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -97,3 +97,32 @@
     fleet.publish(entries)
     fleet.run(4_000.0)
     assert all(fleet.servers[entry.server].received for entry in entries[-2:])
+
+
+def test_request_keeps_its_place_near_while_the_other_region_has_no_slot():
+    fleet = stepped_fleet.Fleet(
+        hosts=stepped_fleet.two_regions(2),
+        servers={"near": "r1a", "far": "r2a"},
+        health="belief",
+        median_ms=WORK_MS,
+        sigma=0.0,
+        timeout_ms=TIMEOUT_MS,
+        target_ms=TARGET_MS,
+    )
+    near, far = sorted(fleet.hosts)[0], sorted(fleet.hosts)[-1]
+    for number in range(60):
+        # The homes learn how long work takes.
+        for host in (far, near):
+            fleet.request(host, path=f"/earlier/{host}/{number}", method="POST")
+        fleet.run(WORK_MS)
+    fleet.run(WORK_MS)
+    for host in (far, near):
+        for number in range(stepped_fleet.SLOTS):
+            fleet.request(host, path=f"/{host}/{number}", method="POST")
+    fleet.run(50.0)
+    waiting = [fleet.request(near, path=f"/late/{number}", method="POST") for number in range(3)]
+    fleet.run(2_000.0)
+    assert [log.refusal for log in waiting] == ["", "", ""]
+    assert all(log.ok and len(log.attempts) == 1 for log in waiting)
+    homes = [home for host in fleet.hosts.values() for home in host.placer.homes.values()]
+    assert homes and all(home.idle for home in homes)
