Ranks order a pool's queue; a disputed server gets second opinions

Ranks: the priority of routes and workspaces reached the home and ordered nothing. A waiter whose free servers had all failed it stood before everybody else (test_request_that_no_free_server_suits_does_not_hold_up_the_next).

Ruled out: the tail limit for attempts that hedges overtake (a model with it is green before, test_sequential.py). Change: while a host is kept from a server, the others' repeatable requests try it first, one at a time (test_other_hosts_try_a_server_that_one_host_is_kept_from fails first).

--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -237,8 +237,10 @@
         tick_ms: float = engine.TICK_MS,
         timeout_ms: float = 10_000.0,
         target_ms: float = 0.0,
+        ranks: dict[str, int] | None = None,
     ) -> None:
         self._target_ms = target_ms
+        self._ranks = ranks or {}
         self.clock = clock.SteppedClock()
         self.rng = random.Random(seed)
         self.logs: list[RequestLog] = []
@@ -292,9 +294,11 @@
         """Put a pool in force on every host at once."""
         self.entries = entries
         specs = [
-            (types.RecordKind.ROUTE, "all", self._route()),
+            (types.RecordKind.ROUTE, "all", self._route("/", 0)),
             (types.RecordKind.POOL, SERVICE, types.PoolSpec(servers=entries, floor=self.floor)),
         ]
+        for prefix, rank in self._ranks.items():
+            specs.append((types.RecordKind.ROUTE, prefix, self._route(prefix, rank)))
         for name, weight in self.workspaces.items():
             spec = types.WorkspaceSpec(rate_per_s=1e6, burst=1e6, weight=weight)
             specs.append((types.RecordKind.WORKSPACE, name, spec))
@@ -524,9 +528,10 @@
         link = f"region:{regions.get(place, host.row.region)}"
         return (NEAR_MS if same else FAR_MS) + self.extra_ms(host.row.host, link)
 
-    def _route(self) -> types.RouteSpec:
+    def _route(self, prefix: str, rank: int) -> types.RouteSpec:
         return types.RouteSpec(
-            path_prefix="/",
+            path_prefix=prefix,
+            priority=rank,
             service=SERVICE,
             timeout_ms=self._timeout_ms,
             target_latency_ms=self._target_ms,
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -41,6 +41,8 @@
 _HOUSEKEEPING_MS = 1_000.0
 _SUSPECTED_RETRY_MS = 1_000.0
 _UNSURE_MS = 1_000.0
+# Each costs a look at every server.
+_MOST_PASSED_OVER = 3
 _PROBE_OBSERVER = ids.HostId("")
 # Outcomes that show that a server lives.
 _ANSWERS = (ports.OutcomeKind.OK, ports.OutcomeKind.SERVER_ERROR, ports.OutcomeKind.SHED)
@@ -391,8 +393,9 @@
     def _enqueue(self, waiter: _Waiter) -> None:
         workspace = waiter.ask.workspace
         slots = max(1, self._servers.total_slots)
-        ahead = self._queue.waiting(workspace)
-        wait_ms = self._expected_wait_ms(workspace, ahead, slots)
+        rank = waiter.ask.priority
+        ahead = self._queue.waiting(workspace, rank)
+        wait_ms = self._expected_wait_ms(workspace, rank, slots)
         elsewhere_ms = _ELSEWHERE_TARGET_MS if waiter.ask.target_ms else _ELSEWHERE_AFTER_MS
         patience_ms = waiter.deadline_ms - waiter.arrived_ms
         come_back_ms = self._come_back_ms(max(0.0, wait_ms - patience_ms))
@@ -409,14 +412,15 @@
         elif ahead >= max(_MIN_QUEUE, slots * _QUEUE_PER_SLOT):
             self._refuse(waiter, "queue-full", come_back_ms)
         else:
-            self._queue.push(workspace, waiter)
+            self._queue.push(workspace, waiter, rank=rank)
             sooner = not waiter.ask.last and wait_ms > elsewhere_ms
             self._queued(waiter, "queued", elsewhere=sooner)
         self._count_first(waiter.ask, waiter.arrived_ms)
 
-    def _expected_wait_ms(self, workspace: str, ahead: int, slots: int) -> float:
+    def _expected_wait_ms(self, workspace: str, rank: int, slots: int) -> float:
+        ahead = self._queue.waiting(workspace, rank)
         own = self._weight(workspace)
-        others = self._queue.weights() - (own if ahead else 0.0)
+        others = self._queue.weights(rank) - (own if ahead else 0.0)
         return (ahead + 1) * self._service_ms / slots * (own + others) / own
 
     def _grant(self, waiter: _Waiter) -> bool:
@@ -468,7 +472,11 @@
             self._serving = False
 
     def _serve_queue(self) -> None:
+        """Serve waiters in turn; a few that no free server suits do not hold up the next."""
+        passed_over: list[_Waiter] = []
         while len(self._queue) and self._servers.in_use < self._servers.total_slots:
+            if len(passed_over) > _MOST_PASSED_OVER:
+                break
             waiter = self._queue.pop()
             now_ms = self._context.now_ms()
             if waiter.deadline_ms <= now_ms:
@@ -478,8 +486,10 @@
             if not self._pass_gate(waiter):
                 continue
             if not self._grant(waiter):
-                self._queue.put_back(waiter.ask.workspace, waiter)
-                return
+                passed_over.append(waiter)
+        for waiter in reversed(passed_over):
+            ask = waiter.ask
+            self._queue.put_back(ask.workspace, waiter, rank=ask.priority)
 
     def _recheck_held_back(self) -> None:
         waiters, self._held_back = self._held_back, collections.deque()
@@ -490,7 +500,8 @@
             if self._grant(waiter):
                 self._queue.charge(waiter.ask.workspace)
             else:
-                self._queue.push(waiter.ask.workspace, waiter, front=True)
+                ask = waiter.ask
+                self._queue.push(ask.workspace, waiter, rank=ask.priority, front=True)
 
     def _shed(self, now_ms: float) -> None:
         for waiter in self._queue.remove(lambda item: item.deadline_ms <= now_ms):
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -30,6 +30,9 @@
 _UNUSED_MS = 1_500.0
 _UNUSED_BONUS = 0.5
 _UNUSED_DOUBT = 0.2
+# Where one entry host has bad answers from a server, requests of the others that may be sent again
+# go there first, one at a time: their outcomes tell a bad path from a bad server.
+_SECOND_OPINION_BONUS = 1.0
 # Cost of certain sickness, in parts of a server's slots.
 _DOUBT_WEIGHT = 1.5
 # A suspected request goes to a server with other work only where none is idle.
@@ -91,6 +94,8 @@
         self._by_pair: collections.Counter[tuple[ids.HostId, ids.ServerId]] = collections.Counter()
         self._connections: dict[ids.ServerId, dict[ids.HostId, tuple[int, float]]] = {}
         self._pairs: dict[tuple[ids.HostId, ids.ServerId], tuple[float, float]] = {}
+        # Until when some entry host is kept from each server.
+        self._disputed_ms: dict[ids.ServerId, float] = {}
         self._draining: set[ids.ServerId] = set()
         self._guarded: collections.Counter[ids.ServerId] = collections.Counter()
         self._taken_ms: dict[ids.ServerId, float] = {}
@@ -148,6 +153,7 @@
             return False
         wait_ms = min(_MAX_PAIR_AVOID_MS, wait_ms * 2.0)
         self._pairs[observer, server] = (now_ms + wait_ms, wait_ms)
+        self._disputed_ms[server] = max(now_ms + wait_ms, self._disputed_ms.get(server, 0.0))
         return True
 
     def take(self, lease: LeaseRow, now_ms: float) -> None:
@@ -223,6 +229,9 @@
         ]
         for pair in ended:
             del self._pairs[pair]
+        self._disputed_ms = {
+            server: until_ms for server, until_ms in self._disputed_ms.items() if until_ms > now_ms
+        }
 
     def _cost(
         self,
@@ -248,8 +257,10 @@
             return math.inf
         if self._ejector.avoided(server):
             cost += 100.0
-        if self._pairs and self._pairs.get((observer, server), _NEVER)[0] > now_ms:
+        if self._pairs.get((observer, server), _NEVER)[0] > now_ms:
             cost += 200.0
+        elif trial and not used and self._disputed_ms.get(server, 0.0) > now_ms:
+            cost -= _SECOND_OPINION_BONUS
         if server in excluded:
             cost += 1000.0
         return cost
--- a/verbenadrum/placement/tests/test_overload.py
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -6,6 +6,7 @@
 
 from standins import stepped_fleet
 from verbenadrum.core import behaviours
+from verbenadrum.placement import messages
 
 assert behaviours
 
@@ -126,3 +127,63 @@
     assert all(log.ok and len(log.attempts) == 1 for log in waiting)
     homes = [home for host in fleet.hosts.values() for home in host.placer.homes.values()]
     assert homes and all(home.idle for home in homes)
+
+
+def test_urgent_requests_are_served_first_and_the_others_do_not_starve():
+    fleet = stepped_fleet.Fleet(
+        hosts=stepped_fleet.two_regions(4)[:8],
+        servers={f"s{index}": "r1a" for index in range(SERVERS)},
+        health="belief",
+        median_ms=WORK_MS,
+        sigma=0.3,
+        timeout_ms=TIMEOUT_MS,
+        target_ms=TARGET_MS,
+        ranks={"/urgent": 0, "/later": 2},
+    )
+    for path in ("/urgent", "/later"):
+        numbers = itertools.count()
+        fleet.load(
+            workspace="w",
+            per_s=0.8 * CAPACITY_PER_S,
+            path=lambda path=path, numbers=numbers: f"{path}/{next(numbers)}",
+        )
+    fleet.run(RUN_MS)
+    logs = [log for log in fleet.logs if SETTLED_MS <= log.sent_ms < RUN_MS - TIMEOUT_MS]
+    urgent = [log for log in logs if log.path.startswith("/urgent")]
+    later = [log for log in logs if log.path.startswith("/later")]
+    assert in_target(urgent) >= 0.95 * len(urgent)
+    # A kind that is served less than a quarter as often as all counts as starved.
+    assert in_target(later) / len(later) >= 0.25 * in_target(logs) / len(logs)
+
+
+def test_request_that_no_free_server_suits_does_not_hold_up_the_next():
+    fleet = stepped_fleet.Fleet(
+        hosts=stepped_fleet.two_regions(1)[:1],
+        servers={"slow": "r1a", "quick": "r1a"},
+        health="belief",
+        median_ms=WORK_MS,
+        sigma=0.0,
+        timeout_ms=4_000.0,
+    )
+    (host,) = fleet.hosts
+    fleet.servers["slow"].median_ms = 3_000.0
+    busy = [fleet.request(host, path=f"/busy/{number}") for number in range(6)]
+    fleet.run(20.0)
+    (home,) = fleet.hosts[host].placer.homes.values()
+    excluded = messages.PlaceAsk(
+        number=10_000,
+        service=stepped_fleet.SERVICE,
+        region="r1",
+        workspace="w",
+        fingerprint="",
+        remaining_ms=3_500.0,
+        idempotent=True,
+        last=True,
+        data_centre="r1a",
+        excluded=("quick",),
+    )
+    home.ask(host, excluded)
+    waiting = fleet.request(host, path="/next")
+    fleet.run(4.0 * WORK_MS)
+    assert sum(log.ok for log in busy) == stepped_fleet.SLOTS
+    assert waiting.ok
--- a/verbenadrum/placement/tests/test_pool_home.py
+++ b/verbenadrum/placement/tests/test_pool_home.py
@@ -317,3 +317,17 @@
         fleet.run(50.0)
     assert sum(server.received for server in list(fleet.servers.values())[:2]) > 15
     assert "poison-request" not in {log.refusal for log in fleet.logs}
+
+
+def test_other_hosts_try_a_server_that_one_host_is_kept_from():
+    fleet = one_region(servers=3, hosts=4)
+    hosts = sorted(fleet.hosts)
+    fleet.request(hosts[3], path="/first")
+    fleet.run(200.0)
+    home = next(home for host in fleet.hosts.values() for home in host.placer.homes.values())
+    home.server_table.avoid_pair(hosts[0], "s1", fleet.clock.now_ms())
+    reads = []
+    for host in hosts:
+        reads.append(fleet.request(host, path=f"/read/{host}"))
+        fleet.run(400.0)
+    assert [log.attempts == ["s1"] for log in reads] == [False, True, True, True]
