Queue served whenever a slot is free; unreached paths blame the path; refusing pools use doubtful servers

Changes: the queue is served while any server has a slot; a connect failure avoids the pair, and a second host within 3 s, with no good answer in between, makes it the server's; unknown latencies count as stalls from seconds on only; a pool that refuses more than a twentieth gives doubtful servers one request each, keeps the floor in use, and gives four fifths of its servers work every 1.2 s.

--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -45,6 +45,8 @@
         Fraction of its answers that never come.
     error_fraction : float
         Fraction of its answers that are 500.
+    error_ms : float
+        Time after which a 500 comes; infinite where it takes as long as an answer.
     hiccup_per_s, hiccup_ms : float
         How often all its answers are late together, and by how much at most.
     down : bool
@@ -61,6 +63,7 @@
         self.name = name
         self.stall_fraction = 0.0
         self.error_fraction = 0.0
+        self.error_ms = math.inf
         self.down = False
         self.behind_proxy = False
         self.draining = False
@@ -473,7 +476,10 @@
             return
         service_ms = server.service_ms(self.clock.now_ms())
         if service_ms < math.inf:
-            kind = ports.OutcomeKind.SERVER_ERROR if server.errs() else ports.OutcomeKind.OK
+            kind = ports.OutcomeKind.OK
+            if server.errs():
+                kind = ports.OutcomeKind.SERVER_ERROR
+                service_ms = min(service_ms, server.error_ms)
             self.after(2 * attempt.distance_ms + service_ms, lambda: self.end(attempt, kind))
 
     def _leave(self, attempt: Attempt) -> None:
--- a/verbenadrum/health/belief.py
+++ b/verbenadrum/health/belief.py
@@ -33,8 +33,11 @@
 _SHED_RATIO = 8.0
 _SHED_CHANCE = 0.7
 _SHED_DECAY = 0.95
-# A path may be at fault as well as the server.
-_UNREACHED_RATIO = 12.0
+# One entry host that cannot reach a server tells mostly of its path; a second one within this time,
+# with no good answer in between, tells of the server.
+_UNREACHED_RATIO = 2.0
+_UNREACHED_AGAIN_RATIO = 12.0
+_UNREACHED_MEMORY_MS = 3_000.0
 _LATE_RATIO = 3.0
 _SLOW_QUANTILE = 0.9
 _LATE_QUANTILE = 0.99
@@ -42,11 +45,13 @@
 _STALLED = 0.5
 _MOST = 0.995
 _LEAST = 0.002
-_MIN_SAMPLES = 50
-# Latencies of a pool that has not answered enough requests yet, as quantiles in milliseconds.
-_UNKNOWN_LATE_MS = 1_000.0
+_MIN_SAMPLES = 30
+# Latencies of a pool that has not answered enough requests yet, as quantiles in milliseconds:
+# servers that have just started are slow, and a wait must not be taken for a stall by mistake.
+_UNKNOWN_LATE_MS = 4_000.0
 
 _FAILURES = (
+    ports.OutcomeKind.MISDIRECTED,
     ports.OutcomeKind.SERVER_ERROR,
     ports.OutcomeKind.RESET,
     ports.OutcomeKind.TRUNCATED,
@@ -61,6 +66,9 @@
     at_ms: float = -math.inf
     relax_ms: float = _RELAX_MS
     stalled_ratio: float = 1.0
+    # Who could not reach the server last, and when; nobody since it gave a good answer.
+    unreached_by: str = ""
+    unreached_ms: float = -math.inf
 
 
 @registry.judges.register("belief")
@@ -74,6 +82,8 @@
         self._late_ms = _UNKNOWN_LATE_MS
         self._shed_rate = 0.0
         self._reviews = 0
+        # Hosts that could not reach a server, to be told at the next review.
+        self._unreached: list[tuple[ids.ServerId, ids.HostId]] = []
 
     def ended(self, evidence: evidence.Evidence) -> None:
         """Take in the end of an attempt."""
@@ -98,7 +108,7 @@
     def review(
         self, *, now_ms: float, flights: Iterable[evidence.Flight]
     ) -> list[evidence.Verdict]:
-        """Weigh the requests under way; this judge gives no verdicts."""
+        """Weigh the requests under way, and return the paths that do not reach their server."""
         self._reviews += 1
         if self._reviews % 20 == 1 and self._latencies.total >= _MIN_SAMPLES:
             self._slow_ms = self._latencies.quantile(_SLOW_QUANTILE)
@@ -110,7 +120,17 @@
             if ratio > 1.0:
                 row = self._rows.setdefault(flight.server, _Row())
                 row.stalled_ratio = max(row.stalled_ratio, ratio)
-        return []
+        unreached, self._unreached = self._unreached, []
+        return [
+            evidence.Verdict(
+                kind=evidence.VerdictKind.PATH,
+                server=server,
+                reason="not-reached",
+                score=0.0,
+                observers=(observer,),
+            )
+            for server, observer in unreached
+        ]
 
     def doubt(self, server: ids.ServerId, now_ms: float) -> float:
         """Return the probability that a server is sick."""
@@ -134,14 +154,24 @@
             return _FAILED_RATIO
         if evidence.kind is ports.OutcomeKind.SHED:
             return max(1.0, min(_SHED_RATIO, _SHED_CHANCE / max(0.01, self._shed_rate)))
-        if evidence.kind in (ports.OutcomeKind.CONNECT_FAILED, ports.OutcomeKind.MISDIRECTED):
-            return _UNREACHED_RATIO
+        if evidence.kind is ports.OutcomeKind.CONNECT_FAILED:
+            return self._unreached_ratio(evidence)
         if evidence.kind is ports.OutcomeKind.OK:
+            self._rows.setdefault(evidence.server, _Row()).unreached_by = ""
             return _LATE_RATIO if evidence.latency_ms > 2.0 * self._late_ms else _OK_RATIO
         if evidence.kind is ports.OutcomeKind.CANCELLED:
             return self._stalled_ratio(evidence.latency_ms)
         return 1.0
 
+    def _unreached_ratio(self, evidence: evidence.Evidence) -> float:
+        row = self._rows.setdefault(evidence.server, _Row())
+        last, last_ms = row.unreached_by, row.unreached_ms
+        row.unreached_by, row.unreached_ms = evidence.observer, evidence.at_ms
+        self._unreached.append((evidence.server, evidence.observer))
+        if not last or evidence.at_ms - last_ms > _UNREACHED_MEMORY_MS:
+            return _UNREACHED_RATIO
+        return 1.0 if last == evidence.observer else _UNREACHED_AGAIN_RATIO
+
     def _stalled_ratio(self, waited_ms: float) -> float:
         """Return the likelihood ratio of a request that has had no answer for so long.
 
--- a/verbenadrum/health/tests/test_belief.py
+++ b/verbenadrum/health/tests/test_belief.py
@@ -12,11 +12,11 @@
 AVOID = 0.5
 
 
-def ended(judge, server, kind, at_ms, latency_ms=50.0):
+def ended(judge, server, kind, at_ms, latency_ms=50.0, observer="h1"):
     judge.ended(
         evidence.Evidence(
             server=server,
-            observer="h1",
+            observer=observer,
             group="d1",
             kind=kind,
             latency_ms=latency_ms,
@@ -77,3 +77,33 @@
 def test_avoiding_the_doubtful_loses_a_quarter_of_what_first_come_loses(seed):
     blind, wary = play(seed, avoid=False), play(seed, avoid=True)
     assert wary["failed"] < blind["failed"] / 4.0
+
+
+def test_host_that_cannot_reach_a_server_is_kept_away_and_the_server_stays():
+    judge = belief.BeliefJudge()
+    for at_ms in (0.0, 100.0, 200.0):
+        ended(judge, "s1", Kind.CONNECT_FAILED, at_ms, observer="h1")
+    assert judge.doubt("s1", 200.0) < AVOID / 2.0
+    verdicts = judge.review(now_ms=200.0, flights=[])
+    assert {(each.kind, each.server, each.observers) for each in verdicts} == {
+        (evidence.VerdictKind.PATH, "s1", ("h1",))
+    }
+    assert not judge.review(now_ms=250.0, flights=[])
+
+
+def test_server_that_two_hosts_cannot_reach_is_out_unless_it_answered_between():
+    judge = belief.BeliefJudge()
+    for server in ("s1", "s2"):
+        ended(judge, server, Kind.CONNECT_FAILED, 0.0, observer="h1")
+    ended(judge, "s2", Kind.OK, 100.0, observer="h3")
+    for server in ("s1", "s2"):
+        ended(judge, server, Kind.CONNECT_FAILED, 200.0, observer="h2")
+    assert judge.doubt("s1", 200.0) > AVOID
+    assert judge.doubt("s2", 200.0) < AVOID
+
+
+def test_slow_start_of_a_pool_is_no_stall():
+    judge = belief.BeliefJudge()
+    flight = evidence.Flight(server="s1", observer="h1", group="d1", waited_ms=1_200.0)
+    judge.review(now_ms=0.0, flights=[flight])
+    assert judge.doubt("s1", 0.0) < AVOID / 2.0
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -41,6 +41,9 @@
 _HOUSEKEEPING_MS = 1_000.0
 _SUSPECTED_RETRY_MS = 1_000.0
 _UNSURE_MS = 1_000.0
+# A home that refuses more than this part of its asks uses servers that it would leave alone.
+_PRESSED_FROM = 0.05
+_REFUSED_SMOOTHING = 0.05
 # Each costs a look at every server.
 _MOST_PASSED_OVER = 3
 _PROBE_OBSERVER = ids.HostId("")
@@ -129,6 +132,7 @@
         self._service_ms = _FIRST_SERVICE_MS
         self._serial = 0
         self._hedge_ms = 0.0
+        self._refused_share = 0.0
         self._serving = False
         self._serve_again = False
         self._housekeeping_ms = -math.inf
@@ -430,11 +434,19 @@
         trial = ask.idempotent and not ask.attempt
         suspicion = self._ledger.suspicion(ask.fingerprint, now_ms)
         suspected = suspicion is poison.Suspicion.SUSPECTED
-        entry = self._servers.choose(
-            waiter.observer, ask.excluded, now_ms, trial=trial, suspected=suspected
-        )
+        entry = None
+        for pressed in (False, True) if self._refused_share > _PRESSED_FROM else (False,):
+            entry = entry or self._servers.choose(
+                waiter.observer,
+                ask.excluded,
+                now_ms,
+                trial=trial,
+                suspected=suspected,
+                pressed=pressed,
+            )
         if entry is None:
             return False
+        self._count_refused(0.0)
         server = ids.ServerId(entry.server)
         lease = self._new_lease(
             server, waiter.observer, ask.workspace, ask.fingerprint, number=ask.number
@@ -474,8 +486,8 @@
     def _serve_queue(self) -> None:
         """Serve waiters in turn; a few that no free server suits do not hold up the next."""
         passed_over: list[_Waiter] = []
-        while len(self._queue) and self._servers.in_use < self._servers.total_slots:
-            if len(passed_over) > _MOST_PASSED_OVER:
+        while len(self._queue) and len(passed_over) <= _MOST_PASSED_OVER:
+            if not self._servers.any_free():
                 break
             waiter = self._queue.pop()
             now_ms = self._context.now_ms()
@@ -550,8 +562,12 @@
                 "first_attempts": self._budget.firsts,
             },
         )
+        self._count_refused(1.0)
         self._reply(waiter, messages.PlaceState.REFUSED, reason, retry_after_ms)
 
+    def _count_refused(self, refused: float) -> None:
+        self._refused_share += (refused - self._refused_share) * _REFUSED_SMOOTHING
+
     def _reply(self, waiter: _Waiter, state: int, reason: str, retry_after_ms: float = 0.0) -> None:
         self._asks.pop((waiter.observer, waiter.ask.number), None)
         answer = _answer(waiter.ask, state, reason, retry_after_ms=retry_after_ms)
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -23,6 +23,13 @@
 # A server that is this likely to be sick gets no work, one that is less so a single request.
 _AVOID_DOUBT = 0.5
 _UNSURE_DOUBT = 0.25
+# While requests are refused, doubtful servers get a single request each: a refusal serves nobody.
+_PRESSED_DOUBT = 0.7
+_PRESSED_TRIAL_DOUBT = 0.9
+# While requests are refused, this part of the servers gets work at least every so often, the least
+# doubtful ones first, so that those that are well again are found.
+_PRESSED_SHARE = 0.8
+_PRESSED_EVERY_MS = 1_200.0
 # Requests that may be repeated try doubtful servers first, since a failure costs them little.
 _TRIAL_DOUBT = 0.75
 # A server that has had no work for this long is preferred, unless it is doubtful: a new one must
@@ -103,7 +110,12 @@
     @property
     def total_slots(self) -> int:
         """Slots that may be used now, over all servers."""
-        return sum(self._slots(entry, _AVOID_DOUBT) for entry in self._live)
+        doubts = self._doubts()
+        limit = self._limit(doubts, trial=False, pressed=False)
+        return sum(
+            self._slots(entry, doubt, limit)
+            for entry, doubt in zip(self._live, doubts, strict=True)
+        )
 
     @property
     def in_use(self) -> int:
@@ -187,6 +199,7 @@
         *,
         trial: bool = False,
         suspected: bool = False,
+        pressed: bool = False,
     ) -> types.ServerEntry | None:
         """Return the least loaded server with a free slot, a warm one among equals.
 
@@ -203,19 +216,39 @@
         suspected : bool
             Whether a server died under the request, so that it should run on its own: if the next
             one dies too, no other request is to blame.
+        pressed : bool
+            Whether the request would be refused otherwise.
         """
         best = None
         best_cost = math.inf
-        for entry in self._live:
-            cost = self._cost(entry, observer, excluded, now_ms, trial)
+        doubts = self._doubts()
+        limit = self._limit(doubts, trial=trial, pressed=pressed)
+        reached = self._reaches_any(observer, now_ms)
+        for entry, doubt in zip(self._live, doubts, strict=True):
+            server = ids.ServerId(entry.server)
+            if reached and self._is_avoided_pair(observer, server, now_ms):
+                continue
+            slots = self._slots(entry, doubt, limit)
+            if not slots and pressed and self._starves(server, doubt, doubts, now_ms):
+                slots = 1
+            cost = self._cost(entry, observer, slots=slots, doubt=doubt, now_ms=now_ms, trial=trial)
+            if server in excluded:
+                cost += 1000.0
             if suspected and self._in_use.get(ids.ServerId(entry.server), 0):
                 cost += _SHARED_COST
             if cost < best_cost:
                 best, best_cost = entry, cost
-        if best is not None and best.server in excluded and self._any_other(excluded):
+        if best is not None and best.server in excluded and self._any_other(excluded, doubts):
             return None
         return best
 
+    def any_free(self) -> bool:
+        """Return whether some server has a slot that some request may use."""
+        return any(
+            self._in_use.get(ids.ServerId(entry.server), 0) < self._slots(entry, 0.0, 1.0)
+            for entry in self._live
+        )
+
     def forget_idle(self, now_ms: float) -> None:
         """Drop connections and avoided pairs whose time is over."""
         for used in self._connections.values():
@@ -237,17 +270,17 @@
         self,
         entry: types.ServerEntry,
         observer: ids.HostId,
-        excluded: tuple[str, ...],
+        *,
+        slots: int,
+        doubt: float,
         now_ms: float,
         trial: bool,
     ) -> float:
         server = ids.ServerId(entry.server)
-        slots = self._slots(entry, _TRIAL_DOUBT if trial else _AVOID_DOUBT)
         used = self._in_use.get(server, 0)
         if used >= slots or server in self._guarded:
             return math.inf
         cost = used / (entry.slots or self._part.spec.slots) + self._rng.random() * 0.1
-        doubt = self._doubt(server)
         cost += (_TRIAL_WEIGHT if trial else _DOUBT_WEIGHT) * doubt
         if doubt < _UNUSED_DOUBT and now_ms - self._taken_ms.get(server, -math.inf) > _UNUSED_MS:
             cost -= _UNUSED_BONUS
@@ -257,33 +290,60 @@
             return math.inf
         if self._ejector.avoided(server):
             cost += 100.0
-        if self._pairs.get((observer, server), _NEVER)[0] > now_ms:
-            cost += 200.0
-        elif trial and not used and self._disputed_ms.get(server, 0.0) > now_ms:
+        if trial and not used and self._disputed_ms.get(server, 0.0) > now_ms:
             cost -= _SECOND_OPINION_BONUS
-        if server in excluded:
-            cost += 1000.0
         return cost
 
-    def _any_other(self, excluded: tuple[str, ...]) -> bool:
-        return any(
-            entry.server not in excluded and self._slots(entry, _AVOID_DOUBT)
+    def _is_avoided_pair(self, observer: ids.HostId, server: ids.ServerId, now_ms: float) -> bool:
+        return self._pairs.get((observer, server), _NEVER)[0] > now_ms
+
+    def _reaches_any(self, observer: ids.HostId, now_ms: float) -> bool:
+        """Return whether an entry host is not kept from every server."""
+        return not self._pairs or any(
+            not self._is_avoided_pair(observer, ids.ServerId(entry.server), now_ms)
             for entry in self._live
         )
 
-    def _slots(self, entry: types.ServerEntry, avoid_from: float) -> int:
-        """Return how many of a server's slots may be used, given the doubts about it.
+    def _any_other(self, excluded: tuple[str, ...], doubts: list[float]) -> bool:
+        limit = self._limit(doubts, trial=False, pressed=False)
+        return any(
+            entry.server not in excluded and self._slots(entry, doubt, limit)
+            for entry, doubt in zip(self._live, doubts, strict=True)
+        )
+
+    def _slots(self, entry: types.ServerEntry, doubt: float, limit: float) -> int:
+        """Return how many of a server's slots may be used, given the doubt about it.
 
-        Where every server is doubtful, the one that is least so stays in use.
+        A server that is doubted up to ``limit`` gets one request at a time.
         """
-        server = ids.ServerId(entry.server)
-        slots = self._ejector.slots(server, entry.slots or self._part.spec.slots)
-        doubt = self._doubt(server)
+        slots = self._ejector.slots(
+            ids.ServerId(entry.server), entry.slots or self._part.spec.slots
+        )
         if doubt < _UNSURE_DOUBT:
             return slots
-        if doubt < avoid_from or doubt <= min(self._doubts()):
-            return min(1, slots)
-        return 0
+        return min(1, slots) if doubt <= limit else 0
+
+    def _limit(self, doubts: list[float], *, trial: bool, pressed: bool) -> float:
+        """Return the doubt up to which servers stay in use.
+
+        The least doubtful one always does, and the pool's floor of them while requests would be
+        refused otherwise.
+        """
+        if not doubts:
+            return 0.0
+        least = sorted(doubts)
+        if not pressed:
+            return max(_TRIAL_DOUBT if trial else _AVOID_DOUBT, least[0])
+        kept = max(1, math.ceil(self._part.spec.floor * len(doubts)))
+        return max(_PRESSED_TRIAL_DOUBT if trial else _PRESSED_DOUBT, least[kept - 1])
+
+    def _starves(
+        self, server: ids.ServerId, doubt: float, doubts: list[float], now_ms: float
+    ) -> bool:
+        """Return whether a server must get work again, since requests are refused meanwhile."""
+        if now_ms - self._taken_ms.get(server, -math.inf) < _PRESSED_EVERY_MS:
+            return False
+        return doubt <= sorted(doubts)[math.ceil(_PRESSED_SHARE * len(doubts)) - 1]
 
     def _doubts(self) -> list[float]:
         return [self._doubt(ids.ServerId(entry.server)) for entry in self._live]
--- a/verbenadrum/placement/tests/test_overload.py
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -187,3 +187,71 @@
     fleet.run(4.0 * WORK_MS)
     assert sum(log.ok for log in busy) == stepped_fleet.SLOTS
     assert waiting.ok
+
+
+SICK_SHARE = 0.3
+SICK_FAILS = 0.9
+WELL_FAILS = 0.012
+SPELL_MS = 9_000.0
+FLOOR_WINDOW_MS = 2_000.0
+FLOOR_SHARE = 0.7
+
+
+def change_sick(fleet, changes):
+    """Let another part of the servers fail quickly, while the last one recovers."""
+    sick = set(fleet.rng.sample(sorted(fleet.servers), round(SICK_SHARE * len(fleet.servers))))
+    for name, server in fleet.servers.items():
+        server.error_fraction = SICK_FAILS if name in sick else WELL_FAILS
+        server.error_ms = 1.0
+    changes.append((fleet.clock.now_ms(), sick))
+    fleet.after(SPELL_MS, lambda: change_sick(fleet, changes))
+
+
+def noisy(seed, times, method, servers=20):
+    """Play a pool of which a part always fails nine requests in ten, at a part of what it can do.
+
+    Returns
+    -------
+    fleet, logs, windows
+        ``windows`` holds, for each two seconds, the share of well servers that got work and the
+        share of requests that were not served.
+    """
+    places = itertools.cycle(("r1a", "r2a", "r1b", "r2b"))
+    fleet = stepped_fleet.Fleet(
+        hosts=stepped_fleet.two_regions(4),
+        servers={f"s{index:02}": next(places) for index in range(servers)},
+        health="belief",
+        seed=seed,
+        median_ms=WORK_MS,
+        sigma=0.4,
+        timeout_ms=TIMEOUT_MS,
+        target_ms=TARGET_MS,
+    )
+    changes = []
+    change_sick(fleet, changes)
+    numbers = itertools.count()
+    capacity = CAPACITY_PER_S * servers / SERVERS * (1.0 - SICK_SHARE)
+    fleet.load(
+        workspace="w", per_s=capacity * times, path=lambda: f"/{next(numbers)}", method=method
+    )
+    windows = []
+    for _ in range(15):
+        before = {name: server.received for name, server in fleet.servers.items()}
+        start_ms = fleet.clock.now_ms()
+        fleet.run(FLOOR_WINDOW_MS)
+        sick = set().union(*(each for at_ms, each in changes if at_ms > start_ms - SPELL_MS))
+        well = [name for name in fleet.servers if name not in sick]
+        used = sum(fleet.servers[name].received > before[name] for name in well)
+        sent = [log for log in fleet.logs if log.sent_ms >= start_ms]
+        lost = sum(bool(log.refusal) for log in sent) / len(sent)
+        windows.append((used / len(well), lost))
+    logs = [log for log in fleet.logs if SETTLED_MS <= log.sent_ms < fleet.clock.now_ms() - 2_000.0]
+    return fleet, logs, windows
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("seed", range(2))
+def test_well_servers_keep_getting_work_while_requests_are_refused(seed, method):
+    _, _, windows = noisy(seed, 1.3, method)
+    bound = [used for used, lost in windows if 0.1 < lost < 0.5]
+    assert bound and all(used >= FLOOR_SHARE for used in bound)
