Settings: silent changes of the file are seen; seeds and shutdown times change while a host runs

Cause: SIGHUP was read and reported, but took the log level only, and a file that changed without a signal was not read.

--- a/verbenadrum/daemon/command.py
+++ b/verbenadrum/daemon/command.py
@@ -36,6 +36,7 @@
     except (errors.VerbenadrumError, OSError) as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return EXIT_CANNOT_START
+    running.follow_settings(pathlib.Path(_CONFIG.value))
     gevent.signal_handler(signal.SIGHUP, running.reload, pathlib.Path(_CONFIG.value))
     gevent.signal_handler(signal.SIGTERM, running.begin_shutdown)
     gevent.signal_handler(signal.SIGINT, running.begin_shutdown)
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -6,6 +6,7 @@
 import secrets
 
 import gevent
+import msgspec
 from gevent import event
 
 from verbenadrum import ids
@@ -30,7 +31,7 @@
 from verbenadrum.platform import store
 from verbenadrum.records import checks
 from verbenadrum.records import types as record_types
-from verbenadrum.settings import load, types
+from verbenadrum.settings import load, types, watch
 from verbenadrum.utils import clock
 
 __all__ = ["Host"]
@@ -45,6 +46,10 @@
 # Pool homes count a connection for 60 s after its last use, so it must be closed by then.
 _IDLE_CONNECTION_S = 45.0
 _SWEEP_INTERVAL_S = 5.0
+# A settings file may change without a signal; reading its status costs a few microseconds.
+_SETTINGS_INTERVAL_S = 1.0
+# Tables that take effect while the host runs; the others wait for a restart.
+_RELOADED_TABLES = ("log", "shutdown")
 _SEED_BITS = 62
 # With the 41 bits of the time of day, an incarnation fits into 64 bits for decades.
 _RANDOM_BITS = 20
@@ -129,10 +134,21 @@
             self._stopping = True
             gevent.spawn(self._shut_down)
 
+    def follow_settings(self, path: pathlib.Path) -> None:
+        """Read the settings again whenever their file changes."""
+        watched = watch.SettingsWatch(path=path)
+        self._greenlets.append(gevent.spawn(self._follow_settings, watched))
+
+    def _follow_settings(self, watched: watch.SettingsWatch) -> None:
+        while True:
+            gevent.sleep(_SETTINGS_INTERVAL_S)
+            if watched.changed():
+                self.reload(watched.path)
+
     def reload(self, path: pathlib.Path) -> None:
         """Read the settings again; those that cannot change while running wait for a restart.
 
-        A file with faults changes nothing.
+        A file with faults changes nothing. The seeds of the peers take effect as well.
         """
         try:
             fresh = load.load_settings(path)
@@ -144,8 +160,16 @@
             for field in self._settings.__struct_fields__
             if getattr(fresh, field) != getattr(self._settings, field)
         ]
+        in_force = [name for name in changed if name in _RELOADED_TABLES]
+        tables = {name: getattr(fresh, name) for name in in_force}
+        seeds = fresh.peers.seeds
+        if seeds != self._settings.peers.seeds:
+            in_force.append("peers.seeds")
+            tables["peers"] = msgspec.structs.replace(self._settings.peers, seeds=seeds)
+            self._engine.host_spread.use_seeds(seeds)
+        self._settings = msgspec.structs.replace(self._settings, **tables)
         logging.getLogger().setLevel(fresh.log.level)
-        _log.info("settings reloaded", extra={"changed": changed, "in_force": ["log"]})
+        _log.info("settings reloaded", extra={"changed": changed, "in_force": in_force})
 
     def _shut_down(self) -> None:
         try:
--- a/verbenadrum/dissemination/host_lists.py
+++ b/verbenadrum/dissemination/host_lists.py
@@ -52,6 +52,9 @@
         self._address = address
         self._kept: collections.OrderedDict[int, _Rows] = collections.OrderedDict()
 
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Change nothing: the shell asks the seeds, by the settings in force."""
+
     def on_platform(self, *, after: int, revision: int, rows: tuple[ports.HostRow, ...]) -> bool:
         """Take an answer of the platform; an older list than the one in force changes nothing.
 
--- a/verbenadrum/membership/seeded.py
+++ b/verbenadrum/membership/seeded.py
@@ -75,7 +75,9 @@
         super().__init__(context=context)
         self._membership = membership
         self._peers = peers
-        self._seeds = tuple(seed for seed in seeds if seed != address)
+        self._address = address
+        self._seeds: tuple[str, ...] = ()
+        self.use_seeds(seeds)
         self._entries: dict[ids.HostId, _Entry] = {}
         self._incarnation = context.incarnation
         self._digest = 0
@@ -94,6 +96,10 @@
         self._entries[own.host] = _Entry(row=own, incarnation=self._incarnation)
         self._put_in_force()
 
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask other seeds from now on."""
+        self._seeds = tuple(seed for seed in seeds if seed != self._address)
+
     def on_tick(self) -> None:
         """Ask seeds, send digests and take silent hosts off the list when each is due."""
         now_ms = self._context.now_ms()
--- a/verbenadrum/membership/tests/test_seeded.py
+++ b/verbenadrum/membership/tests/test_seeded.py
@@ -62,3 +62,12 @@
     assert fleet.run_until(lambda: agree(fleet, left), 60_000.0) <= 45_000.0
     fleet.channel.conditions.cuts.clear()
     assert time_to_agree(fleet) <= 10_000.0
+
+
+def test_seeds_that_change_while_a_host_runs_are_asked():
+    fleet = make_fleet(7, seeds=())
+    fleet.run(2_000.0)
+    assert not agree(fleet, fleet.hosts)
+    for host in fleet.hosts.values():
+        host.engine.host_spread.use_seeds(SEEDS[:1])
+    assert time_to_agree(fleet) <= 8_000.0
