LOST: a request that has arrived unnoticed is served when idle connections close

The greenlet read the buffered bytes from the ended connection, sent the request to a server, and could not answer. Change: a connection with waiting bytes, or opened within the last 0.25 s, is not idle; a request that is read from a connection that was ended is not run. The test of closing idle connections now sets the time of the first request to zero; what it checks is unchanged. Tests fail first: the three of test_http_server.py about arriving requests.

--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -6,6 +6,7 @@
 import re
 import socket
 import ssl
+import time
 from collections.abc import Callable
 
 import gevent
@@ -35,6 +36,8 @@
 _MS_PER_S = 1000.0
 # A read of a body that gets nothing for this long ends; the operators' limits bound heads only.
 _BODY_TIMEOUT_S = 30.0
+# The first request of a connection follows its opening within a round trip, at most this long.
+_FIRST_REQUEST_S = 0.25
 
 _log = logging.getLogger(__name__)
 
@@ -139,10 +142,9 @@
         """Wait a bounded time for the next request on the connection."""
         self.server.note_idle(self.socket)
         begun = self._wait_for_head()
-        self.server.note_busy(self.socket)
-        self.socket.settimeout(_BODY_TIMEOUT_S)
-        if not begun:
+        if not begun or not self.server.note_busy(self.socket):
             return ""
+        self.socket.settimeout(_BODY_TIMEOUT_S)
         # A timer would cost more than reading a head that has come whole.
         self._head_is_here = b"\r\n\r\n" in self.rfile.peek(1)
         line = self._within_head_timeout(super().read_requestline)
@@ -295,7 +297,8 @@
         self.in_flight = 0
         self.limits = limits
         self._open: set[socket.socket] = set()
-        self._idle: set[socket.socket] = set()
+        # Since when each connection has waited for a request (monotonic seconds).
+        self._idle: dict[socket.socket, float] = {}
 
     @property
     def connections(self) -> int:
@@ -304,11 +307,14 @@
 
     def note_idle(self, sock: socket.socket) -> None:
         """Note that a connection waits for its next request."""
-        self._idle.add(sock)
+        self._idle[sock] = time.monotonic()
 
-    def note_busy(self, sock: socket.socket) -> None:
-        """Note that a request has begun to arrive on a connection."""
-        self._idle.discard(sock)
+    def note_busy(self, sock: socket.socket) -> bool:
+        """Note that a request has begun to arrive; False where the connection was ended before.
+
+        Bytes that arrived before the end can still be read, but an answer can no longer be sent.
+        """
+        return self._idle.pop(sock, None) is not None
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Serve one connection."""
@@ -318,7 +324,7 @@
             super().handle(sock, address)
         finally:
             self._open.discard(sock)
-            self._idle.discard(sock)
+            self._idle.pop(sock, None)
 
     def announce_end(self) -> None:
         """Ask each client to close its connection, and go on serving."""
@@ -330,10 +336,12 @@
         self.close()
 
     def close_idle(self) -> None:
-        """Close the connections on which no request has begun to arrive."""
-        for sock in list(self._idle):
-            self._idle.discard(sock)
-            _end(sock)
+        """Close the connections on which no request has begun to arrive, nor is about to."""
+        latest_s = time.monotonic() - _FIRST_REQUEST_S
+        for sock, since_s in list(self._idle.items()):
+            if since_s <= latest_s and not sockets.has_bytes(sock):
+                del self._idle[sock]
+                _end(sock)
 
     def close_connections(self) -> None:
         """Close every connection that is still open."""
--- a/verbenadrum/daemon/sockets.py
+++ b/verbenadrum/daemon/sockets.py
@@ -8,6 +8,7 @@
 __all__ = [
     "disable_nagle",
     "ended",
+    "has_bytes",
     "has_gone",
     "is_tls",
     "listen",
@@ -86,6 +87,20 @@
     return sock
 
 
+def has_bytes(sock: socket.socket) -> bool:
+    """Return whether bytes wait to be read from a socket; False for an encrypted one."""
+    if is_tls(sock):
+        return False
+    timeout_s = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+    finally:
+        sock.settimeout(timeout_s)
+
+
 def ended(sock: socket.socket) -> bool:
     """Return whether an idle socket was closed by the other side or holds unexpected bytes."""
     timeout_s = sock.gettimeout()
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -139,7 +139,52 @@
     assert server.send(GOOD).startswith(b"HTTP/1.1 200 OK")
 
 
-def test_closing_idle_connections_leaves_one_with_a_request_alone(server):
+@pytest.fixture
+def at_once(monkeypatch):
+    """Take connections for idle as soon as nothing has arrived on them."""
+    monkeypatch.setattr(http_server, "_FIRST_REQUEST_S", 0.0)
+
+
+def accepted(server, count=1):
+    """Wait until the server waits for requests on that many connections."""
+    deadline = time.monotonic() + TIMEOUT_S
+    while len(server.server._idle) < count:
+        assert time.monotonic() < deadline
+        time.sleep(0.001)
+
+
+def test_request_that_has_arrived_unnoticed_is_answered_when_idle_connections_close(
+    server, at_once
+):
+    with socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as sock:
+        accepted(server)
+        sock.sendall(GOOD)
+        # Nothing has run since: the greenlet of the connection has not seen the bytes yet.
+        server.server.close_idle()
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 OK")
+
+
+def test_request_on_a_connection_that_was_ended_is_not_run(server, at_once, monkeypatch):
+    with socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as sock:
+        accepted(server)
+        before = len(server.bodies)
+        # The bytes arrive between the look at the connection and its end.
+        monkeypatch.setattr(sockets, "has_bytes", lambda sock: False)
+        sock.sendall(GOOD)
+        server.server.close_idle()
+        assert sock.recv(65_536) == b""
+        assert len(server.bodies) == before
+
+
+def test_connection_that_was_just_opened_is_left_for_its_first_request(server):
+    with socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as sock:
+        accepted(server)
+        server.server.close_idle()
+        sock.sendall(GOOD)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 OK")
+
+
+def test_closing_idle_connections_leaves_one_with_a_request_alone(server, at_once):
     with (
         socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as idle,
         socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as busy,
