A request that was let into the queue may wait until its answer would come too late

Change: the expected wait decides who is let in, as before; who is in keeps waiting until one and a half service times are left of the target.

--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -23,6 +23,9 @@
 # its answer still comes in time, and one that will not get a slot is refused while its caller can
 # come back.
 _WAIT_SHARE = 0.35
+# One that was let in and waits for longer than was expected still gets a slot while this many
+# service times are left of its target.
+_LAST_START = 1.5
 # A target of less than this many service times counts for nothing.
 _REACHABLE_TARGET = 1.5
 # With a target, the other region is asked when the wait here is longer than the way there.
@@ -54,6 +57,7 @@
 class _Waiter(msgspec.Struct, kw_only=True):
     observer: ids.HostId
     ask: messages.PlaceAsk
+    patience_ms: float
     deadline_ms: float
     arrived_ms: float
 
@@ -185,10 +189,12 @@
             again = self._asks[known] or _answer(ask, messages.PlaceState.QUEUED, "queued")
             self._send(observer, again)
             return
+        patience_ms = self._patience_ms(ask)
         waiter = _Waiter(
             observer=observer,
             ask=ask,
-            deadline_ms=now_ms + self._patience_ms(ask),
+            patience_ms=patience_ms,
+            deadline_ms=now_ms + max(patience_ms, self._latest_start_ms(ask)),
             arrived_ms=now_ms,
         )
         if not self._pass_gate(waiter):
@@ -390,6 +396,10 @@
             left_ms = ask.remaining_ms
         return max(0.0, min(_WAIT_SHARE * left_ms, ask.remaining_ms - self._service_ms))
 
+    def _latest_start_ms(self, ask: messages.PlaceAsk) -> float:
+        """Return after how long a request can still be answered within its target."""
+        return min(ask.target_ms, ask.remaining_ms) - _LAST_START * self._service_ms
+
     def _come_back_ms(self, wait_ms: float) -> float:
         """Return when a refused caller finds room: after the wait, spread over a while."""
         return wait_ms + _RETRY_AFTER_MS + _RETRY_SPREAD_MS * self._context.rng.random()
@@ -401,7 +411,7 @@
         ahead = self._queue.waiting(workspace, rank)
         wait_ms = self._expected_wait_ms(workspace, rank, slots)
         elsewhere_ms = _ELSEWHERE_TARGET_MS if waiter.ask.target_ms else _ELSEWHERE_AFTER_MS
-        patience_ms = waiter.deadline_ms - waiter.arrived_ms
+        patience_ms = waiter.patience_ms
         come_back_ms = self._come_back_ms(max(0.0, wait_ms - patience_ms))
         if not self._servers.live:
             self._refuse(waiter, "no-eligible-server", self._come_back_ms(0.0))
@@ -553,7 +563,7 @@
                 "workspace": waiter.ask.workspace,
                 "attempt": waiter.ask.attempt,
                 "waited_ms": round(now_ms - waiter.arrived_ms, 1),
-                "patience_ms": round(waiter.deadline_ms - waiter.arrived_ms, 1),
+                "patience_ms": round(waiter.patience_ms, 1),
                 "service_ms": round(self._service_ms, 1),
                 "slots": self._servers.total_slots,
                 "in_use": self._servers.in_use,
