Settings take times with their unit; the end of a host follows the deployment's grace

Cause: the template fixed 5500 ms for the end of a host and 10 s for the retry window, whatever a deployment states; a deployment with a shorter grace would have killed hosts with requests in flight. Change: settings ending in _ms take "6s" as well as numbers; limit_ms is the stated time, margin_ms what is kept free before it, and connections are accepted for half of it at most. One reader of such times serves the adapter too.

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -182,11 +182,12 @@
     def _finish_requests(self) -> None:
         _log.info("shutting down", extra={"in_flight": self._caller_server.in_flight})
         table = self._settings.shutdown
-        limit_ms = self._clock.now_ms() + table.limit_ms
+        allowed_ms = max(0.0, table.limit_ms - table.margin_ms)
+        limit_ms = self._clock.now_ms() + allowed_ms
         self._engine.leave()
         self._caller_server.announce_end()
         # Callers, and a balancer before this host, learn of the end late.
-        gevent.sleep(table.linger_ms / _MS_PER_S)
+        gevent.sleep(min(table.linger_ms, allowed_ms / 2.0) / _MS_PER_S)
         self._caller_server.drain()
         # A request may arrive on a kept connection until the moment at which that is closed.
         while self._caller_server.connections and self._clock.now_ms() < limit_ms:
--- a/verbenadrum/platform/wire.py
+++ b/verbenadrum/platform/wire.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from verbenadrum.records import envelope, types
-from verbenadrum.utils import errors
+from verbenadrum.utils import durations, errors
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -26,7 +26,6 @@
 SERVERS_PREFIX = "servers/"
 # Every version of a configuration is a new value of one record.
 _CONFIGURATION_NAME = "configuration"
-_UNITS_MS = {"ms": 1.0, "s": 1000.0}
 # Kinds of routes whose requests may run more than once, whatever their method.
 _REPEATABLE = frozenset({"safe", "download"})
 _ROUTE_TYPES = frozenset({"safe", "download", "unsafe"})
@@ -149,23 +148,22 @@
 
 
 def duration_ms(text: str) -> float:
-    """Return a time such as ``1500ms`` or ``2.5s`` in milliseconds.
+    """Return a time of the store in milliseconds.
 
     Raises
     ------
     MalformedValueError
-        If it is not a number with one of the two units.
+        If it is not a number with the unit ms or s.
 
     Examples
     --------
-    >>> duration_ms("2.5s"), duration_ms("300ms")
-    (2500.0, 300.0)
+    >>> duration_ms("2.5s")
+    2500.0
     """
-    for unit, factor in _UNITS_MS.items():
-        number = text.removesuffix(unit)
-        if number != text and number.replace(".", "", 1).isdigit():
-            return float(number) * factor
-    raise MalformedValueError(f"{text!r} is no time with the unit ms or s")
+    try:
+        return durations.parse_ms(text)
+    except ValueError as error:
+        raise MalformedValueError(str(error)) from error
 
 
 def decode_item(item: Item, *, zones: frozenset[str], floor: float) -> bytes | None:
--- a/verbenadrum/settings/tests/test_load.py
+++ b/verbenadrum/settings/tests/test_load.py
@@ -39,3 +39,15 @@
 def test_missing_file_is_a_settings_error(tmp_path):
     with pytest.raises(load.SettingsError):
         load.load_settings(tmp_path / "none.toml")
+
+
+def test_times_may_be_written_with_their_unit():
+    text = GOOD + '[shutdown]\nlimit_ms = "6s"\nmargin_ms = "500ms"\nlinger_ms = 250\n'
+    table = load.parse_settings(text, source="good.toml").shutdown
+    assert (table.limit_ms, table.margin_ms, table.linger_ms) == (6_000.0, 500.0, 250.0)
+
+
+def test_text_that_is_no_time_is_a_fault_of_its_key():
+    with pytest.raises(load.SettingsError) as caught:
+        load.parse_settings(GOOD + '[shutdown]\nlimit_ms = "soon"\n', source="bad.toml")
+    assert "shutdown.limit_ms: 'soon' is not of type 'number'" in str(caught.value)
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -148,11 +148,13 @@
     """How a host ends after SIGTERM.
 
     For ``linger_ms`` it still accepts connections, since callers or a balancer learn of the end
-    late. After ``limit_ms`` it ends whatever is still in flight.
+    late, though no longer than half of its time. ``margin_ms`` before ``limit_ms`` it ends whatever
+    is still in flight.
     """
 
     linger_ms: Milliseconds = 500.0
     limit_ms: Milliseconds = 3_600_000.0
+    margin_ms: Milliseconds = 0.0
 
 
 class LogTable(Table):
