An answer that comes before a long body is read is delivered

Cause: a server that answered and closed while the body was still being sent counted as a reset, although its answer, at times that it did not run, had come. Change: the answer is read after a broken send, and the connection is not used again. Test fails first: test_answer_that_comes_before_a_long_body_is_read_counts_as_said.

--- a/verbenadrum/daemon/tests/test_upstream.py
+++ b/verbenadrum/daemon/tests/test_upstream.py
@@ -50,6 +50,7 @@
     timeout_s=5.0,
     names=upstream.DEFAULT_NAMES,
     reuse_idle_s=math.inf,
+    body=None,
     **fields,
 ):
     order = ports.DispatchOrder(
@@ -62,7 +63,7 @@
         deadline_ms=0.0,
         **fields,
     )
-    sent = upstream.SentRequest(method=method, target="/", headers=(("Host", "a"),), body=None)
+    sent = upstream.SentRequest(method=method, target="/", headers=(("Host", "a"),), body=body)
     return upstream.Attempt(
         pools=pools,
         order=order,
@@ -205,3 +206,26 @@
     assert pools.idle == 1
     pools.close_idle(longer_than_s=0.0)
     assert pools.idle == 0
+
+
+REFUSED_EARLY = (
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: q1\r\nX-Not-Run: true\r\n"
+    b"Content-Length: 2\r\n\r\nno"
+)
+
+
+def long_body(started):
+    """Yield pieces until the backend server has surely closed the connection."""
+    for _ in range(400):
+        started.append(True)
+        yield b"x" * 65_536
+        gevent.sleep(0.001)
+
+
+def test_answer_that_comes_before_a_long_body_is_read_counts_as_said(pools):
+    backend = Backend(REFUSED_EARLY, after="close")
+    pieces = []
+    found = outcome_of(pools, backend, method="POST", body=long_body(pieces))
+    assert found.kind is Kind.SHED
+    assert len(pieces) < 400
+    assert pools.idle == 0
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -338,6 +338,7 @@
         self._keep_s = _DEFAULT_KEEP_ALIVE_S
         self._started_s = time.monotonic()
         self._bytes_sent = False
+        self._body_cut = False
 
     def cancel(self) -> None:
         """Close the connection at once, which the backend server sees as a cancellation."""
@@ -383,6 +384,16 @@
             if self._cancelled:
                 raise OSError("the attempt was cancelled")
             self._bytes_sent = True
+            self._send()
+            response = self._connection.getresponse()
+            self._keep_s = _keep_alive_s(response.headers)
+            return response
+        except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
+            self._release(False)
+            raise self._failed(error) from error
+
+    def _send(self) -> None:
+        try:
             self._connection.request(
                 self._sent.method,
                 self._sent.target,
@@ -391,18 +402,16 @@
                 preload_content=False,
                 decode_content=False,
             )
-            response = self._connection.getresponse()
-            self._keep_s = _keep_alive_s(response.headers)
-            return response
-        except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
-            self._release(False)
-            raise self._failed(error) from error
+        except (BrokenPipeError, ConnectionResetError):
+            # A server may answer before it has read a long body, and close. Its answer may have
+            # come; where the rest of the body is due, no other request may follow.
+            self._body_cut = True
 
     def _release(self, reusable: bool) -> None:
         used, self._connection = self._connection, None
         if used is None:
             return
-        if reusable and not self._cancelled:
+        if reusable and not self._cancelled and not self._body_cut:
             self._pools.put(self._order.address, used, keep_s=self._keep_s)
         else:
             used.close()
