Logs: standard output, bounded lines a second, and no wait for a reader

Cause: lines went to standard error by blocking writes, so that a full pipe stopped the whole host, and nothing bounded their number. Change: lines are written in pieces that poll says a pipe has room for; beyond 400 decisions a second those of requests in good order are left out first, and counted.

--- a/scenarios/run.py
+++ b/scenarios/run.py
@@ -96,7 +96,7 @@
         print(report(scene, results))
         kept = all(result.kept for result in results)
         if _KEEP_LOGS.value and not kept:
-            for path in sorted(running.directory.glob("*.err")):
+            for path in sorted(running.directory.glob("*.[eo][ru][rt]")):
                 print(f"--- {path.name}\n{path.read_text(errors='replace')}")
     return EXIT_KEPT if kept else EXIT_BROKEN
 
--- a/verbenadrum/daemon/command.py
+++ b/verbenadrum/daemon/command.py
@@ -29,11 +29,12 @@
     except load.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    logs.configure(settings.log.level)
+    writer = logs.configure(settings.log.level)
     try:
-        running = host.Host(settings=settings)
+        running = host.Host(settings=settings, writer=writer)
         running.start()
     except (errors.VerbenadrumError, OSError) as error:
+        writer.flush()
         print(f"cannot start: {error}", file=sys.stderr)
         return EXIT_CANNOT_START
     running.follow_settings(pathlib.Path(_CONFIG.value))
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -14,6 +14,7 @@
 from verbenadrum.daemon import (
     callers,
     http_server,
+    log_writer,
     logs,
     metrics,
     operators,
@@ -64,6 +65,8 @@
     ----------
     settings : Settings
         Checked settings.
+    writer : LineWriter or None
+        Where log lines wait; flushed with each batch of decisions.
 
     Raises
     ------
@@ -71,13 +74,17 @@
         If a port cannot be bound or a certificate cannot be read.
     """
 
-    def __init__(self, *, settings: types.Settings) -> None:
+    def __init__(
+        self, *, settings: types.Settings, writer: log_writer.LineWriter | None = None
+    ) -> None:
         self._settings = settings
         self._clock = clock.SystemClock()
         self._stopped = event.Event()
         self._stopping = False
         self._greenlets: list[gevent.Greenlet] = []
-        self._log = logs.DecisionLog(host=settings.host.id)
+        self._log = logs.DecisionLog(
+            host=settings.host.id, lines_per_s=settings.log.lines_per_s, writer=writer
+        )
         self._decisions = ring.DecisionRing(
             wall_ms=self._clock.wall_ms,
             size=settings.decisions.ring_size,
@@ -202,8 +209,8 @@
         gevent.killall(self._greenlets)
         self._peers.stop()
         self._setup.stop()
-        self._log.flush()
         _log.info("stopped", extra={"host": self._settings.host.id})
+        self._log.flush(last=True)
 
     def _make_incarnation(self) -> int:
         """Return a number that grows from run to run, unless the time of day is set back."""
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -158,8 +158,13 @@
 
 
 class LogTable(Table):
-    """What is logged to standard error."""
+    """What is logged to standard output.
 
+    Of decisions at most ``lines_per_s`` are written; those of requests in good order are left out
+    first, and counted.
+    """
+
+    lines_per_s: Annotated[float, msgspec.Meta(ge=4)] = 400.0
     level: Annotated[str, msgspec.Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
 
