Log lines name the caller's own identifier, and what a refused caller was told

A complaint names the caller's identifier, and no line held it. The route and refusal lines now do, bounded to 64 characters; a refusal's line has its Retry-After. Test: test_log_names_the_caller_s_own_identifier_of_served_and_refused_requests.

--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -436,7 +436,7 @@
     is monotonic, infinite where the caller names none. ``body_length`` is -1 where the caller
     streams without a length. ``replayable`` says whether the shell holds the whole body, and
     ``body_digest`` is a hash of it where it does. ``path`` is decoded; ``query`` is as the caller
-    sent it, without the key.
+    sent it, without the key. ``caller_request`` is the caller's own identifier, for the log.
     """
 
     request: ids.RequestId
@@ -450,6 +450,7 @@
     body_length: int = 0
     replayable: bool = True
     body_digest: str = ""
+    caller_request: str = ""
 
 
 class DispatchOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -23,6 +23,8 @@
 MAX_REPLAYABLE_BYTES = 65_536
 _PIECE_BYTES = 65_536
 _MS_PER_S = 1000.0
+# A caller chooses its identifier, so that what is logged of it is bounded.
+_LOGGED_ID_LENGTH = 64
 _WATCH_AFTER_S = 0.05
 _WATCH_INTERVAL_S = 0.1
 _METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
@@ -137,6 +139,7 @@
             body_length=length,
             replayable=body is None or isinstance(body, bytes),
             body_digest=xxhash.xxh3_64_hexdigest(body) if isinstance(body, bytes) else "",
+            caller_request=environ.get(self._id_key, "")[:_LOGGED_ID_LENGTH],
         )
         headers.append(("Host", environ.get("HTTP_HOST", "")))
         sent = upstream.SentRequest(
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -67,7 +67,7 @@
             "longest-prefix",
             subject=name,
             request=head.request,
-            detail={"workspace": workspace or ""},
+            detail={"workspace": workspace or "", **_caller_request(head)},
         )
         now_ms = self._context.now_ms()
         spec = self._records.workspace(workspace) if workspace else None
@@ -359,7 +359,12 @@
             "refused",
             refusal.code,
             request=head.request,
-            detail={"status": refusal.status, "not_run": refusal.not_run.value},
+            detail={
+                "status": refusal.status,
+                "not_run": refusal.not_run.value,
+                "retry_after_ms": round(refusal.retry_after_ms, 1),
+                **_caller_request(head),
+            },
         )
         sink.refuse(refusal)
 
@@ -414,6 +419,11 @@
         )
 
 
+def _caller_request(head: ports.RequestHead) -> dict[str, str]:
+    """Return the caller's own identifier, as it stands in the log."""
+    return {"caller_request": head.caller_request} if head.caller_request else {}
+
+
 def _fingerprint(head: ports.RequestHead, workspace: str | None) -> str:
     parts = (workspace or "", head.method, head.host, head.path, head.query, str(head.body_length))
     return xxhash.xxh3_64_hexdigest("\x00".join(parts))
--- a/verbenadrum/entry/tests/test_pipeline.py
+++ b/verbenadrum/entry/tests/test_pipeline.py
@@ -299,3 +299,31 @@
             ends[getattr(end, "not_run", "replayed")] += 1
     assert min(ends.values()) > 0
     assert len(ends) == 7
+
+
+@pytest.mark.parametrize("key", ["secret", "wrong"])
+def test_log_names_the_caller_s_own_identifier_of_served_and_refused_requests(key):
+    schedule = Schedule(1)
+    decided = []
+    made = schedule._context()
+    core = pipeline.EntryPipeline(
+        context=context.Context(
+            host=made.host,
+            data_centre=made.data_centre,
+            region=made.region,
+            incarnation=1,
+            clock=schedule.time,
+            rng=random.Random(1),
+            send=lambda to, message: None,
+            decisions=ring.DecisionRing(wall_ms=lambda: 0.0, size=16, listener=decided.append),
+        ),
+        records=_records(),
+        limiter=FakeLimiter(),
+        claims=FakeClaims(),
+        placer=FakePlacer(),
+    )
+    head = ports.RequestHead(
+        request="q2", method="GET", host="any", path="/x", key=key, caller_request="mine"
+    )
+    core.begin(head, Sink())
+    assert [each.detail.get("caller_request") for each in decided] == ["mine"]
