--- a/verbenadrum/cli/explain.py
+++ b/verbenadrum/cli/explain.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from verbenadrum.cli import operators, options, output, registry
+from verbenadrum.cli import operators, options, output, registry, saved_logs
 from verbenadrum.decisions import ring
 
 __all__ = ["Told", "sentence"]
@@ -41,15 +41,19 @@
 
 @registry.command(
     "explain",
-    usage="explain NAME --hosts ADDRESS,...",
+    usage="explain NAME --hosts ADDRESS,... or --logs FILE,...",
     summary="tell in time order what hosts decided about a request, server, workspace or record",
     example="verbenadrum explain 0192f1c0 --hosts 10.0.0.1:8081,10.0.0.2:8081",
 )
 def run(arguments: Sequence[str], chosen: options.Options, out: TextIO) -> options.ExitCode:
-    """Print the decisions of all hosts about one name."""
-    if len(arguments) != 1 or not chosen.hosts:
-        raise registry.UsageError("explain needs one name, and --hosts with operators' ports")
+    """Print the decisions of all hosts, or of saved log files, about one name."""
+    if len(arguments) != 1 or bool(chosen.hosts) == bool(chosen.logs):
+        raise registry.UsageError(
+            "explain needs one name, and --hosts with operators' ports or --logs with files"
+        )
     name = arguments[0]
+    if chosen.logs:
+        return _explain_logs(name, chosen, out)
 
     def read(address: str, timeout_s: float) -> list[Told]:
         host = operators.read_status(address, timeout_s).host
@@ -69,6 +73,17 @@
     return options.ExitCode.FOUND
 
 
+def _explain_logs(name: str, chosen: options.Options, out: TextIO) -> options.ExitCode:
+    found = saved_logs.find_decisions(chosen.logs, name)
+    told = [Told(host=each.host, decision=each) for each in found]
+    told.sort(key=lambda each: each.decision.at_ms)
+    if chosen.format is options.Format.JSON:
+        output.print_json(told, out)
+    else:
+        _print_text(name, told, (), out)
+    return options.ExitCode.OK if told else options.ExitCode.FOUND
+
+
 def sentence(decision: ring.Decision) -> str:
     """Return a decision as a sentence without its time and host.
 
@@ -106,7 +121,7 @@
         stamp = at.strftime("%H:%M:%S.%f")[:-3]
         out.write(f"{stamp}  {each.host}  {sentence(each.decision)}\n")
     if not told:
-        out.write(f"no host holds a decision about {name}; older ones are overwritten\n")
+        out.write(f"no decision about {name} was found; hosts overwrite older ones\n")
     for reply in replies:
         if reply.value is None:
             out.write(f"not asked: {reply.address}: {reply.fault}\n")
--- a/verbenadrum/cli/main.py
+++ b/verbenadrum/cli/main.py
@@ -18,6 +18,7 @@
     "format", options.Format.TEXT, options.Format, "How results are printed."
 )
 _HOSTS = flags.DEFINE_list("hosts", [], "Addresses ip:port of operators' ports, with commas.")
+_LOGS = flags.DEFINE_list("logs", [], "Saved log files to explain from, with commas.")
 _COUNT = flags.DEFINE_integer(
     "count", 0, "Rounds of watch; 0 to go on until interrupted.", lower_bound=0
 )
@@ -53,7 +54,7 @@
         entry = registry.commands.get(name)
         lines += [f"  {entry.usage}", f"      {entry.summary}", f"      $ {entry.example}"]
     lines += ["", "flags:"]
-    for holder in (_FORMAT, _HOSTS, _COUNT, _INTERVAL_S, _TIMEOUT_S):
+    for holder in (_FORMAT, _HOSTS, _LOGS, _COUNT, _INTERVAL_S, _TIMEOUT_S):
         flag = flags.FLAGS[holder.name]
         lines.append(f"  --{flag.name}: {flag.help} (default: {flag.default_as_str or 'none'})")
     lines += ["", _EXIT_CODES]
@@ -97,6 +98,7 @@
     chosen = options.Options(
         format=_FORMAT.value,
         hosts=tuple(_HOSTS.value),
+        logs=tuple(_LOGS.value),
         count=_COUNT.value,
         interval_s=_INTERVAL_S.value,
         timeout_s=_TIMEOUT_S.value,
--- a/verbenadrum/cli/options.py
+++ b/verbenadrum/cli/options.py
@@ -34,12 +34,15 @@
     ----------
     hosts : tuple of str
         Addresses ``ip:port`` of operators' ports.
+    logs : tuple of str
+        Saved log files, to read in the place of hosts.
     count : int
         Rounds of ``watch``; 0 to go on until interrupted.
     """
 
     format: Format = Format.TEXT
     hosts: tuple[str, ...] = ()
+    logs: tuple[str, ...] = ()
     count: int = 0
     interval_s: float = 2.0
     timeout_s: float = 3.0
