A pressed pool's sick servers get one request at a time and no more than the floor needs

A server that fails in 2 ms is free again at once, so the sick ones drew the whole queue: 14 failures of one server in 4 s. Ruled out: trials by repeatable requests alone (one failure puts a server beyond their limit). Change: the floor is kept by one request every 1.2 s to each server, no longer by a slot. Test fails first: test_servers_that_fail_at_once_do_not_draw_the_queue_of_a_pressed_pool.

--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -23,11 +23,13 @@
 # A server that is this likely to be sick gets no work, one that is less so a single request.
 _AVOID_DOUBT = 0.5
 _UNSURE_DOUBT = 0.25
-# While requests are refused, doubtful servers get a single request each: a refusal serves nobody.
+# While requests are refused, servers of more doubt get a single request each: a refusal serves
+# nobody. One failure puts a server beyond it.
 _PRESSED_DOUBT = 0.7
 _PRESSED_TRIAL_DOUBT = 0.9
-# While requests are refused, this part of the servers gets work at least every so often, the least
-# doubtful ones first, so that those that are well again are found.
+# While requests are refused, this part of the servers gets work every so often, the least doubtful
+# ones first, so that those that are well again are found. It is one request and no slot: a server
+# that fails at once would draw the whole queue.
 _PRESSED_SHARE = 0.8
 _PRESSED_EVERY_MS = 1_200.0
 # Requests that may be repeated try doubtful servers first, since a failure costs them little.
@@ -111,7 +113,7 @@
     def total_slots(self) -> int:
         """Slots that may be used now, over all servers."""
         doubts = self._doubts()
-        limit = self._limit(doubts, trial=False, pressed=False)
+        limit = self._limit(doubts)
         return sum(
             self._slots(entry, doubt, limit)
             for entry, doubt in zip(self._live, doubts, strict=True)
@@ -305,7 +307,7 @@
         )
 
     def _any_other(self, excluded: tuple[str, ...], doubts: list[float]) -> bool:
-        limit = self._limit(doubts, trial=False, pressed=False)
+        limit = self._limit(doubts)
         return any(
             entry.server not in excluded and self._slots(entry, doubt, limit)
             for entry, doubt in zip(self._live, doubts, strict=True)
@@ -323,19 +325,13 @@
             return slots
         return min(1, slots) if doubt <= limit else 0
 
-    def _limit(self, doubts: list[float], *, trial: bool, pressed: bool) -> float:
-        """Return the doubt up to which servers stay in use.
-
-        The least doubtful one always does, and the pool's floor of them while requests would be
-        refused otherwise.
-        """
-        if not doubts:
-            return 0.0
-        least = sorted(doubts)
-        if not pressed:
-            return max(_TRIAL_DOUBT if trial else _AVOID_DOUBT, least[0])
-        kept = max(1, math.ceil(self._part.spec.floor * len(doubts)))
-        return max(_PRESSED_TRIAL_DOUBT if trial else _PRESSED_DOUBT, least[kept - 1])
+    def _limit(self, doubts: list[float], *, trial: bool = False, pressed: bool = False) -> float:
+        """Return the doubt up to which servers stay in use; the least doubtful one always does."""
+        if pressed:
+            limit = _PRESSED_TRIAL_DOUBT if trial else _PRESSED_DOUBT
+        else:
+            limit = _TRIAL_DOUBT if trial else _AVOID_DOUBT
+        return max(limit, min(doubts, default=0.0))
 
     def _starves(
         self, server: ids.ServerId, doubt: float, doubts: list[float], now_ms: float
--- a/verbenadrum/placement/tests/test_overload.py
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -255,3 +255,34 @@
     _, _, windows = noisy(seed, 1.3, method)
     bound = [used for used, lost in windows if 0.1 < lost < 0.5]
     assert bound and all(used >= FLOOR_SHARE for used in bound)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_servers_that_fail_at_once_do_not_draw_the_queue_of_a_pressed_pool(method):
+    fleet = stepped_fleet.Fleet(
+        hosts=stepped_fleet.two_regions(4)[:8],
+        servers={f"s{index}": "r1a" for index in range(5)},
+        health="belief",
+        seed=5,
+        median_ms=WORK_MS,
+        sigma=0.3,
+        timeout_ms=TIMEOUT_MS,
+        target_ms=TARGET_MS,
+    )
+    numbers = itertools.count()
+    one_server = CAPACITY_PER_S / SERVERS
+    fleet.load(
+        workspace="w", per_s=1.5 * one_server, path=lambda: f"/{next(numbers)}", method=method
+    )
+    fleet.run(4_000.0)
+    sick = [server for name, server in sorted(fleet.servers.items()) if name != "s0"]
+    for server in sick:
+        server.error_fraction, server.error_ms = 1.0, 1.0
+    fleet.run(1_000.0)
+    before = [server.received for server in sick]
+    start_ms = fleet.clock.now_ms()
+    fleet.run(10_000.0)
+    # Within two seconds each gets one request, and the first may come at once.
+    assert all(server.received - was <= 11 for server, was in zip(sick, before, strict=True))
+    logs = [log for log in fleet.logs if start_ms <= log.sent_ms < start_ms + 8_000.0]
+    assert in_target(logs) >= 0.85 * one_server * 8.0
