--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -23,10 +23,6 @@
 # A server that is this likely to be sick gets no work, one that is less so a single request.
 _AVOID_DOUBT = 0.5
 _UNSURE_DOUBT = 0.25
-# While requests are refused, servers of more doubt get a single request each: a refusal serves
-# nobody. One failure puts a server beyond it.
-_PRESSED_DOUBT = 0.7
-_PRESSED_TRIAL_DOUBT = 0.9
 # While requests are refused, this part of the servers gets work every so often, the least doubtful
 # ones first, so that those that are well again are found. It is one request and no slot: a server
 # that fails at once would draw the whole queue.
@@ -224,7 +220,7 @@
         best = None
         best_cost = math.inf
         doubts = self._doubts()
-        limit = self._limit(doubts, trial=trial, pressed=pressed)
+        limit = self._limit(doubts, trial=trial)
         reached = self._reaches_any(observer, now_ms)
         for entry, doubt in zip(self._live, doubts, strict=True):
             server = ids.ServerId(entry.server)
@@ -325,13 +321,9 @@
             return slots
         return min(1, slots) if doubt <= limit else 0
 
-    def _limit(self, doubts: list[float], *, trial: bool = False, pressed: bool = False) -> float:
+    def _limit(self, doubts: list[float], *, trial: bool = False) -> float:
         """Return the doubt up to which servers stay in use; the least doubtful one always does."""
-        if pressed:
-            limit = _PRESSED_TRIAL_DOUBT if trial else _PRESSED_DOUBT
-        else:
-            limit = _TRIAL_DOUBT if trial else _AVOID_DOUBT
-        return max(limit, min(doubts, default=0.0))
+        return max(_TRIAL_DOUBT if trial else _AVOID_DOUBT, min(doubts, default=0.0))
 
     def _starves(
         self, server: ids.ServerId, doubt: float, doubts: list[float], now_ms: float
