FLOOR: a server that is left alone is tried while many requests fail, not only while they are refused

Most of these had failed on sick servers and few were refused, so the pool did not count as pressed; and a pressed pool tried the servers it leaves alone only when no trusted one was free. Test fails first: test_server_that_is_well_again_gets_work_soon_while_requests_fail_elsewhere.

--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -44,9 +44,18 @@
 _HOUSEKEEPING_MS = 1_000.0
 _SUSPECTED_RETRY_MS = 1_000.0
 _UNSURE_MS = 1_000.0
-# A home that refuses more than this part of its asks uses servers that it would leave alone.
-_PRESSED_FROM = 0.05
-_REFUSED_SMOOTHING = 0.05
+# A home that refuses, or sees fail, more than this part of its asks finds out which of the servers
+# that it leaves alone are well again.
+_PRESSED_FROM = 0.08
+_UNSERVED_SMOOTHING = 0.05
+# Ends of a request that a server took.
+_ENDS = (
+    ports.OutcomeKind.OK,
+    ports.OutcomeKind.SERVER_ERROR,
+    ports.OutcomeKind.RESET,
+    ports.OutcomeKind.TRUNCATED,
+    ports.OutcomeKind.TIMEOUT,
+)
 # Each costs a look at every server.
 _MOST_PASSED_OVER = 3
 _PROBE_OBSERVER = ids.HostId("")
@@ -136,7 +145,7 @@
         self._service_ms = _FIRST_SERVICE_MS
         self._serial = 0
         self._hedge_ms = 0.0
-        self._refused_share = 0.0
+        self._unserved_share = 0.0
         self._serving = False
         self._serve_again = False
         self._housekeeping_ms = -math.inf
@@ -444,19 +453,16 @@
         trial = ask.idempotent and not ask.attempt
         suspicion = self._ledger.suspicion(ask.fingerprint, now_ms)
         suspected = suspicion is poison.Suspicion.SUSPECTED
-        entry = None
-        for pressed in (False, True) if self._refused_share > _PRESSED_FROM else (False,):
-            entry = entry or self._servers.choose(
-                waiter.observer,
-                ask.excluded,
-                now_ms,
-                trial=trial,
-                suspected=suspected,
-                pressed=pressed,
-            )
+        entry = self._servers.choose(
+            waiter.observer,
+            ask.excluded,
+            now_ms,
+            trial=trial,
+            suspected=suspected,
+            pressed=self._unserved_share > _PRESSED_FROM,
+        )
         if entry is None:
             return False
-        self._count_refused(0.0)
         server = ids.ServerId(entry.server)
         lease = self._new_lease(
             server, waiter.observer, ask.workspace, ask.fingerprint, number=ask.number
@@ -572,11 +578,11 @@
                 "first_attempts": self._budget.firsts,
             },
         )
-        self._count_refused(1.0)
+        self._count_unserved(1.0)
         self._reply(waiter, messages.PlaceState.REFUSED, reason, retry_after_ms)
 
-    def _count_refused(self, refused: float) -> None:
-        self._refused_share += (refused - self._refused_share) * _REFUSED_SMOOTHING
+    def _count_unserved(self, unserved: float) -> None:
+        self._unserved_share += (unserved - self._unserved_share) * _UNSERVED_SMOOTHING
 
     def _reply(self, waiter: _Waiter, state: int, reason: str, retry_after_ms: float = 0.0) -> None:
         self._asks.pop((waiter.observer, waiter.ask.number), None)
@@ -622,6 +628,8 @@
         self._service_ms += (held_ms - self._service_ms) * _SERVICE_SMOOTHING
 
     def _learn(self, lease: servers.LeaseRow, kind: ports.OutcomeKind, latency_ms: float) -> None:
+        if kind in _ENDS:
+            self._count_unserved(float(kind is not ports.OutcomeKind.OK))
         if kind is ports.OutcomeKind.OK:
             self._latencies.add(latency_ms)
         if lease.server in self._ejector.rows and self._ejector.excused(lease.server):
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -23,11 +23,12 @@
 # A server that is this likely to be sick gets no work, one that is less so a single request.
 _AVOID_DOUBT = 0.5
 _UNSURE_DOUBT = 0.25
-# While requests are refused, this part of the servers gets work every so often, the least doubtful
-# ones first, so that those that are well again are found. It is one request and no slot: a server
-# that fails at once would draw the whole queue.
+# While many requests are not served, this part of the servers gets work every so often, the least
+# doubtful ones first, so that those that are well again are found. It is one request and no slot: a
+# server that fails at once would draw the whole queue.
 _PRESSED_SHARE = 0.8
 _PRESSED_EVERY_MS = 1_200.0
+_PRESSED_BONUS = 5.0
 # Requests that may be repeated try doubtful servers first, since a failure costs them little.
 _TRIAL_DOUBT = 0.75
 # A server that has had no work for this long is preferred, unless it is doubtful: a new one must
@@ -215,7 +216,7 @@
             Whether a server died under the request, so that it should run on its own: if the next
             one dies too, no other request is to blame.
         pressed : bool
-            Whether the request would be refused otherwise.
+            Whether many requests are not served, so that servers that are left alone are tried.
         """
         best = None
         best_cost = math.inf
@@ -227,9 +228,12 @@
             if reached and self._is_avoided_pair(observer, server, now_ms):
                 continue
             slots = self._slots(entry, doubt, limit)
-            if not slots and pressed and self._starves(server, doubt, doubts, now_ms):
-                slots = 1
+            starves = pressed and self._starves(server, doubt, doubts, now_ms)
+            if starves:
+                slots = max(1, slots)
             cost = self._cost(entry, observer, slots=slots, doubt=doubt, now_ms=now_ms, trial=trial)
+            if starves:
+                cost -= _PRESSED_BONUS
             if server in excluded:
                 cost += 1000.0
             if suspected and self._in_use.get(ids.ServerId(entry.server), 0):
@@ -328,7 +332,7 @@
     def _starves(
         self, server: ids.ServerId, doubt: float, doubts: list[float], now_ms: float
     ) -> bool:
-        """Return whether a server must get work again, since requests are refused meanwhile."""
+        """Return whether a server must get work again, since requests are not served meanwhile."""
         if now_ms - self._taken_ms.get(server, -math.inf) < _PRESSED_EVERY_MS:
             return False
         return doubt <= sorted(doubts)[math.ceil(_PRESSED_SHARE * len(doubts)) - 1]
--- a/verbenadrum/placement/tests/test_overload.py
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -286,3 +286,34 @@
     assert all(server.received - was <= 11 for server, was in zip(sick, before, strict=True))
     logs = [log for log in fleet.logs if start_ms <= log.sent_ms < start_ms + 8_000.0]
     assert in_target(logs) >= 0.85 * one_server * 8.0
+
+
+def test_server_that_is_well_again_gets_work_soon_while_requests_fail_elsewhere():
+    fleet = stepped_fleet.Fleet(
+        hosts=stepped_fleet.two_regions(4)[:8],
+        servers={f"s{index}": "r1a" for index in range(8)},
+        health="belief",
+        seed=8,
+        median_ms=WORK_MS,
+        sigma=0.3,
+        timeout_ms=TIMEOUT_MS,
+        target_ms=TARGET_MS,
+    )
+    for server in fleet.servers.values():
+        server.error_ms = 1.0
+    numbers = itertools.count()
+    fleet.load(workspace="w", per_s=20.0, path=lambda: f"/{next(numbers)}", method="POST")
+    fleet.run(5_000.0)
+    returning = fleet.servers["s7"]
+    returning.error_fraction = 1.0
+    fleet.run(3_000.0)
+    # A fifth of all requests fail from now on, and none is refused.
+    returning.error_fraction = 0.0
+    for name in ("s0", "s1", "s2", "s3", "s4", "s5", "s6"):
+        fleet.servers[name].error_fraction = 0.2
+    fleet.run(1_000.0)
+    received = [returning.received]
+    for _ in range(3):
+        fleet.run(FLOOR_WINDOW_MS)
+        received.append(returning.received)
+    assert sorted(set(received)) == received
