--- a/scenarios/run.py
+++ b/scenarios/run.py
@@ -24,7 +24,7 @@
 __all__ = ["perform", "report"]
 
 _SEED = flags.DEFINE_integer("seed", None, "Seed in place of the scenario's own.")
-_KEEP_LOGS = flags.DEFINE_boolean("logs", False, "Print the hosts' logs after a failure.")
+_KEEP_LOGS = flags.DEFINE_boolean("host_logs", False, "Print the hosts' logs after a failure.")
 
 EXIT_KEPT = 0
 EXIT_BROKEN = 1
@@ -96,7 +96,8 @@
         print(report(scene, results))
         kept = all(result.kept for result in results)
         if _KEEP_LOGS.value and not kept:
-            for path in sorted(running.directory.glob("*.[eo][ru][rt]")):
+            folder = running.directory
+            for path in sorted([*folder.glob("*.out"), *folder.glob("*.err")]):
                 print(f"--- {path.name}\n{path.read_text(errors='replace')}")
     return EXIT_KEPT if kept else EXIT_BROKEN
 
