The configuration is read last in a listing, so that one written meanwhile is not missed

Change: servers first, the configuration last; the revision is the least of the listing's. Tests fail first: test_configuration_that_is_written_while_the_store_is_listed_is_not_missed, for each call. The test of the listing states the new order of calls.

--- a/verbenadrum/platform/store.py
+++ b/verbenadrum/platform/store.py
@@ -56,16 +56,11 @@
         return self._list(base)
 
     def _list(self, base: str) -> duty.RecordsAnswer:
-        # Pages are no snapshot: what changes after the first call comes in the next watch.
-        status, data = self._get(base, _KEY_PATH, {"key": wire.CONFIGURATION_KEY})
+        # Pages are no snapshot: what changes after the first call comes in the next watch. The
+        # configuration is read last: where there is none yet, the answer bears no revision, and one
+        # that is written before a later call would never come.
         revisions = []
         items: list[wire.Item] = []
-        if status == _OK:
-            found = _decode(data, wire.KeyAnswer)
-            items.append(found)
-            revisions.append(found.current_rev)
-        elif status != _NOT_FOUND:
-            raise sources.SourceError(f"status {status} from {base}{_KEY_PATH}")
         after = ""
         while True:
             page = self._range(base, after)
@@ -74,6 +69,11 @@
             if not page.more_pages or not page.items:
                 break
             after = page.items[-1].key
+        status, data = self._get(base, _KEY_PATH, {"key": wire.CONFIGURATION_KEY})
+        if status == _OK:
+            items.append(_decode(data, wire.KeyAnswer))
+        elif status != _NOT_FOUND:
+            raise sources.SourceError(f"status {status} from {base}{_KEY_PATH}")
         return self._answer(0, min(revisions), tuple(items), whole=True)
 
     def _range(self, base: str, after: str) -> wire.Page:
--- a/verbenadrum/platform/tests/test_store.py
+++ b/verbenadrum/platform/tests/test_store.py
@@ -82,7 +82,7 @@
     answer = poll(kept, 0)
     assert names(answer) == ["configuration", "i-0", "i-1", "i-2", "i-3", "i-4"]
     assert (answer.whole, answer.revision) == (True, 10)
-    assert kept.calls == ["kv-key", "kv-range", "kv-range", "kv-range"]
+    assert kept.calls == ["kv-range", "kv-range", "kv-range", "kv-key"]
 
 
 def test_watch_brings_changes_only(kept):
@@ -106,6 +106,23 @@
     assert specs["i-1"] is None
 
 
+@pytest.mark.parametrize("call", ["kv_key", "kv_range"])
+def test_configuration_that_is_written_while_the_store_is_listed_is_not_missed(kept, call):
+    configuration = kept.rows.pop("op/config")[1]
+    answer_call = getattr(kept, call)
+
+    def answer_and_write(query):
+        answered = answer_call(query)
+        kept.put("op/config", configuration)
+        return answered
+
+    setattr(kept, call, answer_and_write)
+    listed = poll(kept, 0)
+    setattr(kept, call, answer_call)
+    watched = poll(kept, listed.revision)
+    assert "configuration" in names(listed) + names(watched)
+
+
 def test_missing_configuration_is_no_fault(kept):
     kept.rows.clear()
     assert names(poll(kept, 0)) == []
