--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -46,8 +46,8 @@
 _UNSURE_MS = 1_000.0
 # A home that refuses, or sees fail, more than this part of its asks finds out which of the servers
 # that it leaves alone are well again.
-_PRESSED_FROM = 0.08
-_UNSERVED_SMOOTHING = 0.05
+_PRESSED_FROM = 0.12
+_UNSERVED_SMOOTHING = 0.03
 # Ends of a request that a server took.
 _ENDS = (
     ports.OutcomeKind.OK,
