--- a/scenarios/tests/test_run.py
+++ b/scenarios/tests/test_run.py
@@ -17,7 +17,7 @@
     """Start the scenarios side by side, since they mostly wait."""
     started = {
         name: subprocess.Popen(
-            (sys.executable, "-m", "scenarios.run", "--logs", f"scenarios/{name}.scenario"),
+            (sys.executable, "-m", "scenarios.run", "--host_logs", f"scenarios/{name}.scenario"),
             cwd=child.ROOT,
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
