--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-SOURCES := verbenadrum standins scenarios benchmarks
+SOURCES := conftest.py verbenadrum standins scenarios benchmarks
 
 .PHONY: env test format demo scenarios bench measure capacity
 
--- /dev/null
+++ b/verbenadrum/daemon/tests/test_host_end.py
@@ -0,0 +1,167 @@
+"""Tests of a whole host that ends while requests are in flight."""
+
+import contextlib
+import json
+import socket
+import time
+
+import gevent
+import pytest
+
+from verbenadrum.core import ports
+from verbenadrum.daemon import host
+from verbenadrum.records import types
+from verbenadrum.settings import load
+
+TIMEOUT_S = 10.0
+LINGER_S = 0.2
+LIMIT_S = 1.0
+MARGIN_S = 0.3
+SETTINGS = """
+[host]
+id = "h1"
+data_centre = "d1"
+region = "r1"
+[callers]
+listen = "127.0.0.1:0"
+[operators]
+listen = "127.0.0.1:0"
+[peers]
+listen = "127.0.0.1:0"
+[platform]
+urls = ["http://127.0.0.1:9"]
+[data_centres]
+d1 = "r1"
+[decisions]
+host_list = "seeded"
+epochs = "counted"
+claims = "local"
+limits = "metered"
+health = "belief"
+[shutdown]
+linger_ms = 200
+limit_ms = 1000
+margin_ms = 300
+"""
+
+
+class Server:
+    """A backend server that answers its requests after a time."""
+
+    def __init__(self, work_s):
+        self.work_s = work_s
+        self.heads = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.running = [gevent.spawn(self.accept)]
+
+    def accept(self):
+        while True:
+            sock, _ = self.listener.accept()
+            self.running.append(gevent.spawn(self.serve, sock))
+
+    def serve(self, sock):
+        with contextlib.suppress(OSError), sock:
+            head = b""
+            while piece := sock.recv(65_536):
+                head += piece
+                if not head.endswith(b"\r\n\r\n"):
+                    continue
+                self.heads.append(head)
+                gevent.sleep(self.work_s)
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                head = b""
+
+    def stop(self):
+        gevent.killall(self.running)
+        self.listener.close()
+
+
+class Hosted:
+    """A host in this process, with one server of one slot."""
+
+    def __init__(self, work_s):
+        self.server = Server(work_s)
+        self.host = host.Host(settings=load.parse_settings(SETTINGS, source="test"))
+        entry = types.ServerEntry(server="s1", address=self.server.address)
+        specs = (
+            (
+                types.RecordKind.POOL,
+                "svc",
+                types.PoolSpec(servers=(entry,), slots=1, echoes_request_id=False),
+            ),
+            (
+                types.RecordKind.ROUTE,
+                "all",
+                types.RouteSpec(path_prefix="/", service="svc", public=True),
+            ),
+        )
+        self.host._engine.apply_records(
+            [
+                types.Record(kind=kind, name=name, revision=number, spec=spec)
+                for number, (kind, name, spec) in enumerate(specs, start=2)
+            ]
+        )
+        self.host.start()
+
+    def connect(self):
+        port = self.host._caller_server.server_port
+        return socket.create_connection(("127.0.0.1", port), TIMEOUT_S)
+
+    def begin(self, method=b"POST"):
+        sock = self.connect()
+        sock.sendall(method + b" /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+        return sock
+
+    def stop(self):
+        self.host.begin_shutdown()
+        self.host.wait()
+        self.server.stop()
+
+
+def received(sock):
+    """Return all bytes until the connection ends, and whether it ended cleanly."""
+    data = b""
+    with sock:
+        try:
+            while piece := sock.recv(65_536):
+                data += piece
+        except ConnectionResetError:
+            return data, False
+    return data, True
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < deadline
+        gevent.sleep(0.005)
+
+
+@pytest.fixture
+def stalled():
+    made = Hosted(work_s=30.0)
+    yield made
+    made.stop()
+
+
+def test_request_that_waits_for_a_server_is_refused_before_its_host_ends(stalled):
+    first = stalled.begin()
+    wait_until(lambda: stalled.server.heads)
+    waiting = stalled.begin()
+    gevent.sleep(0.05)
+    stalled.host.begin_shutdown()
+    data, _ = received(waiting)
+    assert data.startswith(b"HTTP/1.1 503 ")
+    assert json.loads(data.split(b"\r\n\r\n", 1)[1])["not_run"] == ports.NotRun.TRUE.value
+    assert len(stalled.server.heads) == 1
+    first.close()
+
+
+def test_request_that_a_server_runs_gets_an_answer_before_its_host_ends(stalled):
+    running = stalled.begin()
+    wait_until(lambda: stalled.server.heads)
+    stalled.host.begin_shutdown()
+    data, _ = received(running)
+    assert data.startswith(b"HTTP/1.1 504 ")
+    assert json.loads(data.split(b"\r\n\r\n", 1)[1])["not_run"] == ports.NotRun.UNKNOWN.value
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -3,8 +3,10 @@
 import socket
 import time
 
+import gevent
 import hypothesis
 import pytest
+from gevent import monkey
 from hypothesis import strategies
 
 from verbenadrum.daemon import http_server, sockets
@@ -256,3 +258,57 @@
     with socket.create_connection(("127.0.0.1", limited.server.server_port), TIMEOUT_S) as sock:
         assert sock.recv(65_536) == b""
     assert time.monotonic() - started_s >= 0.35
+
+
+def send_while_loop_stalls(sock, after_s, until_s):
+    """Let bytes arrive, and timers become due, before the event loop turns again."""
+    stall = monkey.get_original("time", "sleep")
+    stall(after_s)
+    sock.sendall(GOOD)
+    stall(until_s - after_s)
+
+
+def test_request_that_arrives_in_the_loop_turn_that_closes_idle_connections_is_answered(
+    server, at_once
+):
+    before = len(server.bodies)
+    with socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as sock:
+        accepted(server)
+        gevent.spawn_later(0.02, server.server.close_idle)
+        send_while_loop_stalls(sock, 0.03, 0.05)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 OK")
+    assert len(server.bodies) == before + 1
+
+
+def test_request_that_arrives_in_the_loop_turn_that_ends_the_idle_time_is_answered(limited):
+    with socket.create_connection(("127.0.0.1", limited.server.server_port), TIMEOUT_S) as sock:
+        accepted(limited)
+        send_while_loop_stalls(sock, 0.02, 0.15)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 OK")
+
+
+@pytest.fixture
+def draining():
+    made = Server()
+    yield made
+    made.server.stop(timeout=0)
+
+
+def test_request_in_the_listen_queue_is_answered_when_the_listener_closes(draining):
+    address = ("127.0.0.1", draining.server.server_port)
+    with socket.create_connection(address, TIMEOUT_S) as sock:
+        sock.sendall(GOOD)
+        # The event loop has not turned, so the connection has not been accepted yet.
+        draining.server.drain()
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 OK")
+
+
+def test_connection_whose_greenlet_has_not_run_counts_as_open(draining):
+    address = ("127.0.0.1", draining.server.server_port)
+    with socket.create_connection(address, TIMEOUT_S):
+        draining.server.drain()
+        assert draining.server.connections == 1
+    deadline = time.monotonic() + TIMEOUT_S
+    while draining.server.connections:
+        assert time.monotonic() < deadline
+        time.sleep(0.001)
