Log: why a caller gets no answer, and what is open when a host ends

An answer that was given up had no line, nor had the closing of connections, so that the logs of the incident could not tell a caller that left from a host that ended the connection. A request whose caller gets no answer now has a line `abandon` with the reason, the stage and the time that was left; a host that ends tells what is open when its listener closes, and what it cuts. Test: test_log_says_why_a_caller_gets_no_answer.

--- a/verbenadrum/cli/explain.py
+++ b/verbenadrum/cli/explain.py
@@ -25,6 +25,7 @@
     ring.DecisionKind.EJECT: "took server {subject} out of service ({choice})",
     ring.DecisionKind.RESTORE: "put server {subject} back into service ({choice})",
     ring.DecisionKind.REFUSE: "refused{request}",
+    ring.DecisionKind.ABANDON: "gave up{request}, whose caller gets no answer",
     ring.DecisionKind.EPOCH: "epoch {subject}: {choice}",
     ring.DecisionKind.LEASE: "lease {subject}: {choice}",
     ring.DecisionKind.RECORD: "record {subject}: {choice}",
--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -216,9 +216,9 @@
         """Report how an attempt ended, with its whole answer if it is small and known."""
         self.entry.outcome(request, lease, outcome, answer)
 
-    def abandon(self, request: ids.RequestId) -> None:
-        """Report that the caller left before its answer was complete."""
-        self.entry.abandon(request)
+    def abandon(self, request: ids.RequestId, reason: str) -> None:
+        """Report why a caller gets no answer, such as that it has left."""
+        self.entry.abandon(request, reason)
 
     def take_probes(self) -> list[ports.ProbeOrder]:
         """Return the probes of backend servers to send now; due after each tick."""
--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -27,6 +27,9 @@
 _LOGGED_ID_LENGTH = 64
 _WATCH_AFTER_S = 0.05
 _WATCH_INTERVAL_S = 0.1
+# Reasons for which a caller gets no answer, or no whole one.
+_CALLER_LEFT = "caller-left"
+_BODY_BROKE_OFF = "body-broke-off"
 _METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
 
@@ -102,8 +105,11 @@
         try:
             self._engine.begin(head, joined)
             verdict = self._wait(joined, head, environ)
-        except BaseException:
-            self._engine.abandon(request)
+        except http_server.AbortAnswer as error:
+            self._engine.abandon(request, error.reason)
+            raise
+        except BaseException as error:
+            self._engine.abandon(request, type(error).__name__)
             raise
         if isinstance(verdict, exchange.Passed) and not verdict.answer.whole:
             return self._stream(joined, head, verdict, started_ms)
@@ -166,7 +172,9 @@
         try:
             body = environ["wsgi.input"].read(length)
         except OSError as error:
-            raise http_server.AbortAnswer("the caller's body did not come") from error
+            raise http_server.AbortAnswer(
+                "the caller's body did not come", _BODY_BROKE_OFF
+            ) from error
         if len(body) < length:
             raise targets.BadRequestError("the body is shorter than its Content-Length")
         return length, body
@@ -181,7 +189,9 @@
             # The server answers 400 and closes the connection.
             raise
         except OSError as error:
-            raise http_server.AbortAnswer("the caller's body did not come") from error
+            raise http_server.AbortAnswer(
+                "the caller's body did not come", _BODY_BROKE_OFF
+            ) from error
         if len(start) <= MAX_REPLAYABLE_BYTES:
             return len(start), start
         return -1, itertools.chain((start,), self._pieces(environ, request))
@@ -192,11 +202,11 @@
             try:
                 piece = environ["wsgi.input"].read(_PIECE_BYTES)
             except OSError as error:
-                self._engine.abandon(request)
+                self._engine.abandon(request, _BODY_BROKE_OFF)
                 raise http_server.CallerBodyError(str(error)) from error
             if not piece:
                 if remaining > 0:
-                    self._engine.abandon(request)
+                    self._engine.abandon(request, _BODY_BROKE_OFF)
                     raise http_server.CallerBodyError("it ended before its length")
                 return
             remaining -= len(piece) if remaining > 0 else 0
@@ -227,9 +237,11 @@
             except gevent.Timeout:
                 timeout_s = _WATCH_INTERVAL_S
             except http_server.CallerBodyError as error:
-                raise http_server.AbortAnswer("the caller's body did not come") from error
+                raise http_server.AbortAnswer(
+                    "the caller's body did not come", _BODY_BROKE_OFF
+                ) from error
             if _caller_left(environ[http_server.SOCKET_KEY]):
-                raise http_server.AbortAnswer("the caller left")
+                raise http_server.AbortAnswer("the caller left", _CALLER_LEFT)
 
     def _stream(
         self,
@@ -257,7 +269,7 @@
             outcome = answer.outcome(answer.kind())
         except upstream.AttemptError as error:
             outcome = error.outcome
-            raise http_server.AbortAnswer(error.message) from error
+            raise http_server.AbortAnswer(error.message, error.outcome.kind.value) from error
         finally:
             if outcome.kind is ports.OutcomeKind.CANCELLED:
                 answer.discard()
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -196,6 +196,7 @@
         # Callers, and a balancer before this host, learn of the end late.
         gevent.sleep(min(table.linger_ms, allowed_ms / 2.0) / _MS_PER_S)
         self._caller_server.drain()
+        _log.info("listener closed", extra=self._open_work())
         # A request may arrive on a kept connection until the moment at which that is closed.
         while self._caller_server.connections and self._clock.now_ms() < limit_ms:
             self._caller_server.close_idle()
@@ -203,7 +204,13 @@
         # The last releases and ends of claims are still on their way to other hosts.
         gevent.sleep(_LAST_MESSAGES_S)
 
+    def _open_work(self) -> dict[str, int]:
+        server = self._caller_server
+        return {"connections": server.connections, "in_flight": server.in_flight}
+
     def _close_ports(self) -> None:
+        if self._caller_server.connections:
+            _log.warning("connections cut", extra=self._open_work())
         self._caller_server.close_connections()
         self._operator_server.stop(timeout=0)
         gevent.killall(self._greenlets)
--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -43,10 +43,20 @@
 
 
 class AbortAnswer(errors.VerbenadrumError):
-    """A started answer cannot be completed: its connection is closed without a clean end."""
+    """An answer cannot be completed: its connection is closed without a clean end.
+
+    Attributes
+    ----------
+    reason : str
+        Short stable reason code, for the log.
+    """
 
     code = "answer-aborted"
 
+    def __init__(self, message: str, reason: str) -> None:
+        super().__init__(message)
+        self.reason = reason
+
 
 class CallerBodyError(OSError):
     """A caller's body that broke off, or is malformed, while it was passed on."""
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -40,7 +40,7 @@
 
     def aborted(self):
         yield b"half"
-        raise http_server.AbortAnswer("the server left")
+        raise http_server.AbortAnswer("the server left", "truncated")
 
     def send(self, data):
         with socket.create_connection(("127.0.0.1", self.server.server_port), TIMEOUT_S) as sock:
--- a/verbenadrum/decisions/ring.py
+++ b/verbenadrum/decisions/ring.py
@@ -22,6 +22,7 @@
     EJECT = "eject"
     RESTORE = "restore"
     REFUSE = "refuse"
+    ABANDON = "abandon"
     EPOCH = "epoch"
     LEASE = "lease"
     RECORD = "record"
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -127,11 +127,22 @@
             return
         self._after_failure(row, outcome)
 
-    def abandon(self, request: ids.RequestId) -> None:
-        """Note that the caller left: every attempt is cancelled and nothing is retried."""
+    def abandon(self, request: ids.RequestId, reason: str) -> None:
+        """Give up a request whose caller gets no answer: its attempts are cancelled."""
         row = self._rows.get(request)
         if row is None:
             return
+        self._context.decide(
+            ring.DecisionKind.ABANDON,
+            "abandoned",
+            reason,
+            request=request,
+            detail={
+                "stage": row.stage.value,
+                "left_ms": round(row.deadline_ms - self._context.now_ms(), 1),
+                **_caller_request(row.head),
+            },
+        )
         for lease in list(row.attempts):
             row.sink.cancel(lease)
         self._end(row, None)
--- a/verbenadrum/entry/tests/test_pipeline.py
+++ b/verbenadrum/entry/tests/test_pipeline.py
@@ -226,7 +226,7 @@
 
     def leave(self):
         self.left = True
-        self.core.abandon("q")
+        self.core.abandon("q", "caller-left")
 
     def check(self):
         assert len(self.sink.ends) + self.committed <= 1
@@ -301,12 +301,10 @@
     assert len(ends) == 7
 
 
-@pytest.mark.parametrize("key", ["secret", "wrong"])
-def test_log_names_the_caller_s_own_identifier_of_served_and_refused_requests(key):
+def logged_pipeline(decided):
     schedule = Schedule(1)
-    decided = []
     made = schedule._context()
-    core = pipeline.EntryPipeline(
+    return pipeline.EntryPipeline(
         context=context.Context(
             host=made.host,
             data_centre=made.data_centre,
@@ -322,8 +320,31 @@
         claims=FakeClaims(),
         placer=FakePlacer(),
     )
+
+
+@pytest.mark.parametrize("key", ["secret", "wrong"])
+def test_log_names_the_caller_s_own_identifier_of_served_and_refused_requests(key):
+    decided = []
+    core = logged_pipeline(decided)
     head = ports.RequestHead(
         request="q2", method="GET", host="any", path="/x", key=key, caller_request="mine"
     )
     core.begin(head, Sink())
     assert [each.detail.get("caller_request") for each in decided] == ["mine"]
+
+
+def test_log_says_why_a_caller_gets_no_answer():
+    decided = []
+    core = logged_pipeline(decided)
+    head = ports.RequestHead(
+        request="q2", method="GET", host="any", path="/x", key="secret", caller_request="mine"
+    )
+    core.begin(head, Sink())
+    core.abandon("q2", "caller-left")
+    last = decided[-1]
+    assert (last.kind, last.reason, last.request) == (
+        ring.DecisionKind.ABANDON,
+        "caller-left",
+        "q2",
+    )
+    assert last.detail == {"stage": "admitting", "left_ms": TIMEOUT_MS, "caller_request": "mine"}
