LOST: connections in the listen queue are served when a host closes its listener

Callers saw a reset instead of an answer: a connection that had not been accepted when the listener closed was reset with its whole request, and one that was accepted in the same turn of the event loop was not among the open ones, so that a host without others ended 0.1 s later and cut it. Change: a connection counts as open from its accept to its close, and the listen queue is accepted before the listener closes.

--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -306,6 +306,8 @@
         self.stopping = False
         self.in_flight = 0
         self.limits = limits
+        # From the accept to the close; a greenlet that is to handle one begins a turn later.
+        self._accepted: set[socket.socket] = set()
         self._open: set[socket.socket] = set()
         # Since when each connection has waited for a request (monotonic seconds).
         self._idle: dict[socket.socket, float] = {}
@@ -313,7 +315,7 @@
     @property
     def connections(self) -> int:
         """Number of open connections."""
-        return len(self._open)
+        return len(self._accepted)
 
     def note_idle(self, sock: socket.socket) -> None:
         """Note that a connection waits for its next request."""
@@ -326,6 +328,16 @@
         """
         return self._idle.pop(sock, None) is not None
 
+    def do_handle(self, sock: socket.socket, address: tuple) -> None:
+        """Begin to serve a connection that was accepted."""
+        self._accepted.add(sock)
+        super().do_handle(sock, address)
+
+    def do_close(self, sock: socket.socket, *rest: object) -> None:
+        """Close a connection that has been served."""
+        self._accepted.discard(sock)
+        super().do_close(sock, *rest)
+
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Serve one connection."""
         sockets.disable_nagle(sock)
@@ -341,8 +353,17 @@
         self.stopping = True
 
     def drain(self) -> None:
-        """Close the listener; requests on open connections are served and then closed."""
+        """Close the listener; requests on open connections are served and then closed.
+
+        Connections in the listen queue are open to their clients, so they are accepted first.
+        """
         self.stopping = True
+        self.stop_accepting()
+        try:
+            while accepted := self.do_read():
+                self.do_handle(*accepted)
+        except OSError as error:
+            _log.warning("listen queue not emptied", extra={"fault": str(error)})
         self.close()
 
     def close_idle(self) -> None:
