--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -186,9 +186,10 @@
         """Return the message to send to a seed peer while `Duty.ask_seeds` is set."""
         return self.host_spread.pull_request()
 
-    def leave(self) -> None:
-        """Tell the peers that this host shuts down; they give it no new work."""
+    def leave(self, ends_ms: float) -> None:
+        """Tell the peers that this host shuts down, and end its requests by a monotonic time."""
         self.detector.leave()
+        self.entry.end_by(ends_ms)
 
     def apply_records(self, records: list[types.Record]) -> int:
         """Put records in force, and return how many were newer than those held."""
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -43,6 +43,8 @@
 _LAST_MESSAGES_S = 0.1
 _SEED_INTERVAL_S = 0.5
 _SHUTDOWN_POLL_S = 0.02
+# Two ticks until requests expire, as long to write their refusals, and the last messages.
+_LEAST_MARGIN_MS = 300.0
 _MAX_IDLE_CONNECTIONS = 8
 # Pool homes count a connection for 60 s after its last use, so it must be closed by then.
 _IDLE_CONNECTION_S = 45.0
@@ -189,16 +191,19 @@
     def _finish_requests(self) -> None:
         _log.info("shutting down", extra={"in_flight": self._caller_server.in_flight})
         table = self._settings.shutdown
-        allowed_ms = max(0.0, table.limit_ms - table.margin_ms)
-        limit_ms = self._clock.now_ms() + allowed_ms
-        self._engine.leave()
+        margin_ms = max(table.margin_ms, _LEAST_MARGIN_MS)
+        allowed_ms = max(0.0, table.limit_ms - margin_ms)
+        ends_ms = self._clock.now_ms() + allowed_ms
+        self._engine.leave(ends_ms)
         self._caller_server.announce_end()
         # Callers, and a balancer before this host, learn of the end late.
         gevent.sleep(min(table.linger_ms, allowed_ms / 2.0) / _MS_PER_S)
         self._caller_server.drain()
         _log.info("listener closed", extra=self._open_work())
-        # A request may arrive on a kept connection until the moment at which that is closed.
-        while self._caller_server.connections and self._clock.now_ms() < limit_ms:
+        # A request may arrive on a kept connection until the moment at which that is closed, and
+        # those that are refused because the time is up get their answers after it.
+        closes_ms = ends_ms + margin_ms / 2.0
+        while self._caller_server.connections and self._clock.now_ms() < closes_ms:
             self._caller_server.close_idle()
             gevent.sleep(_SHUTDOWN_POLL_S)
         # The last releases and ends of claims are still on their way to other hosts.
--- a/verbenadrum/daemon/tests/test_host_end.py
+++ b/verbenadrum/daemon/tests/test_host_end.py
@@ -14,9 +14,6 @@
 from verbenadrum.settings import load
 
 TIMEOUT_S = 10.0
-LINGER_S = 0.2
-LIMIT_S = 1.0
-MARGIN_S = 0.3
 SETTINGS = """
 [host]
 id = "h1"
@@ -153,7 +150,8 @@
     stalled.host.begin_shutdown()
     data, _ = received(waiting)
     assert data.startswith(b"HTTP/1.1 503 ")
-    assert json.loads(data.split(b"\r\n\r\n", 1)[1])["not_run"] == ports.NotRun.TRUE.value
+    refusal = json.loads(data.split(b"\r\n\r\n", 1)[1])
+    assert (refusal["code"], refusal["not_run"]) == ("host-ended", ports.NotRun.TRUE.value)
     assert len(stalled.server.heads) == 1
     first.close()
 
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -1,5 +1,7 @@
 """Takes each request from its head to its end, on the host that the caller reached."""
 
+import math
+
 import msgspec
 import xxhash
 
@@ -40,6 +42,7 @@
         self._claims = claims
         self._placer = placer
         self._rows: dict[ids.RequestId, table.RequestRow] = {}
+        self._ends_ms = math.inf
 
     @property
     def in_flight(self) -> int:
@@ -70,6 +73,7 @@
             detail={"workspace": workspace or "", **_caller_request(head)},
         )
         now_ms = self._context.now_ms()
+        deadline_ms = min(head.deadline_ms, now_ms + route.timeout_ms)
         spec = self._records.workspace(workspace) if workspace else None
         row = table.RequestRow(
             head=head,
@@ -80,13 +84,19 @@
             workspace=workspace or ids.WorkspaceId(""),
             idempotent=head.method in route.idempotent_methods,
             fingerprint=_fingerprint(head, workspace),
-            deadline_ms=min(head.deadline_ms, now_ms + route.timeout_ms),
+            deadline_ms=min(deadline_ms, self._ends_ms),
             priority=route.priority if spec is None or spec.priority is None else spec.priority,
             target_ms=now_ms + route.target_latency_ms if route.target_latency_ms else 0.0,
         )
         self._rows[head.request] = row
         self._admit(row)
 
+    def end_by(self, at_ms: float) -> None:
+        """Let no request, present or future, wait for longer than until a monotonic time."""
+        self._ends_ms = at_ms
+        for row in self._rows.values():
+            row.deadline_ms = min(row.deadline_ms, at_ms)
+
     def commit(self, request: ids.RequestId, lease: ids.LeaseId) -> bool:
         """Choose an attempt's answer for the caller; True for the first attempt to ask."""
         self._placer.answered(lease)
@@ -355,7 +365,9 @@
         for lease in list(row.attempts):
             row.sink.cancel(lease)
         row.may_have_run = may_have_run
-        self._refuse(row, refusals.deadline_passed(row.head, may_have_run))
+        ended = self._context.now_ms() >= self._ends_ms
+        refusal = refusals.host_ended if ended else refusals.deadline_passed
+        self._refuse(row, refusal(row.head, may_have_run))
 
     def _refuse(self, row: table.RequestRow, refusal: ports.Refusal) -> None:
         self._end(row, None)
--- a/verbenadrum/entry/refusals.py
+++ b/verbenadrum/entry/refusals.py
@@ -1,11 +1,14 @@
 """Refusals that the pipeline answers with, one function for each cause."""
 
+import msgspec
+
 from verbenadrum.core import ports
 
 __all__ = [
     "attempt_failed",
     "claim_refused",
     "deadline_passed",
+    "host_ended",
     "no_route",
     "not_configured",
     "not_admitted",
@@ -22,6 +25,8 @@
 NOT_CONFIGURED_RETRY_MS = 200.0
 # A server that sheds, or a home that does not answer, is likely to have room after a work time.
 SHED_RETRY_MS = 150.0
+# Another host serves at once; without a time callers would wait for one of their own.
+HOST_ENDED_RETRY_MS = 50.0
 KEY_REUSED = "key-reused"
 POISON_REQUEST = "poison-request"
 LIMIT_UNAVAILABLE = "limit-unavailable"
@@ -131,3 +136,13 @@
         not_run=ports.NotRun.UNKNOWN if may_have_run else ports.NotRun.TRUE,
         retry_after_ms=0.0 if may_have_run else SHED_RETRY_MS,
     )
+
+
+def host_ended(head: ports.RequestHead, may_have_run: bool) -> ports.Refusal:
+    """Return the refusal of a request that a host cannot keep because it shuts down."""
+    return msgspec.structs.replace(
+        deadline_passed(head, may_have_run),
+        code="host-ended",
+        detail="the host shuts down",
+        retry_after_ms=0.0 if may_have_run else HOST_ENDED_RETRY_MS,
+    )
--- a/verbenadrum/entry/tests/test_pipeline.py
+++ b/verbenadrum/entry/tests/test_pipeline.py
@@ -153,8 +153,17 @@
     def run(self, steps):
         for _ in range(steps):
             self.rng.choices(
-                (self.admit, self.claim, self.place, self.fail, self.answer, self.tick, self.leave),
-                weights=(8, 8, 8, 5, 3, 4, 0.3),
+                (
+                    self.admit,
+                    self.claim,
+                    self.place,
+                    self.fail,
+                    self.answer,
+                    self.tick,
+                    self.leave,
+                    self.end_host,
+                ),
+                weights=(8, 8, 8, 5, 3, 4, 0.3, 0.3),
             )[0]()
             self.check()
         self.time.advance(TIMEOUT_MS)
@@ -228,6 +237,9 @@
         self.left = True
         self.core.abandon("q", "caller-left")
 
+    def end_host(self):
+        self.core.end_by(self.time.now_ms() + 100.0)
+
     def check(self):
         assert len(self.sink.ends) + self.committed <= 1
         if not self.idempotent:
--- a/verbenadrum/membership/tests/test_detector.py
+++ b/verbenadrum/membership/tests/test_detector.py
@@ -1,5 +1,7 @@
 """Tests of the failure detector over lossy, cut and late channels, and of the host table."""
 
+import math
+
 import pytest
 
 from standins import spreading
@@ -86,7 +88,7 @@
 def test_leaving_host_gets_no_new_work_at_once_and_a_new_run_of_it_does():
     fleet = ready_fleet(15)
     fleet.channel.conditions.loss = 0.05
-    fleet.hosts["h0102"].engine.leave()
+    fleet.hosts["h0102"].engine.leave(math.inf)
     fleet.run(1_000)
     for name, host in fleet.hosts.items():
         members = host.engine.membership
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -148,8 +148,9 @@
     """How a host ends after SIGTERM.
 
     For ``linger_ms`` it still accepts connections, since callers or a balancer learn of the end
-    late, though no longer than half of its time. ``margin_ms`` before ``limit_ms`` it ends whatever
-    is still in flight.
+    late, though no longer than half of its time. ``margin_ms`` before ``limit_ms``, and at least
+    300 ms before it, every request that is still in flight is refused; half of this time is for
+    writing the refusals.
     """
 
     linger_ms: Milliseconds = 500.0
