LOST: a request that arrives after the linger is refused where it may outlive its host

Change: from the end of the linger on, a new request whose deadline lies beyond the host's end is refused 503 `host-ended`, not run, on a connection that closes, so that the caller reaches another host at once. Others are served. Evidence: test_request_that_becomes_whole_after_the_linger_is_not_passed_on fails on the code before (no byte received). Ruled out: refusing all late requests, which would turn away those that end in time (test_request_that_ends_in_time...).

--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -191,6 +191,10 @@
         self.detector.leave()
         self.entry.end_by(ends_ms)
 
+    def refuse_late(self) -> None:
+        """Refuse new requests that may take longer than this host still runs."""
+        self.entry.refuse_late()
+
     def apply_records(self, records: list[types.Record]) -> int:
         """Put records in force, and return how many were newer than those held."""
         return sum(self.records.put(record) for record in records)
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -198,6 +198,7 @@
         self._caller_server.announce_end()
         # Callers, and a balancer before this host, learn of the end late.
         gevent.sleep(min(table.linger_ms, allowed_ms / 2.0) / _MS_PER_S)
+        self._engine.refuse_late()
         self._caller_server.drain()
         _log.info("listener closed", extra=self._open_work())
         # A request may arrive on a kept connection until the moment at which that is closed, and
--- a/verbenadrum/daemon/tests/test_host_end.py
+++ b/verbenadrum/daemon/tests/test_host_end.py
@@ -142,6 +142,13 @@
     made.stop()
 
 
+@pytest.fixture
+def quick():
+    made = Hosted(work_s=0.01)
+    yield made
+    made.stop()
+
+
 def test_request_that_waits_for_a_server_is_refused_before_its_host_ends(stalled):
     first = stalled.begin()
     wait_until(lambda: stalled.server.heads)
@@ -163,3 +170,26 @@
     data, _ = received(running)
     assert data.startswith(b"HTTP/1.1 504 ")
     assert json.loads(data.split(b"\r\n\r\n", 1)[1])["not_run"] == ports.NotRun.UNKNOWN.value
+
+
+def test_request_that_becomes_whole_after_the_linger_is_not_passed_on(stalled):
+    with stalled.connect() as late:
+        late.sendall(b"POST /x HTTP/1.1\r\n")
+        gevent.sleep(0.05)
+        stalled.host.begin_shutdown()
+        wait_until(lambda: not stalled.host._caller_server.started)
+        late.sendall(b"Host: a\r\nContent-Length: 0\r\n\r\n")
+        data, _ = received(late)
+    assert data.startswith(b"HTTP/1.1 503 ")
+    assert not stalled.server.heads
+
+
+def test_request_that_ends_in_time_is_served_after_the_linger(quick):
+    with quick.connect() as late:
+        late.sendall(b"POST /x HTTP/1.1\r\nX-Deadline-Ms: 300\r\n")
+        gevent.sleep(0.05)
+        quick.host.begin_shutdown()
+        wait_until(lambda: not quick.host._caller_server.started)
+        late.sendall(b"Host: a\r\nContent-Length: 0\r\n\r\n")
+        data, _ = received(late)
+    assert data.startswith(b"HTTP/1.1 200 ")
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -43,6 +43,7 @@
         self._placer = placer
         self._rows: dict[ids.RequestId, table.RequestRow] = {}
         self._ends_ms = math.inf
+        self._refuses_late = False
 
     @property
     def in_flight(self) -> int:
@@ -74,6 +75,9 @@
         )
         now_ms = self._context.now_ms()
         deadline_ms = min(head.deadline_ms, now_ms + route.timeout_ms)
+        if self._refuses_late and deadline_ms > self._ends_ms:
+            self._refuse_head(head, sink, refusals.host_ended(head, may_have_run=False))
+            return
         spec = self._records.workspace(workspace) if workspace else None
         row = table.RequestRow(
             head=head,
@@ -97,6 +101,13 @@
         for row in self._rows.values():
             row.deadline_ms = min(row.deadline_ms, at_ms)
 
+    def refuse_late(self) -> None:
+        """Refuse new requests whose deadline lies beyond the time given to `end_by`.
+
+        Their callers have been told to close the connection, and reach another host at once.
+        """
+        self._refuses_late = True
+
     def commit(self, request: ids.RequestId, lease: ids.LeaseId) -> bool:
         """Choose an attempt's answer for the caller; True for the first attempt to ask."""
         self._placer.answered(lease)
