A signal that comes while a host starts no longer kills it

Cause: the handlers were installed last, after the host was made and started; until then the default action was in force. Change: signals are taken before the settings are read, kept, and passed on once the host runs; SIGHUP is ignored while the modules load, since the settings are read later. A change of the file between its reading and the start is noticed as well.

--- a/verbenadrum/daemon/command.py
+++ b/verbenadrum/daemon/command.py
@@ -8,7 +8,7 @@
 from absl import flags
 
 from verbenadrum.daemon import host, logs
-from verbenadrum.settings import load
+from verbenadrum.settings import load, watch
 from verbenadrum.utils import errors
 
 __all__ = ["main"]
@@ -24,8 +24,12 @@
     if len(argv) > 1:
         print(f"verbenadrumd takes no arguments, got: {' '.join(argv[1:])}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    path = pathlib.Path(_CONFIG.value)
+    signals = _Signals(path=path)
+    # Before the file is read, so that a change meanwhile is seen as one.
+    watched = watch.SettingsWatch(path=path)
     try:
-        settings = load.load_settings(pathlib.Path(_CONFIG.value))
+        settings = load.load_settings(path)
     except load.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
@@ -37,9 +41,44 @@
         writer.flush()
         print(f"cannot start: {error}", file=sys.stderr)
         return EXIT_CANNOT_START
-    running.follow_settings(pathlib.Path(_CONFIG.value))
-    gevent.signal_handler(signal.SIGHUP, running.reload, pathlib.Path(_CONFIG.value))
-    gevent.signal_handler(signal.SIGTERM, running.begin_shutdown)
-    gevent.signal_handler(signal.SIGINT, running.begin_shutdown)
+    running.follow_settings(watched)
+    signals.hand_over(running)
     running.wait()
     return 0
+
+
+class _Signals:
+    """Takes signals from the first moment on, and keeps them until there is a host.
+
+    Parameters
+    ----------
+    path : Path
+        The settings file that SIGHUP reads again.
+    """
+
+    def __init__(self, *, path: pathlib.Path) -> None:
+        self._path = path
+        self._host: host.Host | None = None
+        self._reload = False
+        self._end = False
+        gevent.signal_handler(signal.SIGHUP, self._on_reload)
+        gevent.signal_handler(signal.SIGTERM, self._on_end)
+        gevent.signal_handler(signal.SIGINT, self._on_end)
+
+    def hand_over(self, running: host.Host) -> None:
+        """Pass on the signals that came before, and from now on each at once."""
+        self._host = running
+        if self._reload:
+            running.reload(self._path)
+        if self._end:
+            running.begin_shutdown()
+
+    def _on_reload(self) -> None:
+        self._reload = True
+        if self._host is not None:
+            self._host.reload(self._path)
+
+    def _on_end(self) -> None:
+        self._end = True
+        if self._host is not None:
+            self._host.begin_shutdown()
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -143,9 +143,8 @@
             self._stopping = True
             gevent.spawn(self._shut_down)
 
-    def follow_settings(self, path: pathlib.Path) -> None:
+    def follow_settings(self, watched: watch.SettingsWatch) -> None:
         """Read the settings again whenever their file changes."""
-        watched = watch.SettingsWatch(path=path)
         self._greenlets.append(gevent.spawn(self._follow_settings, watched))
 
     def _follow_settings(self, watched: watch.SettingsWatch) -> None:
--- a/verbenadrum/daemon/main.py
+++ b/verbenadrum/daemon/main.py
@@ -1,6 +1,7 @@
 """Entry point of the daemon ``verbenadrumd``."""
 
 import importlib
+import signal
 
 from absl import app
 from gevent import monkey
@@ -14,6 +15,8 @@
     The patch comes before the daemon's modules are imported, and not when this module is, so
     that importing it changes nothing in a test or a tool.
     """
+    # The settings are read later, so a reload that is asked for until then has nothing to do.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     monkey.patch_all()
     command = importlib.import_module("verbenadrum.daemon.command")
     app.run(command.main)
--- /dev/null
+++ b/verbenadrum/daemon/tests/test_command.py
@@ -0,0 +1,69 @@
+"""Tests of the daemon's command, in processes of their own."""
+
+import subprocess
+import sys
+
+import pytest
+
+SETTINGS = """
+[host]
+id = "h1"
+data_centre = "d1"
+region = "r1"
+[callers]
+listen = "127.0.0.1:0"
+[operators]
+listen = "127.0.0.1:0"
+[peers]
+listen = "127.0.0.1:0"
+[platform]
+urls = ["http://127.0.0.1:9"]
+"""
+# A host that gets a signal while it is made, and prints what it is asked to do.
+PROGRAM = """
+from gevent import monkey
+monkey.patch_all()
+import os, signal, sys
+import gevent
+from verbenadrum.daemon import command, host
+
+class SignalledHost:
+    def __init__(self, **given):
+        os.kill(os.getpid(), signal.Signals[sys.argv[1]])
+        gevent.sleep(0.05)
+
+    def start(self):
+        print("start")
+
+    def follow_settings(self, watched):
+        pass
+
+    def reload(self, path):
+        print("reload")
+
+    def begin_shutdown(self):
+        print("shutdown")
+
+    def wait(self):
+        gevent.sleep(0.05)
+
+host.Host = SignalledHost
+command.flags.FLAGS(["verbenadrumd", "--config", sys.argv[2]])
+sys.exit(command.main(["verbenadrumd"]))
+"""
+
+
+@pytest.mark.parametrize(
+    ("name", "asked"), [("SIGHUP", "reload"), ("SIGTERM", "shutdown"), ("SIGINT", "shutdown")]
+)
+def test_signal_before_the_start_does_not_kill_the_process(tmp_path, name, asked):
+    path = tmp_path / "host.toml"
+    path.write_text(SETTINGS)
+    ended = subprocess.run(
+        [sys.executable, "-c", PROGRAM, name, str(path)],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert (ended.returncode, ended.stdout.split()) == (0, ["start", asked])
