--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -113,7 +113,7 @@
         )
         self._prober = prober.Prober(engine=self._engine, names=self._callers.names)
         self._caller_server = self._make_caller_server()
-        self._operator_server = self._make_operator_server()
+        self._operator_servers = self._make_operator_servers()
         self._observe()
 
     def start(self) -> None:
@@ -121,7 +121,8 @@
         self._peers.start()
         self._setup.start()
         self._caller_server.start()
-        self._operator_server.start()
+        for server in self._operator_servers:
+            server.start()
         for run in (
             self._run_ticks,
             self._log.run,
@@ -217,7 +218,8 @@
         if self._caller_server.connections:
             _log.warning("connections cut", extra=self._open_work())
         self._caller_server.close_connections()
-        self._operator_server.stop(timeout=0)
+        for server in self._operator_servers:
+            server.stop(timeout=0)
         gevent.killall(self._greenlets)
         self._peers.stop()
         self._setup.stop()
@@ -294,17 +296,19 @@
             limits=lambda: self._engine.records.caller_limits,
         )
 
-    def _make_operator_server(self) -> http_server.HttpServer:
+    def _make_operator_servers(self) -> list[http_server.HttpServer]:
         port = operators.OperatorsPort(
             decisions=self._decisions,
             ready=self._is_ready,
             status=self._status,
             scrape=self._setup.scrape,
         )
-        return http_server.HttpServer(
-            listener=sockets.listen(self._settings.operators.listen),
-            application=port.application,
-        )
+        addresses = (self._settings.operators.listen, self._settings.metrics.listen)
+        return [
+            http_server.HttpServer(listener=sockets.listen(address), application=port.application)
+            for address in addresses
+            if address
+        ]
 
     def _send(self, to: ids.HostId, message: base.Message) -> None:
         if to in self._settings.peers.seeds:
@@ -377,6 +381,12 @@
                 "Requests.",
                 lambda: self._caller_server.in_flight,
             ),
+            (
+                "verbenadrum.callers.connections",
+                "",
+                "Open connections of callers.",
+                lambda: self._caller_server.connections,
+            ),
             ("verbenadrum.records.revision", "", "Records.", lambda: self._engine.records.revision),
             ("verbenadrum.peers.bytes_sent", "By", "To peers.", lambda: counters.bytes_sent),
             ("verbenadrum.peers.messages_sent", "", "To peers.", lambda: counters.messages_sent),
--- a/verbenadrum/daemon/tests/test_host_end.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -1,4 +1,4 @@
-"""Tests of a whole host that ends while requests are in flight."""
+"""Tests of a whole host in this process, most of them of its end."""
 
 import contextlib
 import json
@@ -7,6 +7,7 @@
 
 import gevent
 import pytest
+import urllib3
 
 from verbenadrum.core import ports
 from verbenadrum.daemon import host
@@ -35,6 +36,8 @@
 claims = "local"
 limits = "metered"
 health = "belief"
+[metrics]
+listen = "127.0.0.1:0"
 [shutdown]
 linger_ms = 200
 limit_ms = 1000
@@ -193,3 +196,14 @@
         late.sendall(b"Host: a\r\nContent-Length: 0\r\n\r\n")
         data, _ = received(late)
     assert data.startswith(b"HTTP/1.1 200 ")
+
+
+def test_metrics_are_served_on_a_further_address(quick):
+    ports_open = [server.server_port for server in quick.host._operator_servers]
+    assert len(set(ports_open)) == 2
+    with quick.connect():
+        wait_until(lambda: quick.host._caller_server.connections)
+        for port in ports_open:
+            pool = urllib3.HTTPConnectionPool("127.0.0.1", port, retries=False)
+            scraped = pool.request("GET", "/metrics").data.decode()
+            assert "\nverbenadrum_callers_connections{" in scraped
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -1,6 +1,6 @@
 """Typed tables of the settings file."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -170,8 +170,13 @@
 
 
 class MetricsTable(Table):
-    """Where metrics are pushed by OTLP, besides the scraping on the operators' port."""
+    """Where metrics are pushed by OTLP, besides the scraping on the operators' port.
 
+    ``listen`` is a further address of the operators' port, for a scraper that needs the same port
+    on every host; empty for none.
+    """
+
+    listen: Address | Literal[""] = ""
     otlp_endpoint: str = ""
     otlp_interval_ms: Annotated[int, msgspec.Meta(ge=1000)] = 15_000
 
