A host that has stopped ends its process at once

Change: with the last lines flushed nothing is left to clean up, so the process ends without finalization. Evidence: test_host_that_was_told_to_end_ends_without_a_word_on_standard_error failed on the code before.

--- a/verbenadrum/daemon/main.py
+++ b/verbenadrum/daemon/main.py
@@ -1,7 +1,9 @@
 """Entry point of the daemon ``verbenadrumd``."""
 
 import importlib
+import os
 import signal
+import sys
 
 from absl import app
 from gevent import monkey
@@ -19,4 +21,14 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     monkey.patch_all()
     command = importlib.import_module("verbenadrum.daemon.command")
-    app.run(command.main)
+    app.run(lambda argv: _end(command.main(argv)))
+
+
+def _end(code: int) -> None:
+    """End the process without finalizing the interpreter.
+
+    Nothing is left to clean up, and finalization takes longer than a deployment may wait for.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
--- a/verbenadrum/daemon/tests/test_command.py
+++ b/verbenadrum/daemon/tests/test_command.py
@@ -1,5 +1,6 @@
 """Tests of the daemon's command, in processes of their own."""
 
+import signal
 import subprocess
 import sys
 
@@ -67,3 +68,15 @@
         check=False,
     )
     assert (ended.returncode, ended.stdout.split()) == (0, ["start", asked])
+
+
+def test_host_that_was_told_to_end_ends_without_a_word_on_standard_error(tmp_path):
+    path = tmp_path / "host.toml"
+    path.write_text(SETTINGS + "[shutdown]\nlinger_ms = 50\nlimit_ms = 1000\n")
+    command = [sys.executable, "-m", "verbenadrum.daemon", f"--config={path}"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE) as running:
+        assert b'"started"' in running.stdout.readline()
+        running.send_signal(signal.SIGTERM)
+        lines, errors = running.communicate(timeout=30)
+    assert (running.returncode, errors) == (0, b"")
+    assert b'"stopped"' in lines.splitlines()[-1]
