LOST: late requests are refused from shortly before the linger's end

Cause: the linger counts from the handling of the signal, and the window in which a request may be passed on that outlives its host grows by whatever the process is late. Change: requests whose deadline lies beyond the host's end are refused from 250 ms before the linger's end on. Evidence: test_request_that_may_outlive_its_host_is_refused_before_the_linger_ends failed (200 from a server that was told less time).

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -43,6 +43,8 @@
 _LAST_MESSAGES_S = 0.1
 _SEED_INTERVAL_S = 0.5
 _SHUTDOWN_POLL_S = 0.02
+# Callers count the linger from the sending of SIGTERM, which a busy process handles late.
+_SIGNAL_DELAY_MS = 250.0
 # Two ticks until requests expire, as long to write their refusals, and the last messages.
 _LEAST_MARGIN_MS = 300.0
 _MAX_IDLE_CONNECTIONS = 8
@@ -197,8 +199,11 @@
         self._engine.leave(ends_ms)
         self._caller_server.announce_end()
         # Callers, and a balancer before this host, learn of the end late.
-        gevent.sleep(min(table.linger_ms, allowed_ms / 2.0) / _MS_PER_S)
+        linger_ms = min(table.linger_ms, allowed_ms / 2.0)
+        refuses_ms = min(_SIGNAL_DELAY_MS, linger_ms / 2.0)
+        gevent.sleep((linger_ms - refuses_ms) / _MS_PER_S)
         self._engine.refuse_late()
+        gevent.sleep(refuses_ms / _MS_PER_S)
         self._caller_server.drain()
         _log.info("listener closed", extra=self._open_work())
         # A request may arrive on a kept connection until the moment at which that is closed, and
