A request in the queue of a home that leaves asks the next home at once

Cause: entry hosts send releases to the new home from the moment at which they hear of the leaving, so that the old one never sees a slot become free, and a queued ask was renewed at the home of its first try; an end that is not told to what waits for it. Change: a queued ask whose home has said that it leaves, or is no longer listed, is withdrawn and made again at the new one, and a renewed ask looks up the home anew. Left: the new home still fills servers beyond their slots for a moment (5 of 3), since it hears of some leases late.

--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -120,6 +120,9 @@
     def row(self, host: ids.HostId) -> HostRow | None:
         """Return a host's row, or None if it is not listed."""
 
+    def takes_work(self, host: ids.HostId) -> bool:
+        """Return whether a host is listed and has not said that it shuts down."""
+
     def reachable(self, host: ids.HostId) -> bool:
         """Return whether the host is believed reachable from here; a hint, never a proof."""
 
--- a/verbenadrum/membership/table.py
+++ b/verbenadrum/membership/table.py
@@ -95,6 +95,11 @@
         """Return whether the host is believed reachable from here; a hint, never a proof."""
         return host not in self._suspected
 
+    def takes_work(self, host: ids.HostId) -> bool:
+        """Return whether a host is listed and has not said that it shuts down."""
+        row = self._rows.get(host)
+        return row is not None and self._takes_work(row)
+
     def suspect(self, host: ids.HostId, suspected: bool) -> None:
         """Set or clear the hint that a host is unreachable."""
         self._changes += 1
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -228,6 +228,10 @@
                 continue
             if now_ms >= row.request.deadline_ms:
                 self._finish(row, _refusal("deadline-passed"))
+            elif row.queued and not self._membership.takes_work(row.asked):
+                # A home that leaves is told of no more free slots, so its queue stands still.
+                self._withdraw(row)
+                self._ask_part(row)
             elif now_ms - row.sent_ms >= self._timeout_ms(row):
                 self._on_silence(row)
         self._say([row for row in self._held.values() if row.home and _due(row, now_ms)])
@@ -303,7 +307,7 @@
     def _on_silence(self, row: _AskRow) -> None:
         if row.queued:
             # The home may have lost the ask with its life, so it is asked for again.
-            self._ask_home(row)
+            self._ask_part(row)
             return
         self._slow_homes[row.asked] = self._context.now_ms() + _SLOW_HOME_MS
         row.homes = row.homes[1:]
--- a/verbenadrum/placement/tests/test_pool_home.py
+++ b/verbenadrum/placement/tests/test_pool_home.py
@@ -176,6 +176,32 @@
     assert max(server.most_busy for server in fleet.servers.values()) <= stepped_fleet.SLOTS + 2
 
 
+def served_while_waiting(seed, leaves):
+    """Return how many requests sent 300 ms before a home leaves, and how many of them served."""
+    fleet = one_region(
+        hosts=6, seed=seed, median_ms=230.0, sigma=0.5, timeout_ms=2_500.0, target_ms=1_200.0
+    )
+    fleet.load(workspace="w", per_s=1.3 * 6 * 3 / 0.26, path=fresh_paths(fleet))
+    fleet.run(4_000.0)
+    at_ms = fleet.clock.now_ms()
+    entry = next(iter(fleet.hosts.values())).placer.entry
+    home = entry.homes(stepped_fleet.SERVICE, "r1")[0]
+    assert sum(each.waiting for each in fleet.hosts[home].placer.homes.values()) > 10
+    if leaves:
+        for host in fleet.hosts.values():
+            host.membership.mark_leaving(home, 1)
+        fleet.after(3_100.0, lambda: fleet.fail_host(home))
+    fleet.run(6_000.0)
+    sent = [log for log in fleet.logs if at_ms - 300.0 <= log.sent_ms < at_ms and log.host != home]
+    return len(sent), sum(log.ok for log in sent)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_requests_in_the_queue_of_a_home_that_leaves_are_served_like_others(seed):
+    sent, served_calmly = served_while_waiting(seed, leaves=False)
+    assert served_while_waiting(seed, leaves=True) == (sent, pytest.approx(served_calmly, abs=2))
+
+
 def test_without_any_home_the_entry_host_places_alone():
     fleet = one_region(hosts=8, seed=8)
     for name in fleet.hosts:
