A slot that is granted after a request's time is up is given back

Callers got 504 (unknown) where 503 (not run) was true: a grant that waited in the peer's socket while the host was late began the request at a server and broke it off in the same turn. Cause: a grant was held against the request's stage alone, its deadline was looked at by the tick only, and a tick now comes after the bytes that arrived. Evidence: test_grant_that_comes_after_the_time_is_up_is_not_used failed for a deadline and for a host's end.

--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -291,6 +291,11 @@
                 refusal = refusals.not_placed(row.head, placement, row.may_have_run)
                 self._refuse(row, refusal)
             return
+        if self._context.now_ms() >= row.deadline_ms:
+            self._return_lease(placement)
+            if not row.attempts:
+                self._expire(row)
+            return
         self._dispatch(row, request, placement)
 
     def _dispatch(
--- a/verbenadrum/entry/tests/test_pipeline.py
+++ b/verbenadrum/entry/tests/test_pipeline.py
@@ -360,3 +360,25 @@
         "q2",
     )
     assert last.detail == {"stage": "admitting", "left_ms": TIMEOUT_MS, "caller_request": "mine"}
+
+
+@pytest.mark.parametrize("host_ends", [False, True])
+def test_grant_that_comes_after_the_time_is_up_is_not_used(host_ends):
+    schedule = Schedule(1)
+    while schedule.limiter.waiting:
+        schedule.limiter.hand_out(ports.Admission(granted=True, reason="within-rate"))
+    while schedule.claims.waiting:
+        schedule.claims.hand_out(ports.Claim(state=ports.ClaimState.WON, reason="won"))
+    if host_ends:
+        schedule.core.end_by(schedule.time.now_ms() + 100.0)
+    schedule.time.advance(100.0 if host_ends else TIMEOUT_MS)
+    granted = ports.Placement(
+        server="s1", reason="granted", lease="l1", address="127.0.0.1:1", until_ms=0.0
+    )
+    schedule.placer.hand_out(granted)
+    schedule.core.on_tick()
+    assert not schedule.sink.orders
+    assert schedule.placer.completed == ["l1"]
+    assert [(end.status, end.not_run) for end in schedule.sink.ends] == [
+        (503, ports.NotRun.TRUE)
+    ]
