LOST: connections are looked at again, and over TLS too, before they end

Callers saw a clean end without an answer for a request that arrived in the turn in which the idle time ran out, after the loop had looked for bytes; the same over TLS for any request that arrives as idle connections close, since only plain sockets were looked at. One client that had gone while it waited in the listen queue had all others behind it reset. A client that opened an encrypted connection and sent nothing held an ending host to its limit. The look now asks the operating system (poll), is made at the idle time-out too, and TLS handshakes are bounded by the time for a head.

--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -188,9 +188,18 @@
             if limit_s <= waited_s:
                 return False
             with gevent.Timeout(limit_s - waited_s, False):
-                return bool(self.rfile.peek(1))
+                return self._head_begins()
+            if sockets.has_bytes(self.socket):
+                return self._head_begins()
             waited_s = limit_s
 
+    def _head_begins(self) -> bool:
+        try:
+            return bool(self.rfile.peek(1))
+        except ValueError:
+            # What an encrypted socket raises for a read after this server has ended it.
+            return False
+
     def _within_head_timeout(self, read: Callable[[], object]) -> object:
         if self._head_is_here:
             return read()
@@ -338,6 +347,18 @@
         self._accepted.discard(sock)
         super().do_close(sock, *rest)
 
+    def wrap_socket_and_handle(self, client_socket: socket.socket, address: tuple) -> None:
+        """Shake hands within the time that a head may take, and serve the connection."""
+        limit_s = self.limits().head_timeout_ms / _MS_PER_S
+        try:
+            with gevent.Timeout(limit_s, TimeoutError("the TLS handshake did not come in time")):
+                encrypted = self.wrap_socket(client_socket, **self.ssl_args)
+        except OSError as error:
+            _log.info("TLS handshake failed", extra={"fault": str(error)})
+            return
+        with contextlib.closing(encrypted):
+            self.handle(encrypted, address)
+
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Serve one connection."""
         sockets.disable_nagle(sock)
@@ -359,12 +380,23 @@
         """
         self.stopping = True
         self.stop_accepting()
+        while self._accept_next():
+            pass
+        self.close()
+
+    def _accept_next(self) -> bool:
+        """Accept from the listen queue; False where it is empty or nothing can be accepted."""
         try:
-            while accepted := self.do_read():
-                self.do_handle(*accepted)
+            accepted = self.do_read()
+        except ConnectionAbortedError:
+            # This client has gone; the next one has not.
+            return True
         except OSError as error:
             _log.warning("listen queue not emptied", extra={"fault": str(error)})
-        self.close()
+            return False
+        if accepted:
+            self.do_handle(*accepted)
+        return bool(accepted)
 
     def close_idle(self) -> None:
         """Close the connections on which no request has begun to arrive, nor is about to."""
--- a/verbenadrum/daemon/sockets.py
+++ b/verbenadrum/daemon/sockets.py
@@ -1,8 +1,11 @@
 """Socket helpers shared by the daemon's ports."""
 
+import select
 import socket
 import ssl
 
+from gevent import monkey
+
 from verbenadrum.settings import types
 
 __all__ = [
@@ -19,6 +22,8 @@
 ]
 
 _BACKLOG = 1024
+# The cooperative poll would let other greenlets run between a look and what follows from it.
+_poll = monkey.get_original("select", "poll")
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -88,17 +93,16 @@
 
 
 def has_bytes(sock: socket.socket) -> bool:
-    """Return whether bytes wait to be read from a socket; False for an encrypted one."""
-    if is_tls(sock):
-        return False
-    timeout_s = sock.gettimeout()
-    sock.settimeout(0.0)
+    """Return whether bytes, or the other side's end, wait to be read from a socket."""
+    if is_tls(sock) and sock.pending():
+        return True
+    poll = _poll()
     try:
-        return bool(sock.recv(1, socket.MSG_PEEK))
-    except OSError:
+        poll.register(sock, select.POLLIN)
+    except ValueError:
+        # The socket was closed here.
         return False
-    finally:
-        sock.settimeout(timeout_s)
+    return bool(poll.poll(0))
 
 
 def ended(sock: socket.socket) -> bool:
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -1,6 +1,8 @@
 """Tests of framing on the callers' port, with raw sockets."""
 
+import errno
 import socket
+import ssl
 import time
 
 import gevent
@@ -10,6 +12,7 @@
 from hypothesis import strategies
 
 from verbenadrum.daemon import http_server, sockets
+from verbenadrum.daemon.tests import certificates
 from verbenadrum.records import types
 
 SETTINGS = hypothesis.settings(derandomize=True, deadline=None, database=None, max_examples=150)
@@ -20,11 +23,11 @@
 class Server:
     """A server that records what its application was given."""
 
-    def __init__(self):
+    def __init__(self, tls=None):
         self.bodies = []
         self.in_flight = []
         self.server = http_server.HttpServer(
-            listener=sockets.listen("127.0.0.1:0"), application=self.answer
+            listener=sockets.listen("127.0.0.1:0"), application=self.answer, tls=tls
         )
         self.server.start()
 
@@ -312,3 +315,82 @@
     while draining.server.connections:
         assert time.monotonic() < deadline
         time.sleep(0.001)
+
+
+def test_request_that_arrives_as_an_idle_connection_is_given_up_is_answered(limited, monkeypatch):
+    with socket.create_connection(("127.0.0.1", limited.server.server_port), TIMEOUT_S) as sock:
+        accepted(limited)
+        looked = sockets.has_bytes
+
+        def look_late(idle):
+            # The bytes arrive after the loop has looked for them, in the turn of the time-out.
+            sock.sendall(GOOD)
+            return looked(idle)
+
+        monkeypatch.setattr(sockets, "has_bytes", look_late)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 OK")
+
+
+def test_listen_queue_is_emptied_past_a_client_that_has_gone(draining, monkeypatch):
+    address = ("127.0.0.1", draining.server.server_port)
+    read = draining.server.do_read
+    faults = iter([ConnectionAbortedError(errno.ECONNABORTED, "gone")])
+
+    def read_after_a_fault():
+        for fault in faults:
+            raise fault
+        return read()
+
+    with socket.create_connection(address, TIMEOUT_S) as sock:
+        sock.sendall(GOOD)
+        monkeypatch.setattr(draining.server, "do_read", read_after_a_fault)
+        draining.server.drain()
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 OK")
+
+
+@pytest.fixture
+def encrypted(tmp_path):
+    authority = certificates.Authority(folder=tmp_path)
+    cert, key = authority.issue("localhost")
+    made = Server(tls=sockets.server_context(str(cert), str(key)))
+    made.client = ssl.create_default_context(cafile=str(authority.ca_file))
+    made.client.check_hostname = False
+    made.server.limits = lambda: types.CallerLimits(head_timeout_ms=150.0)
+    yield made
+    made.server.stop(timeout=0)
+
+
+def test_request_that_has_arrived_unnoticed_over_tls_is_answered_when_idle_connections_close(
+    encrypted, at_once
+):
+    address = ("127.0.0.1", encrypted.server.server_port)
+    with encrypted.client.wrap_socket(socket.create_connection(address, TIMEOUT_S)) as sock:
+        accepted(encrypted)
+        # Session tickets of the handshake are read first.
+        time.sleep(0.05)
+        sock.sendall(GOOD)
+        encrypted.server.close_idle()
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 OK")
+
+
+def test_connection_over_tls_that_ends_while_it_is_read_leaves_no_traceback(
+    encrypted, at_once, monkeypatch, capfd
+):
+    address = ("127.0.0.1", encrypted.server.server_port)
+    with encrypted.client.wrap_socket(socket.create_connection(address, TIMEOUT_S)) as sock:
+        accepted(encrypted)
+        time.sleep(0.05)
+        monkeypatch.setattr(sockets, "has_bytes", lambda sock: False)
+        gevent.spawn_later(0.02, encrypted.server.close_idle)
+        send_while_loop_stalls(sock, 0.03, 0.05)
+        assert sock.recv(1) == b""
+        time.sleep(0.05)
+    assert not encrypted.bodies
+    assert "Traceback" not in capfd.readouterr().err
+
+
+def test_client_that_never_shakes_hands_is_given_up(encrypted):
+    address = ("127.0.0.1", encrypted.server.server_port)
+    with socket.create_connection(address, TIMEOUT_S) as sock:
+        assert sock.recv(1) == b""
+    assert not encrypted.server.connections
--- a/verbenadrum/entry/tests/test_pipeline.py
+++ b/verbenadrum/entry/tests/test_pipeline.py
@@ -379,6 +379,4 @@
     schedule.core.on_tick()
     assert not schedule.sink.orders
     assert schedule.placer.completed == ["l1"]
-    assert [(end.status, end.not_run) for end in schedule.sink.ends] == [
-        (503, ports.NotRun.TRUE)
-    ]
+    assert [(end.status, end.not_run) for end in schedule.sink.ends] == [(503, ports.NotRun.TRUE)]
