A queued ask stays at a home that leaves where no other one takes its place

With the only host of a fleet shutting down, its queued requests were placed alone when their asks were renewed after one second, beyond the slots of their servers, and got 504 (unknown) instead of 503 (not run): since, test_request_that_waits_for_a_server_is_refused_before_its_host_ends failed five of five runs once the linger was 400 ms. Cause: the renewal looked up the homes anew and found none. An ask now moves only where another home is listed. Tried without effect: the same check in the tick alone.

--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -228,7 +228,7 @@
                 continue
             if now_ms >= row.request.deadline_ms:
                 self._finish(row, _refusal("deadline-passed"))
-            elif row.queued and not self._membership.takes_work(row.asked):
+            elif row.queued and self._home_moved(row):
                 # A home that leaves is told of no more free slots, so its queue stands still.
                 self._withdraw(row)
                 self._ask_part(row)
@@ -243,6 +243,13 @@
         homes.sort(key=lambda host: self._slow_homes.get(host, 0.0) > now_ms)
         return homes
 
+    def _home_moved(self, row: _AskRow) -> bool:
+        """Return whether the home that was asked leaves, and another one takes its place."""
+        if self._membership.takes_work(row.asked):
+            return False
+        part = row.regions[0]
+        return bool(self._table.homes(part.service, part.region))
+
     def _ask_part(self, row: _AskRow) -> None:
         part = row.regions[0]
         row.homes = self.homes(part.service, part.region)
@@ -307,7 +314,9 @@
     def _on_silence(self, row: _AskRow) -> None:
         if row.queued:
             # The home may have lost the ask with its life, so it is asked for again.
-            self._ask_part(row)
+            part = row.regions[0]
+            row.homes = self.homes(part.service, part.region) or row.homes
+            self._ask_home(row)
             return
         self._slow_homes[row.asked] = self._context.now_ms() + _SLOW_HOME_MS
         row.homes = row.homes[1:]
