A host's end is counted from the signal, not from the end of its start

Change: the time of the first signal goes with it, and each step of the end is counted from it. Evidence: test_signal_before_the_start_does_not_kill_the_process now also checks the time that is handed over.

--- a/verbenadrum/daemon/command.py
+++ b/verbenadrum/daemon/command.py
@@ -9,7 +9,7 @@
 
 from verbenadrum.daemon import host, logs
 from verbenadrum.settings import load, watch
-from verbenadrum.utils import errors
+from verbenadrum.utils import clock, errors
 
 __all__ = ["main"]
 
@@ -60,7 +60,7 @@
         self._path = path
         self._host: host.Host | None = None
         self._reload = False
-        self._end = False
+        self._ended_ms: float | None = None
         gevent.signal_handler(signal.SIGHUP, self._on_reload)
         gevent.signal_handler(signal.SIGTERM, self._on_end)
         gevent.signal_handler(signal.SIGINT, self._on_end)
@@ -70,8 +70,8 @@
         self._host = running
         if self._reload:
             running.reload(self._path)
-        if self._end:
-            running.begin_shutdown()
+        if self._ended_ms is not None:
+            running.begin_shutdown(self._ended_ms)
 
     def _on_reload(self) -> None:
         self._reload = True
@@ -79,6 +79,7 @@
             self._host.reload(self._path)
 
     def _on_end(self) -> None:
-        self._end = True
+        if self._ended_ms is None:
+            self._ended_ms = clock.SystemClock().now_ms()
         if self._host is not None:
-            self._host.begin_shutdown()
+            self._host.begin_shutdown(self._ended_ms)
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -140,11 +140,17 @@
         """Return once the host has shut down."""
         self._stopped.wait()
 
-    def begin_shutdown(self) -> None:
-        """Stop accepting, finish what is in flight, and end; a second call changes nothing."""
+    def begin_shutdown(self, since_ms: float | None = None) -> None:
+        """Stop accepting, finish what is in flight, and end; a second call changes nothing.
+
+        Parameters
+        ----------
+        since_ms : float or None
+            Monotonic time from which the end is counted, where that is not now.
+        """
         if not self._stopping:
             self._stopping = True
-            gevent.spawn(self._shut_down)
+            gevent.spawn(self._shut_down, self._clock.now_ms() if since_ms is None else since_ms)
 
     def follow_settings(self, watched: watch.SettingsWatch) -> None:
         """Read the settings again whenever their file changes."""
@@ -182,28 +188,28 @@
         logging.getLogger().setLevel(fresh.log.level)
         _log.info("settings reloaded", extra={"changed": changed, "in_force": in_force})
 
-    def _shut_down(self) -> None:
+    def _shut_down(self, since_ms: float) -> None:
         try:
-            self._finish_requests()
+            self._finish_requests(since_ms)
             self._close_ports()
         finally:
             # A fault on the way must not leave a process that takes no work and never ends.
             self._stopped.set()
 
-    def _finish_requests(self) -> None:
+    def _finish_requests(self, since_ms: float) -> None:
         _log.info("shutting down", extra={"in_flight": self._caller_server.in_flight})
         table = self._settings.shutdown
         margin_ms = max(table.margin_ms, _LEAST_MARGIN_MS)
         allowed_ms = max(0.0, table.limit_ms - margin_ms)
-        ends_ms = self._clock.now_ms() + allowed_ms
+        ends_ms = since_ms + allowed_ms
         self._engine.leave(ends_ms)
         self._caller_server.announce_end()
         # Callers, and a balancer before this host, learn of the end late.
         linger_ms = min(table.linger_ms, allowed_ms / 2.0)
         refuses_ms = min(_SIGNAL_DELAY_MS, linger_ms / 2.0)
-        gevent.sleep((linger_ms - refuses_ms) / _MS_PER_S)
+        self._sleep_until(since_ms + linger_ms - refuses_ms)
         self._engine.refuse_late()
-        gevent.sleep(refuses_ms / _MS_PER_S)
+        self._sleep_until(since_ms + linger_ms)
         self._caller_server.drain()
         _log.info("listener closed", extra=self._open_work())
         # A request may arrive on a kept connection until the moment at which that is closed, and
@@ -215,6 +221,9 @@
         # The last releases and ends of claims are still on their way to other hosts.
         gevent.sleep(_LAST_MESSAGES_S)
 
+    def _sleep_until(self, at_ms: float) -> None:
+        gevent.sleep(max(0.0, at_ms - self._clock.now_ms()) / _MS_PER_S)
+
     def _open_work(self) -> dict[str, int]:
         server = self._caller_server
         return {"connections": server.connections, "in_flight": server.in_flight}
--- a/verbenadrum/daemon/tests/test_command.py
+++ b/verbenadrum/daemon/tests/test_command.py
@@ -24,7 +24,7 @@
 PROGRAM = """
 from gevent import monkey
 monkey.patch_all()
-import os, signal, sys
+import os, signal, sys, time
 import gevent
 from verbenadrum.daemon import command, host
 
@@ -42,8 +42,9 @@
     def reload(self, path):
         print("reload")
 
-    def begin_shutdown(self):
+    def begin_shutdown(self, since_ms):
         print("shutdown")
+        print(f"{time.monotonic() * 1000.0 - since_ms:.0f}", file=sys.stderr)
 
     def wait(self):
         gevent.sleep(0.05)
@@ -68,6 +69,8 @@
         check=False,
     )
     assert (ended.returncode, ended.stdout.split()) == (0, ["start", asked])
+    # An end is counted from the signal, which the host got 50 ms before it could take it.
+    assert asked != "shutdown" or float(ended.stderr) >= 40.0
 
 
 def test_host_that_was_told_to_end_ends_without_a_word_on_standard_error(tmp_path):
