A metrics port that is taken does not keep a host from starting; SIGHUP is ignored from the first line on

The further address of the operators' port is a fixed one: where something else had it, every host ended with exit code 3. It is now served without, with a warning: test_metrics_port_that_is_taken_does_not_keep_a_host_from_starting failed (OSError). A SIGHUP in the first 0.15 s still ended the process, before gevent and absl were loaded; these are imported after the signal is ignored.

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -317,11 +317,17 @@
             status=self._status,
             scrape=self._setup.scrape,
         )
-        addresses = (self._settings.operators.listen, self._settings.metrics.listen)
+        listeners = [sockets.listen(self._settings.operators.listen)]
+        further = self._settings.metrics.listen
+        if further:
+            try:
+                listeners.append(sockets.listen(further))
+            except OSError as error:
+                # A fixed port may be taken; requests are served without it.
+                _log.warning("no metrics port", extra={"address": further, "fault": str(error)})
         return [
-            http_server.HttpServer(listener=sockets.listen(address), application=port.application)
-            for address in addresses
-            if address
+            http_server.HttpServer(listener=listener, application=port.application)
+            for listener in listeners
         ]
 
     def _send(self, to: ids.HostId, message: base.Message) -> None:
--- a/verbenadrum/daemon/main.py
+++ b/verbenadrum/daemon/main.py
@@ -5,9 +5,6 @@
 import signal
 import sys
 
-from absl import app
-from gevent import monkey
-
 __all__ = ["run"]
 
 
@@ -19,7 +16,8 @@
     """
     # The settings are read later, so a reload that is asked for until then has nothing to do.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    monkey.patch_all()
+    importlib.import_module("gevent.monkey").patch_all()
+    app = importlib.import_module("absl.app")
     command = importlib.import_module("verbenadrum.daemon.command")
     app.run(lambda argv: _end(command.main(argv)))
 
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -233,3 +233,16 @@
             pool = urllib3.HTTPConnectionPool("127.0.0.1", port, retries=False)
             scraped = pool.request("GET", "/metrics").data.decode()
             assert "\nverbenadrum_callers_connections{" in scraped
+
+
+def test_metrics_port_that_is_taken_does_not_keep_a_host_from_starting():
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        text = SETTINGS.replace(
+            '[metrics]\nlisten = "127.0.0.1:0"', f'[metrics]\nlisten = "{address}"'
+        )
+        running = host.Host(settings=load.parse_settings(text, source="test"))
+        running.start()
+        assert len(running._operator_servers) == 1
+    running.begin_shutdown()
+    running.wait()
