--- a/verbenadrum/daemon/sockets.py
+++ b/verbenadrum/daemon/sockets.py
@@ -93,16 +93,18 @@
 
 
 def has_bytes(sock: socket.socket) -> bool:
-    """Return whether bytes, or the other side's end, wait to be read from a socket."""
-    if is_tls(sock) and sock.pending():
-        return True
+    """Return whether bytes, or the other side's end, wait to be read from a socket.
+
+    Where that cannot be told, the answer is True, since a socket without bytes may be closed.
+    """
     poll = _poll()
     try:
+        if is_tls(sock) and sock.pending():
+            return True
         poll.register(sock, select.POLLIN)
-    except ValueError:
-        # The socket was closed here.
-        return False
-    return bool(poll.poll(0))
+        return bool(poll.poll(0))
+    except (OSError, ValueError):
+        return True
 
 
 def ended(sock: socket.socket) -> bool:
