A refusal reaches a caller whose long body still comes

Callers lost a 504 to a reset: the attempt's greenlet still read the body when the request was refused (deadline, or the host's end), and the server read the same buffered reader to discard the rest: RuntimeError "reentrant call", and a close with unread bytes. Cause: nobody ended the reading that was of no use any more, and the rest was discarded without a bound: a refused upload kept a host up to its limit. Change: attempts that still read the body are ended before the refusal is written; after a read that was interrupted the answer says Connection: close, and the rest is read for two seconds at most, so that the close does not destroy the answer. No request is read from a connection whose body has not been read to its end. Evidence: test_refusal_reaches_a_caller_whose_long_body_still_comes failed for both framings (broken pipe, RuntimeError). That the rest of a body was ever taken for a request was not shown; a test guards against it. After an idle time-out the first bytes of a head are waited for no longer than a head.

--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -107,14 +107,17 @@
             verdict = self._wait(joined, head, environ)
         except http_server.AbortAnswer as error:
             self._engine.abandon(request, error.reason)
+            joined.stop_reading()
             raise
         except BaseException as error:
             self._engine.abandon(request, type(error).__name__)
+            joined.stop_reading()
             raise
         if isinstance(verdict, exchange.Passed) and not verdict.answer.whole:
             return self._stream(joined, head, verdict, started_ms)
         self._meters.ended(started_ms)
         if isinstance(verdict, ports.Refusal):
+            joined.stop_reading()
             return self._problem(verdict)
         if isinstance(verdict, ports.StoredAnswer):
             return _whole(
--- a/verbenadrum/daemon/exchange.py
+++ b/verbenadrum/daemon/exchange.py
@@ -63,6 +63,7 @@
         self._clock = clock
         self._sent = sent
         self._attempts: dict[ids.LeaseId, upstream.Attempt] = {}
+        self._running: dict[ids.LeaseId, gevent.Greenlet] = {}
         self._verdict: event.AsyncResult = event.AsyncResult()
 
     def wait(self, timeout_s: float | None = None) -> Verdict:
@@ -96,7 +97,7 @@
             reuse_idle_s=math.inf if order.repeatable else _ONCE_REUSE_S,
         )
         self._attempts[order.lease] = attempt
-        gevent.spawn(self._run, order, attempt)
+        self._running[order.lease] = gevent.spawn(self._run, order, attempt)
 
     def refuse(self, refusal: ports.Refusal) -> None:
         """Answer with a refusal."""
@@ -112,9 +113,19 @@
         if attempt is not None:
             attempt.cancel()
 
+    def stop_reading(self) -> None:
+        """End the attempts that still read the caller's body, once it is of no use."""
+        if isinstance(self._sent.body, bytes) or self._sent.body is None:
+            return
+        for running in list(self._running.values()):
+            running.kill()
+
     def _run(self, order: ports.DispatchOrder, attempt: upstream.Attempt) -> None:
         try:
             answer = attempt.run()
+        except gevent.GreenletExit:
+            self._end(order, attempt.stop())
+            return
         except upstream.AttemptError as error:
             self._end(order, error.outcome)
             if isinstance(error.__cause__, http_server.CallerBodyError):
@@ -132,6 +143,7 @@
     def end_streamed(self, request: ids.RequestId, passed: Passed, outcome: ports.Outcome) -> None:
         """Report how an answer ended whose body was passed on piece by piece."""
         self._attempts.pop(passed.lease, None)
+        self._running.pop(passed.lease, None)
         self._engine.outcome(request, passed.lease, outcome)
 
     def _end(
@@ -141,6 +153,7 @@
         answer: ports.StoredAnswer | None = None,
     ) -> None:
         self._attempts.pop(order.lease, None)
+        self._running.pop(order.lease, None)
         self._engine.outcome(order.request, order.lease, outcome, answer)
 
 
--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -36,6 +36,9 @@
 _MS_PER_S = 1000.0
 # A read of a body that gets nothing for this long ends; the operators' limits bound heads only.
 _BODY_TIMEOUT_S = 30.0
+# How long the rest of a body is read that nobody wants, as other servers do before they close.
+_DISCARD_S = 2.0
+_DISCARDED_PIECE_BYTES = 16_384
 # The first request of a connection follows its opening within a round trip, at most this long.
 _FIRST_REQUEST_S = 0.25
 
@@ -85,14 +88,28 @@
 class _Input(pywsgi.Input):
     """Body of a request, for which an empty chunk size is malformed like any other.
 
-    ``most_bytes`` bounds a body in chunks, whose length no header tells.
+    ``most_bytes`` bounds a body in chunks, whose length no header tells. ``ended`` tells whether
+    the body has been read to its end, without which no other request may follow. ``interrupted``
+    tells whether a read was ended from outside, after which nobody knows how far it had come.
     """
 
-    __slots__ = ("_left_bytes",)
+    __slots__ = ("_left_bytes", "ended", "interrupted")
 
     def __init__(self, *given: object, most_bytes: int) -> None:
         super().__init__(*given)
         self._left_bytes = most_bytes
+        self.ended = False
+        self.interrupted = False
+
+    def _discard(self) -> None:
+        """Read on for a bounded time, since a close with unread bytes may destroy the answer."""
+        if self.chunked_input or self.position < (self.content_length or 0):
+            with gevent.Timeout(_DISCARD_S, TimeoutError("the rest of the body did not come")):
+                if self.interrupted:
+                    while self.rfile.read1(_DISCARDED_PIECE_BYTES):
+                        pass
+                super()._discard()
+        self.ended = not (self._chunked_input_error or self.interrupted)
 
     def read(self, length: int | None = None) -> bytes:
         """Return up to ``length`` bytes of the body."""
@@ -101,6 +118,9 @@
         except ValueError as error:
             self._chunked_input_error = True
             raise MALFORMED_BODY(f"unreadable chunk size: {error}") from error
+        except gevent.GreenletExit:
+            self.interrupted = True
+            raise
         self._left_bytes -= len(data)
         if self._left_bytes < 0:
             self._chunked_input_error = True
@@ -190,7 +210,10 @@
             with gevent.Timeout(limit_s - waited_s, False):
                 return self._head_begins()
             if sockets.has_bytes(self.socket):
-                return self._head_begins()
+                # Over TLS these may be a part of a record, whose rest is bounded like a head's.
+                with gevent.Timeout(self.server.limits().head_timeout_ms / _MS_PER_S, False):
+                    return self._head_begins()
+                return False
             waited_s = limit_s
 
     def _head_begins(self) -> bool:
@@ -227,12 +250,15 @@
         self.server.in_flight += 1
         try:
             super().handle_one_response()
+            if not self.wsgi_input.ended:
+                self.close_connection = True
         finally:
             self.server.in_flight -= 1
 
     def finalize_headers(self) -> None:
-        """Tell the caller to close where the server is stopping."""
-        if self.server.stopping and not self.close_connection:
+        """Tell the caller to close where no other request can follow."""
+        ends = self.server.stopping or self.wsgi_input.interrupted
+        if ends and not self.close_connection:
             self.close_connection = True
             self.response_headers.append((b"Connection", b"close"))
         super().finalize_headers()
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -11,7 +11,7 @@
 from gevent import monkey
 
 from verbenadrum.core import ports
-from verbenadrum.daemon import host
+from verbenadrum.daemon import host, http_server
 from verbenadrum.records import types
 from verbenadrum.settings import load
 
@@ -246,3 +246,35 @@
         assert len(running._operator_servers) == 1
     running.begin_shutdown()
     running.wait()
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 200000", b"Transfer-Encoding: chunked"])
+def test_refusal_reaches_a_caller_whose_long_body_still_comes(stalled, framing, capfd):
+    piece = b"x" * 20_000
+    sent = piece if b"Length" in framing else b"%x\r\n%s\r\n" % (len(piece), piece)
+    end = b"" if b"Length" in framing else b"0\r\n\r\n"
+    with stalled.connect() as sock:
+        sock.sendall(b"PUT /x HTTP/1.1\r\nHost: a\r\nX-Deadline-Ms: 300\r\n%s\r\n\r\n" % framing)
+        for _ in range(10):
+            sock.sendall(sent)
+            gevent.sleep(0.06)
+        sock.sendall(end)
+        data, clean = received(sock)
+    assert clean
+    assert b"\r\nConnection: close\r\n" in data
+    assert data.startswith(b"HTTP/1.1 504 ")
+    assert "Traceback" not in capfd.readouterr().err
+
+
+def test_rest_of_a_body_that_comes_late_is_never_taken_for_a_request(stalled, monkeypatch):
+    monkeypatch.setattr(http_server, "_DISCARD_S", 0.1)
+    smuggled = b"POST /smuggled HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+    with stalled.connect() as sock:
+        head = b"PUT /x HTTP/1.1\r\nHost: a\r\nX-Deadline-Ms: 100\r\nContent-Length: 90000\r\n\r\n"
+        sock.sendall(head + b"x" * 70_000)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 504 ")
+        gevent.sleep(0.3)
+        with contextlib.suppress(OSError):
+            sock.sendall(smuggled)
+            assert not sock.recv(65_536)
+    assert not any(b"smuggled" in seen for seen in stalled.server.heads)
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -348,6 +348,12 @@
             with contextlib.suppress(OSError):  # The connection may have ended already.
                 sock.shutdown(socket.SHUT_RDWR)
 
+    def stop(self) -> ports.Outcome:
+        """Close the connection of an attempt whose `run` was ended from outside."""
+        self._cancelled = True
+        self._release(False)
+        return self._outcome(ports.OutcomeKind.CANCELLED)
+
     def run(self) -> Answer:
         """Send the request and return its checked answer.
 
