Pressure of a pool counts requests that end unserved, not attempts that are repeated

In the pool of the lookups 123 of 1555 attempts failed, 48 of them of requests that were served, and 17 to 18% of its placings were under pressure. A failure counts as before where too little time is left for another attempt, or the route allows none; a repeat that is refused counts as a refusal. The fleet of the tests now repeats what servers answer with an error, as the daemon does.

--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -437,7 +437,8 @@
         held_ms = self.clock.now_ms() - attempt.started_ms
         self.used_ms += held_ms
         request, lease = attempt.order.request, attempt.order.lease
-        if kind in _ANSWERS and sink.host.pipeline.commit(request, lease):
+        passed_on = kind is ports.OutcomeKind.OK or attempt.order.pass_errors
+        if kind in _ANSWERS and passed_on and sink.host.pipeline.commit(request, lease):
             sink.log.ok = kind is ports.OutcomeKind.OK
             sink.log.ended_ms = self.clock.now_ms()
         else:
--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -307,6 +307,8 @@
         Rank under load; 0 is the most urgent.
     target_ms : float
         Monotonic time until which an answer has its full worth; 0 where none is stated.
+    repeatable : bool
+        Whether another attempt may follow where this one fails.
     """
 
     request: ids.RequestId
@@ -320,6 +322,7 @@
     hedge: bool = False
     priority: int = 0
     target_ms: float = 0.0
+    repeatable: bool = False
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -241,6 +241,7 @@
             hedge=bool(row.attempts),
             priority=row.priority,
             target_ms=row.target_ms,
+            repeatable=self._repeatable(row),
         )
 
     def _on_placement(
@@ -292,6 +293,10 @@
             )
         )
 
+    def _repeatable(self, row: table.RequestRow) -> bool:
+        """Return whether another attempt may follow the one that is about to be placed."""
+        return row.idempotent and row.head.replayable and self._attempt_left(row, placing=1)
+
     def _echo_required(self, row: table.RequestRow) -> bool:
         pool = self._records.pool(row.service)
         return pool is None or pool.echoes_request_id
@@ -314,17 +319,18 @@
             return False
         return self._placer.may_retry(self._placement_request(row))
 
-    def _attempt_left(self, row: table.RequestRow) -> bool:
+    def _attempt_left(self, row: table.RequestRow, *, placing: int = 0) -> bool:
         """Return whether the route lets the request go to one more server.
 
-        An attempt that certainly has not run does not count, up to a number of them.
+        An attempt that certainly has not run does not count, up to a number of them. Of those that
+        have no server yet, ``placing`` count.
         """
         most = row.route.max_attempts
         if not most:
             return True
-        if row.attempt_count >= most + _MOST_UNRUN_ATTEMPTS:
+        if row.attempt_count + placing >= most + _MOST_UNRUN_ATTEMPTS:
             return False
-        return row.run_count + len(row.attempts) < most
+        return row.run_count + len(row.attempts) + placing < most
 
     def _hedge(self, row: table.RequestRow) -> None:
         row.hedge_at_ms = float("inf")
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -297,6 +297,7 @@
                 ),
                 far=part.region not in (self._context.region, parts.EVERYWHERE),
                 counted=row.second,
+                repeatable=request.repeatable,
             ),
         )
 
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -470,6 +470,8 @@
         lease.group = ids.DataCentreId(ask.data_centre)
         lease.trusted = suspicion is poison.Suspicion.GOOD
         lease.suspected = suspected
+        if ask.repeatable:
+            lease.repeat_until_ms = now_ms + ask.remaining_ms
         self._open(lease)
         answer = _answer(
             ask,
@@ -584,6 +586,13 @@
     def _count_unserved(self, unserved: float) -> None:
         self._unserved_share += (unserved - self._unserved_share) * _UNSERVED_SMOOTHING
 
+    def _count_end(self, lease: servers.LeaseRow, kind: ports.OutcomeKind) -> None:
+        """Count the end of a request; a failed attempt is none while another one may follow."""
+        failed = kind is not ports.OutcomeKind.OK
+        if failed and self._context.now_ms() + self._service_ms < lease.repeat_until_ms:
+            return
+        self._count_unserved(float(failed))
+
     def _reply(self, waiter: _Waiter, state: int, reason: str, retry_after_ms: float = 0.0) -> None:
         self._asks.pop((waiter.observer, waiter.ask.number), None)
         answer = _answer(waiter.ask, state, reason, retry_after_ms=retry_after_ms)
@@ -629,7 +638,7 @@
 
     def _learn(self, lease: servers.LeaseRow, kind: ports.OutcomeKind, latency_ms: float) -> None:
         if kind in _ENDS:
-            self._count_unserved(float(kind is not ports.OutcomeKind.OK))
+            self._count_end(lease, kind)
         if kind is ports.OutcomeKind.OK:
             self._latencies.add(latency_ms)
         if lease.server in self._ejector.rows and self._ejector.excused(lease.server):
--- a/verbenadrum/placement/messages.py
+++ b/verbenadrum/placement/messages.py
@@ -40,7 +40,8 @@
     ``last`` says that there is no other region to try, ``attempt`` is 0 for a request's first
     attempt, and ``priority`` its rank under load, 0 being the most urgent. The caller wants its
     answer within ``target_ms``, where that is not 0. ``far`` asks come from another region. An
-    ask is ``counted`` where another home has counted it in the retry budget.
+    ask is ``counted`` where another home has counted it in the retry budget, and ``repeatable``
+    where another attempt may follow if this one fails.
     """
 
     number: int
@@ -59,6 +60,7 @@
     target_ms: float = 0.0
     far: bool = False
     counted: bool = False
+    repeatable: bool = False
 
 
 @base.register
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -65,6 +65,8 @@
         Whether the request was believed harmless.
     suspected : bool
         Whether a server had died under the request before, so that it runs on its own.
+    repeat_until_ms : float
+        Until when another attempt may follow if this one fails.
     """
 
     lease: ids.LeaseId
@@ -79,6 +81,7 @@
     waited_ms: float = 0.0
     trusted: bool = False
     suspected: bool = False
+    repeat_until_ms: float = -math.inf
 
 
 class ServerTable:
--- a/verbenadrum/placement/tests/test_overload.py
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -317,3 +317,39 @@
         fleet.run(FLOOR_WINDOW_MS)
         received.append(returning.received)
     assert sorted(set(received)) == received
+
+
+def small_load(*, servers, per_s, method, seed):
+    """Play a pool with much room for four seconds, and return it."""
+    fleet = stepped_fleet.Fleet(
+        hosts=stepped_fleet.two_regions(4)[:8],
+        servers={f"s{index}": "r1a" for index in range(servers)},
+        health="belief",
+        seed=seed,
+        median_ms=WORK_MS,
+        sigma=0.3,
+        timeout_ms=TIMEOUT_MS,
+        target_ms=TARGET_MS,
+    )
+    for server in fleet.servers.values():
+        server.error_ms = 1.0
+    numbers = itertools.count()
+    fleet.load(workspace="w", per_s=per_s, path=lambda: f"/{next(numbers)}", method=method)
+    fleet.run(4_000.0)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_failures_that_a_repeat_makes_good_do_not_send_more_requests_to_sick_servers(seed):
+    fleet = small_load(servers=8, per_s=10.0, method="GET", seed=seed)
+    sick = [fleet.servers[name] for name in ("s4", "s5", "s6", "s7")]
+    for server in sick:
+        server.error_fraction = 1.0
+    fleet.run(8_000.0)
+    before = sum(server.received for server in sick)
+    start_ms = fleet.clock.now_ms()
+    fleet.run(22_000.0)
+    logs = [log for log in fleet.logs if start_ms <= log.sent_ms < start_ms + 20_000.0]
+    assert sum(not log.ok for log in logs) <= 0.03 * len(logs)
+    # A pressed pool would try most of them every 1.2 s.
+    assert sum(server.received for server in sick) - before <= 0.15 * len(logs)
