Tries of servers that are left alone do not count as pressure

Cause: a pressed pool tries the servers that it leaves alone every 1.2 s; those that fail counted, so that a pool with four sick servers of ten and little load stayed pressed by its own tries. Test fails first: test_tries_of_sick_servers_do_not_keep_a_pool_pressed.

--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -453,13 +453,14 @@
         trial = ask.idempotent and not ask.attempt
         suspicion = self._ledger.suspicion(ask.fingerprint, now_ms)
         suspected = suspicion is poison.Suspicion.SUSPECTED
+        pressed = self._unserved_share > _PRESSED_FROM
         entry = self._servers.choose(
             waiter.observer,
             ask.excluded,
             now_ms,
             trial=trial,
             suspected=suspected,
-            pressed=self._unserved_share > _PRESSED_FROM,
+            pressed=pressed,
         )
         if entry is None:
             return False
@@ -470,6 +471,7 @@
         lease.group = ids.DataCentreId(ask.data_centre)
         lease.trusted = suspicion is poison.Suspicion.GOOD
         lease.suspected = suspected
+        lease.recheck = pressed and self._servers.is_left_alone(entry, trial=trial)
         if ask.repeatable:
             lease.repeat_until_ms = now_ms + ask.remaining_ms
         self._open(lease)
@@ -637,7 +639,8 @@
         self._service_ms += (held_ms - self._service_ms) * _SERVICE_SMOOTHING
 
     def _learn(self, lease: servers.LeaseRow, kind: ports.OutcomeKind, latency_ms: float) -> None:
-        if kind in _ENDS:
+        # A pool does not stay pressed by what it spends on finding servers that are well again.
+        if kind in _ENDS and not lease.recheck:
             self._count_end(lease, kind)
         if kind is ports.OutcomeKind.OK:
             self._latencies.add(latency_ms)
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -67,6 +67,8 @@
         Whether a server had died under the request before, so that it runs on its own.
     repeat_until_ms : float
         Until when another attempt may follow if this one fails.
+    recheck : bool
+        Whether the server gets no work otherwise, so that the attempt finds out whether it is well.
     """
 
     lease: ids.LeaseId
@@ -82,6 +84,7 @@
     trusted: bool = False
     suspected: bool = False
     repeat_until_ms: float = -math.inf
+    recheck: bool = False
 
 
 class ServerTable:
@@ -247,6 +250,11 @@
             return None
         return best
 
+    def is_left_alone(self, entry: types.ServerEntry, *, trial: bool = False) -> bool:
+        """Return whether a server gets no work but to find out whether it is well again."""
+        doubt = self._doubt(ids.ServerId(entry.server))
+        return not self._slots(entry, doubt, self._limit(self._doubts(), trial=trial))
+
     def any_free(self) -> bool:
         """Return whether some server has a slot that some request may use."""
         return any(
--- a/verbenadrum/placement/tests/test_overload.py
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -353,3 +353,18 @@
     assert sum(not log.ok for log in logs) <= 0.03 * len(logs)
     # A pressed pool would try most of them every 1.2 s.
     assert sum(server.received for server in sick) - before <= 0.15 * len(logs)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_tries_of_sick_servers_do_not_keep_a_pool_pressed(seed):
+    fleet = small_load(servers=10, per_s=10.0, method="POST", seed=seed)
+    for server in fleet.servers.values():
+        server.error_fraction = 1.0
+    fleet.run(1_000.0)
+    for name in ("s0", "s1", "s2", "s3", "s4", "s5"):
+        fleet.servers[name].error_fraction = 0.0
+    fleet.run(8_000.0)
+    start_ms = fleet.clock.now_ms()
+    fleet.run(22_000.0)
+    logs = [log for log in fleet.logs if start_ms <= log.sent_ms < start_ms + 20_000.0]
+    assert sum(not log.ok for log in logs) <= 0.08 * len(logs)
