--- a/verbenadrum/health/belief.py
+++ b/verbenadrum/health/belief.py
@@ -55,8 +55,9 @@
     ports.OutcomeKind.SERVER_ERROR,
     ports.OutcomeKind.RESET,
     ports.OutcomeKind.TRUNCATED,
-    ports.OutcomeKind.TIMEOUT,
 )
+# Ends that say how long a request had no answer; its time may just have been short.
+_UNANSWERED = (ports.OutcomeKind.CANCELLED, ports.OutcomeKind.TIMEOUT)
 
 
 class _Row(msgspec.Struct, kw_only=True):
@@ -159,7 +160,7 @@
         if evidence.kind is ports.OutcomeKind.OK:
             self._rows.setdefault(evidence.server, _Row()).unreached_by = ""
             return _LATE_RATIO if evidence.latency_ms > 2.0 * self._late_ms else _OK_RATIO
-        if evidence.kind is ports.OutcomeKind.CANCELLED:
+        if evidence.kind in _UNANSWERED:
             return self._stalled_ratio(evidence.latency_ms)
         return 1.0
 
--- a/verbenadrum/health/tests/test_belief.py
+++ b/verbenadrum/health/tests/test_belief.py
@@ -52,6 +52,17 @@
     assert judge.doubt("s2", 300.0) < AVOID
 
 
+def test_time_out_counts_by_how_long_the_request_waited():
+    judge = belief.BeliefJudge()
+    for index in range(200):
+        ended(judge, "s1", Kind.OK, float(index), latency_ms=200.0 + index % 50)
+    judge.review(now_ms=300.0, flights=[])
+    ended(judge, "s2", Kind.TIMEOUT, 300.0, latency_ms=150.0)
+    ended(judge, "s3", Kind.TIMEOUT, 300.0, latency_ms=900.0)
+    assert judge.doubt("s2", 300.0) == judge.doubt("s4", 300.0)
+    assert judge.doubt("s3", 300.0) > AVOID
+
+
 def play(seed, avoid):
     """Send 40 requests a second to ten servers of which three are sick at a time."""
     rng = random.Random(seed)
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -58,6 +58,8 @@
 )
 # Each costs a look at every server.
 _MOST_PASSED_OVER = 3
+# A server that gives up a request at its deadline says so this long before it, at most.
+_TIME_UP_MS = 50.0
 _PROBE_OBSERVER = ids.HostId("")
 # Outcomes that show that a server lives.
 _ANSWERS = (ports.OutcomeKind.OK, ports.OutcomeKind.SERVER_ERROR, ports.OutcomeKind.SHED)
@@ -472,8 +474,9 @@
         lease.trusted = suspicion is poison.Suspicion.GOOD
         lease.suspected = suspected
         lease.recheck = pressed and self._servers.is_left_alone(entry, trial=trial)
+        lease.deadline_ms = now_ms + ask.remaining_ms
         if ask.repeatable:
-            lease.repeat_until_ms = now_ms + ask.remaining_ms
+            lease.repeat_until_ms = lease.deadline_ms
         self._open(lease)
         answer = _answer(
             ask,
@@ -651,12 +654,19 @@
                 server=lease.server,
                 observer=lease.observer,
                 group=lease.group,
-                kind=kind,
+                kind=self._evidence_kind(lease, kind),
                 latency_ms=latency_ms,
                 at_ms=self._context.now_ms(),
             )
         )
 
+    def _evidence_kind(self, lease: servers.LeaseRow, kind: ports.OutcomeKind) -> ports.OutcomeKind:
+        """Return how an end counts: an error at the deadline says only that time was up."""
+        in_time = self._context.now_ms() < lease.deadline_ms - _TIME_UP_MS
+        if kind is not ports.OutcomeKind.SERVER_ERROR or in_time:
+            return kind
+        return ports.OutcomeKind.TIMEOUT
+
     def _note_poison(
         self, lease: servers.LeaseRow, kind: ports.OutcomeKind, server_gone: bool
     ) -> None:
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -65,6 +65,8 @@
         Whether the request was believed harmless.
     suspected : bool
         Whether a server had died under the request before, so that it runs on its own.
+    deadline_ms : float
+        When the time of the request is over.
     repeat_until_ms : float
         Until when another attempt may follow if this one fails.
     recheck : bool
@@ -83,6 +85,7 @@
     waited_ms: float = 0.0
     trusted: bool = False
     suspected: bool = False
+    deadline_ms: float = math.inf
     repeat_until_ms: float = -math.inf
     recheck: bool = False
 
--- a/verbenadrum/placement/tests/test_overload.py
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -368,3 +368,36 @@
     fleet.run(22_000.0)
     logs = [log for log in fleet.logs if start_ms <= log.sent_ms < start_ms + 20_000.0]
     assert sum(not log.ok for log in logs) <= 0.08 * len(logs)
+
+
+def test_errors_at_a_short_deadline_do_not_take_slots_from_a_pool():
+    fleet = stepped_fleet.Fleet(
+        hosts=stepped_fleet.two_regions(4)[:8],
+        servers={f"s{index}": "r1a" for index in range(8)},
+        health="belief",
+        seed=11,
+        median_ms=WORK_MS,
+        sigma=0.3,
+        timeout_ms=TIMEOUT_MS,
+        target_ms=TARGET_MS,
+        timeouts={"/short": 0.8 * WORK_MS},
+    )
+    for server in fleet.servers.values():
+        server.keeps_deadlines = True
+    numbers = itertools.count()
+    for path in ("/short", "/long"):
+        fleet.load(
+            workspace="w",
+            per_s=10.0,
+            path=lambda path=path: f"{path}/{next(numbers)}",
+            method="POST",
+        )
+    fleet.run(8_000.0)
+    (home,) = (home for host in fleet.hosts.values() for home in host.placer.homes.values())
+    slots = []
+    for _ in range(20):
+        fleet.run(500.0)
+        slots.append(home.server_table.total_slots)
+    failed = sum(not log.ok for log in fleet.logs if log.path.startswith("/short"))
+    assert failed >= 0.3 * len(fleet.logs) / 2
+    assert min(slots) >= 0.9 * stepped_fleet.SLOTS * len(fleet.servers)
