A request that is not sent again goes to an unsure server only where no other has a slot

A second request at a trusted server of three slots cost as much as doubt of 0.4, though a free slot costs no time. Ruled out: that such servers are needed for room (the pools use a fifth of their slots).

--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -41,6 +41,8 @@
 _SECOND_OPINION_BONUS = 1.0
 # Cost of certain sickness, in parts of a server's slots.
 _DOUBT_WEIGHT = 1.5
+# A request that is not sent again goes to a server that may be sick only where no other has a slot.
+_LAST_ATTEMPT_COST = 1.5
 # A suspected request goes to a server with other work only where none is idle.
 _SHARED_COST = 10.0
 _TRIAL_WEIGHT = 0.2
@@ -298,6 +300,8 @@
             return math.inf
         cost = used / (entry.slots or self._part.spec.slots) + self._rng.random() * 0.1
         cost += (_TRIAL_WEIGHT if trial else _DOUBT_WEIGHT) * doubt
+        if not trial and doubt >= _UNSURE_DOUBT:
+            cost += _LAST_ATTEMPT_COST
         if doubt < _UNUSED_DOUBT and now_ms - self._taken_ms.get(server, -math.inf) > _UNUSED_MS:
             cost -= _UNUSED_BONUS
         if self._is_warm(server, observer):
