Answers whose lines never end are cut off after 64 KiB

Callers would see every request on a host hang: a backend server that sent interim heads, or trailers after the last chunk, without end held the event loop for as long as it sent. After a chunk size of -1 everything up to the connection's end was read into memory.

Cause: http.client bounds each line and the number of headers of one head, but neither the number of interim heads nor of trailers, and reads a negative size as "up to the end".

Now all lines of an answer since the last byte of its body share one limit, the one that http.client sets for a single line, and a read without a size is an error. The attempt ends as reset or truncated, which counts against the server, and its connection is closed.

--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -5,6 +5,7 @@
     "behaviours",
     "caller",
     "child",
+    "endless",
     "fault_proxy",
     "fleet",
     "platform",
--- /dev/null
+++ b/verbenadrum/daemon/tests/endless.py
@@ -0,0 +1,80 @@
+"""Runs the stand-in whose answers never end, for the tests of all that reads from servers."""
+
+import itertools
+import time
+
+import gevent
+import msgspec
+
+from standins import child, endless, serving
+from verbenadrum.daemon.tests import test_upstream
+
+HEAD = test_upstream.HEAD.decode()
+CHUNKED = f"{HEAD}Transfer-Encoding: chunked\r\n\r\n"
+# Beginning, piece and number of pieces sent at a time of bytes that are no answer.
+NO_ANSWERS = {
+    "status-line": ("HTTP/1.1 200 ", "x", 8_192),
+    "one-line": ("", "x", 8_192),
+    "junk-lines": ("", "junk\r\n", 1_000),
+    "header-lines": (HEAD, "X-More: 1\r\n", 1_000),
+    "long-headers": (HEAD, f"X-More: {'x' * 60_000}\r\n", 1),
+    "interim-heads": ("", "HTTP/1.1 100 Continue\r\n\r\n", 1_000),
+    "chunk-extension": (f"{CHUNKED}5;", "x", 8_192),
+    "negative-chunk": (f"{CHUNKED}-1\r\n", "x", 65_536),
+    "trailers": (f"{CHUNKED}0\r\n", "X-More: 1\r\n", 1_000),
+}
+# Beginning, piece and number of pieces of bodies.
+BODIES = {
+    "chunks": (CHUNKED, f"2710\r\n{'x' * 10_000}\r\n", 8),
+    "small-chunks": (CHUNKED, "1\r\nx\r\n", 8_192),
+    "unframed": (f"{HEAD}\r\n", "x", 65_536),
+    "length": (f"{HEAD}Content-Length: 999999999999\r\n\r\n", "x", 65_536),
+}
+# More than the operating system's buffers hold on both sides of a connection.
+MANY_BYTES = 48_000_000
+_CLOSE_TIMEOUT_S = 2.0
+_names = itertools.count()
+
+
+class EndlessServer:
+    """Stand-in process that sends ``piece`` over and over until its connection is closed."""
+
+    def __init__(self, directory, first, piece, repeats=1, *, pause_s=0.0):
+        options = (f"--first={first}", f"--piece={piece}")
+        numbers = (f"--repeats={repeats}", f"--pause_s={pause_s}")
+        self.process = child.Child(
+            name=f"endless{next(_names)}",
+            arguments=("-m", "standins.endless", *options, *numbers),
+            directory=directory,
+        )
+        self.address = f"{serving.LOOPBACK}:{self.process.read_port()}"
+
+    def events(self, name):
+        lines = self.process.stdout.read_bytes().splitlines()[1:]
+        events = [msgspec.json.decode(line, type=endless.Event) for line in lines]
+        return [event for event in events if event.name == name]
+
+    def await_closed(self, count=1):
+        """Return the bytes that were sent on each connection that the other side closed."""
+        with gevent.Timeout(_CLOSE_TIMEOUT_S):
+            while len(self.events("closed")) < count:
+                gevent.sleep(0.01)
+        return [event.sent for event in self.events("closed")]
+
+
+class Ticker:
+    """Measures for how long other greenlets could not run."""
+
+    def __init__(self):
+        self.longest_s = 0.0
+        self._greenlet = gevent.spawn(self._run)
+
+    def _run(self):
+        while True:
+            before_s = time.monotonic()
+            gevent.sleep(0.005)
+            self.longest_s = max(self.longest_s, time.monotonic() - before_s)
+
+    def stop(self):
+        self._greenlet.kill()
+        return self.longest_s
--- /dev/null
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -0,0 +1,64 @@
+"""Tests of attempts against backend servers whose bytes come without end."""
+
+import time
+import tracemalloc
+
+import gevent
+import pytest
+
+from verbenadrum.core import ports
+from verbenadrum.daemon import upstream
+from verbenadrum.daemon.tests import endless, test_upstream
+
+Kind = ports.OutcomeKind
+LIMIT_S = 0.5
+LATE_S = 1.0
+MEMORY_LIMIT_BYTES = 4_000_000
+LONGEST_PAUSE_S = 0.5
+FAILURES = (Kind.RESET, Kind.TRUNCATED, Kind.TIMEOUT)
+
+
+@pytest.fixture
+def serve(tmp_path):
+    running = []
+
+    def start(*args, **options):
+        running.append(endless.EndlessServer(tmp_path, *args, **options))
+        return running[-1]
+
+    yield start
+    for server in running:
+        server.process.kill()
+
+
+@pytest.fixture
+def pools():
+    return upstream.ConnectionPools(max_idle=2)
+
+
+def outcome_of(pools, server, **options):
+    """Return how an attempt ends whose whole answer is read, and check that it ends in time."""
+    started_s = time.monotonic()
+    with gevent.Timeout(5.0), pytest.raises(upstream.AttemptError) as caught:
+        answer = test_upstream.attempt(pools, server.address, timeout_s=LIMIT_S, **options).run()
+        for _ in answer.rest():
+            pass
+    assert time.monotonic() - started_s < LIMIT_S + LATE_S
+    return caught.value.outcome
+
+
+@pytest.mark.parametrize("case", endless.NO_ANSWERS)
+def test_lines_without_end_are_no_answer_and_hold_up_nobody(pools, serve, case):
+    server = serve(*endless.NO_ANSWERS[case])
+    ticker = endless.Ticker()
+    tracemalloc.start()
+    try:
+        outcome = outcome_of(pools, server)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert ticker.stop() < LONGEST_PAUSE_S
+    assert (outcome.kind in FAILURES, outcome.may_have_run) == (True, True)
+    assert peak < MEMORY_LIMIT_BYTES
+    assert max(server.await_closed()) < endless.MANY_BYTES
+    assert pools.idle == 0
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -14,7 +14,7 @@
 from urllib3 import connection, exceptions
 
 from verbenadrum.core import ports
-from verbenadrum.daemon import sockets
+from verbenadrum.daemon import answers, sockets
 from verbenadrum.utils import errors
 
 __all__ = [
@@ -269,7 +269,7 @@
                 return warm
             warm.close()
         ip, port = sockets.split_address(address)
-        fresh = connection.HTTPConnection(ip, port, timeout=min(_CONNECT_TIMEOUT_S, timeout_s))
+        fresh = answers.BoundedConnection(ip, port, timeout=min(_CONNECT_TIMEOUT_S, timeout_s))
         fresh.connect()
         self._connects += 1
         fresh.timeout = timeout_s
