An answer that always has bytes to read no longer stops the other requests

Callers would see every request on a host wait while one backend server sends faster than the host reads.

Cause: a read from a socket gives way to other greenlets only where it has to wait, so timers, cancellations and other connections were not served.

Before: with chunks of one byte a greenlet that sleeps for 5 ms at a time did not run for 3.5 s, as long as the answer was read (case small-chunks).

Now every 16th read of an answer first waits in the event loop until the socket is readable, as if it had been empty.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -1,15 +1,69 @@
-"""Connections to servers that may send anything: answers are read within bounds."""
+"""Connections to servers that may send anything: answers are read fairly and within bounds."""
 
 import http.client
 import io
 import socket
 
+import gevent
+from gevent import socket as gevent_socket
 from urllib3 import connection
 
+from verbenadrum.daemon import sockets
+
 __all__ = ["BoundedConnection", "MAX_LINES_BYTES"]
 
 # As much as `http.client` allows for a single line.
 MAX_LINES_BYTES = 65_536
+# Reads from a socket after which other greenlets run, though more bytes wait.
+_READS_PER_TURN = 16
+
+
+class _FairReads(io.RawIOBase):
+    """Reads from a socket that let other greenlets run although bytes always wait.
+
+    Parameters
+    ----------
+    raw : io.RawIOBase
+        Reads from the socket.
+    sock : socket.socket
+        The socket.
+    """
+
+    def __init__(self, *, raw: io.RawIOBase, sock: socket.socket) -> None:
+        super().__init__()
+        self._raw = raw
+        self._sock = sock
+        self._reads = 0
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def fileno(self) -> int:
+        """Return the socket's descriptor."""
+        return self._raw.fileno()
+
+    def readinto(self, buffer: memoryview) -> int | None:
+        """Read what there is, at least a byte unless the answer's connection has ended."""
+        if self._reads >= _READS_PER_TURN:
+            self._reads = 0
+            self._let_others_run()
+        self._reads += 1
+        return self._raw.readinto(buffer)
+
+    def close(self) -> None:
+        """Let go of the socket."""
+        self._raw.close()
+        super().close()
+
+    def _let_others_run(self) -> None:
+        if sockets.is_tls(self._sock):
+            # Bytes may wait in the TLS layer, where the operating system does not see them.
+            gevent.sleep(0)
+            return
+        gevent_socket.wait_read(
+            self._raw.fileno(), self._sock.gettimeout(), TimeoutError("timed out")
+        )
 
 
 class _BoundedReader(io.BufferedReader):
@@ -52,10 +106,10 @@
 
     def __init__(self, sock: socket.socket, *args: object, **kwargs: object) -> None:
         super().__init__(sock, *args, **kwargs)
-        self.fp = _BoundedReader(self.fp.detach())
+        self.fp = _BoundedReader(_FairReads(raw=self.fp.detach(), sock=sock))
 
 
 class BoundedConnection(connection.HTTPConnection):
-    """Connection whose answers are read within bounds."""
+    """Connection whose answers are read fairly and within bounds."""
 
     response_class = _BoundedResponse
--- a/verbenadrum/daemon/tests/test_endless_answers.py
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -62,3 +62,19 @@
     assert peak < MEMORY_LIMIT_BYTES
     assert max(server.await_closed()) < endless.MANY_BYTES
     assert pools.idle == 0
+
+
+@pytest.mark.parametrize("case", endless.BODIES)
+def test_body_that_never_makes_a_read_wait_holds_up_nobody(pools, serve, case):
+    server = serve(*endless.BODIES[case])
+    names = upstream.HeaderNames(unframed=True)
+    ticker = endless.Ticker()
+    answer = test_upstream.attempt(pools, server.address, names=names).run()
+    ends_s = time.monotonic() + 3.0 * LONGEST_PAUSE_S
+    for _ in answer.rest():
+        if time.monotonic() > ends_s:
+            break
+    # What a starved greenlet has waited shows once it runs again.
+    gevent.sleep(0.02)
+    assert ticker.stop() < LONGEST_PAUSE_S
+    answer.discard()
