Cancelling or discarding an answer that ends with its connection closes it

A backend server went on sending an answer without a length, or with Connection: close, after the caller had left or another attempt had won, and the attempt went on reading it.

Cause: http.client hands the socket of such an answer from the connection to the answer, so that closing the connection, or shutting down its socket, reached nothing.

Now the attempt keeps the socket and the answer itself until both are done.

--- a/verbenadrum/daemon/tests/test_endless_answers.py
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -78,3 +78,25 @@
     gevent.sleep(0.02)
     assert ticker.stop() < LONGEST_PAUSE_S
     answer.discard()
+
+
+def test_discarded_answer_without_a_length_closes_its_connection(pools, serve):
+    server = serve(*endless.BODIES["unframed"])
+    names = upstream.HeaderNames(unframed=True)
+    answer = test_upstream.attempt(pools, server.address, names=names).run()
+    assert not answer.whole
+    answer.discard()
+    assert max(server.await_closed()) < endless.MANY_BYTES
+
+
+@pytest.mark.parametrize("case", ["chunks", "unframed"])
+def test_cancelled_answer_that_drips_ends_at_once(pools, serve, case):
+    first, _, _ = endless.BODIES[case]
+    server = serve(first, "1\r\nx\r\n", pause_s=0.005)
+    names = upstream.HeaderNames(unframed=True)
+    running = test_upstream.attempt(pools, server.address, names=names)
+    gevent.spawn_later(0.2, running.cancel)
+    with gevent.Timeout(LATE_S), pytest.raises(upstream.AttemptError) as caught:
+        running.run()
+    assert caught.value.outcome.kind is Kind.CANCELLED
+    server.await_closed()
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -334,6 +334,9 @@
         self._sent = sent
         self._timeout_s = timeout_s
         self._connection: connection.HTTPConnection | None = None
+        # The connection lets go of both where the answer ends with it.
+        self._sock: socket.socket | None = None
+        self._response: urllib3.BaseHTTPResponse | None = None
         self._cancelled = False
         self._keep_s = _DEFAULT_KEEP_ALIVE_S
         self._started_s = time.monotonic()
@@ -343,10 +346,9 @@
     def cancel(self) -> None:
         """Close the connection at once, which the backend server sees as a cancellation."""
         self._cancelled = True
-        sock = self._connection.sock if self._connection is not None else None
-        if sock is not None:
+        if self._sock is not None:
             with contextlib.suppress(OSError):  # The connection may have ended already.
-                sock.shutdown(socket.SHUT_RDWR)
+                self._sock.shutdown(socket.SHUT_RDWR)
 
     def run(self) -> Answer:
         """Send the request and return its checked answer.
@@ -381,13 +383,14 @@
             self._connection = self._pools.take(
                 self._order.address, timeout_s=self._timeout_s, idle_at_most_s=self._reuse_idle_s
             )
+            self._sock = self._connection.sock
             if self._cancelled:
                 raise OSError("the attempt was cancelled")
             self._bytes_sent = True
             self._send()
-            response = self._connection.getresponse()
-            self._keep_s = _keep_alive_s(response.headers)
-            return response
+            self._response = self._connection.getresponse()
+            self._keep_s = _keep_alive_s(self._response.headers)
+            return self._response
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
             self._release(False)
             raise self._failed(error) from error
@@ -409,12 +412,16 @@
 
     def _release(self, reusable: bool) -> None:
         used, self._connection = self._connection, None
+        response, self._response = self._response, None
+        self._sock = None
         if used is None:
             return
         if reusable and not self._cancelled and not self._body_cut:
             self._pools.put(self._order.address, used, keep_s=self._keep_s)
-        else:
-            used.close()
+            return
+        if response is not None:
+            response.close()
+        used.close()
 
     def _failed(self, error: Exception) -> AttemptError:
         if self._cancelled:
