A cancelled answer without a length is never taken for a whole one

An attempt that was cancelled while bytes of an unframed answer came could return the bytes so far as the whole answer.

Cause: cancelling shuts the socket down, and where a byte and the cancellation are found in the same turn of the event loop, the reader sees a clean end instead of an error. Such an end is the only mark of a complete answer there.

Now the start of an answer counts only if the attempt was not cancelled.

--- a/verbenadrum/daemon/tests/test_endless_answers.py
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -5,6 +5,7 @@
 
 import gevent
 import pytest
+from gevent import monkey
 
 from verbenadrum.core import ports
 from verbenadrum.daemon import upstream
@@ -100,3 +101,16 @@
         running.run()
     assert caught.value.outcome.kind is Kind.CANCELLED
     server.await_closed()
+
+
+def test_answer_without_a_length_that_is_cancelled_as_bytes_come_is_not_whole(pools, serve):
+    server = serve(f"{endless.HEAD}\r\n", "x", pause_s=0.005)
+    names = upstream.HeaderNames(unframed=True)
+    for _ in range(20):
+        running = test_upstream.attempt(pools, server.address, names=names)
+        gevent.spawn_later(0.05, running.cancel)
+        # The loop finds the cancellation and a byte at the same time.
+        gevent.spawn_later(0.04, monkey.get_original("time", "sleep"), 0.02)
+        with gevent.Timeout(LATE_S), pytest.raises(upstream.AttemptError) as caught:
+            running.run()
+        assert caught.value.outcome.kind is Kind.CANCELLED
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -472,7 +472,11 @@
                 self._outcome(ports.OutcomeKind.TRUNCATED, response.status),
             )
         try:
-            return self._read_start(response, chunked, length)
+            start = self._read_start(response, chunked, length)
+            if self._cancelled:
+                # An answer without a length that is cut off here looks like a whole one.
+                raise OSError("the attempt was cancelled")
+            return start
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
             kind = ports.OutcomeKind.TRUNCATED
             if self._cancelled:
