An attempt ends when its time is up, however its bytes come

Callers would wait without end for an answer that drips, and a body without end was passed on for as long as its caller stayed.

Cause: the only limit was on the wait for the next byte, which each byte started anew; cancelling at the deadline ends only what has not been committed.

Slow answers within their time passed, and still do.

Now the time from sending to the last byte is bounded by the same figure as a single read. Where the time of a streamed answer is up, the server is blamed only if more than half of it went by in waiting for the server. The test of fair reads ends its attempt by that limit as well; what it asserts is the same.

--- a/verbenadrum/daemon/tests/test_endless_answers.py
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Tests of attempts against backend servers whose bytes come without end."""
 
+import contextlib
 import time
 import tracemalloc
 
@@ -19,6 +20,16 @@
 FAILURES = (Kind.RESET, Kind.TRUNCATED, Kind.TIMEOUT)
 
 
+class SlowBackend(test_upstream.Backend):
+    """Sends an answer in pieces, and then closes."""
+
+    def handle(self, sock, address):
+        sock.recv(65_536)
+        for piece in self.answer:
+            sock.sendall(piece)
+            gevent.sleep(0.01)
+
+
 @pytest.fixture
 def serve(tmp_path):
     running = []
@@ -59,7 +70,8 @@
     finally:
         tracemalloc.stop()
     assert ticker.stop() < LONGEST_PAUSE_S
-    assert (outcome.kind in FAILURES, outcome.may_have_run) == (True, True)
+    assert outcome.kind in FAILURES
+    assert outcome.may_have_run
     assert peak < MEMORY_LIMIT_BYTES
     assert max(server.await_closed()) < endless.MANY_BYTES
     assert pools.idle == 0
@@ -70,15 +82,17 @@
     server = serve(*endless.BODIES[case])
     names = upstream.HeaderNames(unframed=True)
     ticker = endless.Ticker()
-    answer = test_upstream.attempt(pools, server.address, names=names).run()
+    running = test_upstream.attempt(
+        pools, server.address, names=names, timeout_s=3.0 * LONGEST_PAUSE_S
+    )
     ends_s = time.monotonic() + 3.0 * LONGEST_PAUSE_S
-    for _ in answer.rest():
-        if time.monotonic() > ends_s:
-            break
+    with contextlib.suppress(upstream.AttemptError):
+        for _ in running.run().rest():
+            if time.monotonic() > ends_s:
+                break
     # What a starved greenlet has waited shows once it runs again.
     gevent.sleep(0.02)
     assert ticker.stop() < LONGEST_PAUSE_S
-    answer.discard()
 
 
 def test_discarded_answer_without_a_length_closes_its_connection(pools, serve):
@@ -114,3 +128,70 @@
         with gevent.Timeout(LATE_S), pytest.raises(upstream.AttemptError) as caught:
             running.run()
         assert caught.value.outcome.kind is Kind.CANCELLED
+
+
+DRIPPING = {
+    "status-line": ("HTTP/1.1 200 ", "x"),
+    "one-line": ("", "x"),
+    "header-line": (f"{endless.HEAD}X-More: ", "x"),
+    "interim-heads": ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk-extension": (f"{endless.CHUNKED}5;", "x"),
+    "trailers": (f"{endless.CHUNKED}0\r\n", "X-More: 1\r\n"),
+    "chunks": (endless.CHUNKED, "1\r\nx\r\n"),
+    "unframed": (f"{endless.HEAD}\r\n", "x"),
+    "short-length": (f"{endless.HEAD}Content-Length: 5000\r\n\r\n", "x"),
+    "long-length": (f"{endless.HEAD}Content-Length: 5000000\r\n\r\n", "x"),
+}
+
+
+@pytest.mark.parametrize("case", DRIPPING)
+def test_answer_that_drips_ends_when_the_time_of_the_attempt_is_up(pools, serve, case):
+    server = serve(*DRIPPING[case], pause_s=0.005)
+    outcome = outcome_of(pools, server, names=upstream.HeaderNames(unframed=True))
+    assert (outcome.kind, outcome.may_have_run) == (Kind.TIMEOUT, True)
+    server.await_closed()
+    assert pools.idle == 0
+
+
+@pytest.mark.parametrize("case", endless.BODIES)
+def test_body_without_end_is_streamed_in_bounded_memory_until_the_time_is_up(pools, serve, case):
+    server = serve(*endless.BODIES[case])
+    tracemalloc.start()
+    try:
+        outcome = outcome_of(pools, server, names=upstream.HeaderNames(unframed=True))
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert (outcome.kind, outcome.may_have_run) == (Kind.TIMEOUT, True)
+    assert peak < MEMORY_LIMIT_BYTES
+    server.await_closed()
+
+
+@pytest.mark.parametrize("pause_s", [0.0, LIMIT_S])
+def test_time_that_the_caller_takes_is_no_fault_of_the_server(pools, serve, pause_s):
+    server = serve(*endless.BODIES["chunks"])
+    answer = test_upstream.attempt(pools, server.address, timeout_s=LIMIT_S).run()
+    gevent.sleep(pause_s)
+    with gevent.Timeout(LIMIT_S + LATE_S), pytest.raises(upstream.AttemptError) as caught:
+        for _ in answer.rest():
+            gevent.sleep(0.1)
+    assert caught.value.outcome.kind is Kind.CANCELLED
+    server.await_closed()
+
+
+@pytest.mark.parametrize(
+    ("framing", "pieces"),
+    [
+        (b"Content-Length: 20\r\n\r\n", [b"x"] * 20),
+        (b"Transfer-Encoding: chunked\r\n\r\n", [b"1\r\nx\r\n"] * 20 + [b"0\r\n\r\n"]),
+        (b"\r\n", [b"x"] * 20),
+        (b"Content-Length: 2000000\r\n\r\n", [b"x" * 100_000] * 20),
+    ],
+)
+def test_slow_answer_within_the_time_of_the_attempt_passes_whole(pools, framing, pieces):
+    backend = SlowBackend([test_upstream.HEAD + framing, *pieces])
+    names = upstream.HeaderNames(unframed=True)
+    answer = test_upstream.attempt(pools, backend.address, timeout_s=2.0, names=names).run()
+    passed = answer.prefetched + b"".join(answer.rest())
+    assert passed == b"x" * len(passed)
+    assert len(passed) in (20, 2_000_000)
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Iterator
 
+import gevent
 import msgspec
 import urllib3
 from urllib3 import connection, exceptions
@@ -147,6 +148,7 @@
         self.prefetched = prefetched
         self._rest = rest
         self.latency_ms = latency_ms
+        self._begun_s = time.monotonic()
 
     @property
     def whole(self) -> bool:
@@ -186,13 +188,19 @@
         """
         if self._rest is None:
             return
+        waited_s = 0.0
+        asked_s = time.monotonic()
         try:
-            yield from self._rest
+            for piece in self._rest:
+                waited_s += time.monotonic() - asked_s
+                yield piece
+                asked_s = time.monotonic()
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
+            waited_s += time.monotonic() - asked_s
             self.discard()
             raise AttemptError(
                 f"the answer's body ended early: {type(error).__name__}",
-                self.outcome(ports.OutcomeKind.TRUNCATED),
+                self.outcome(self._blamed_kind(error, waited_s)),
             ) from error
         self._release(True)
 
@@ -215,6 +223,14 @@
         """Close the connection, so that nothing late on it reaches another request."""
         self._release(False)
 
+    def _blamed_kind(self, error: Exception, waited_s: float) -> ports.OutcomeKind:
+        kind = _broken_kind(error)
+        passed_s = time.monotonic() - self._begun_s
+        if kind is ports.OutcomeKind.TIMEOUT and 2.0 * waited_s < passed_s:
+            # The caller took most of the time, for which the server cannot be blamed.
+            return ports.OutcomeKind.CANCELLED
+        return kind
+
 
 class _Idle(msgspec.Struct, frozen=True):
     """A connection that waits for its next request, since and until when (monotonic seconds)."""
@@ -309,7 +325,7 @@
     sent : SentRequest
         What to send.
     timeout_s : float
-        Longest wait for the next byte.
+        Longest time to the last byte of the answer.
     names : HeaderNames
         Headers that carry meaning.
     reuse_idle_s : float
@@ -380,21 +396,29 @@
 
     def _exchange(self) -> urllib3.BaseHTTPResponse:
         try:
-            self._connection = self._pools.take(
-                self._order.address, timeout_s=self._timeout_s, idle_at_most_s=self._reuse_idle_s
-            )
-            self._sock = self._connection.sock
-            if self._cancelled:
-                raise OSError("the attempt was cancelled")
-            self._bytes_sent = True
-            self._send()
-            self._response = self._connection.getresponse()
+            with self._time_limit():
+                self._connection = self._pools.take(
+                    self._order.address,
+                    timeout_s=self._timeout_s,
+                    idle_at_most_s=self._reuse_idle_s,
+                )
+                self._sock = self._connection.sock
+                if self._cancelled:
+                    raise OSError("the attempt was cancelled")
+                self._bytes_sent = True
+                self._send()
+                self._response = self._connection.getresponse()
             self._keep_s = _keep_alive_s(self._response.headers)
             return self._response
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
             self._release(False)
             raise self._failed(error) from error
 
+    def _time_limit(self) -> gevent.Timeout:
+        """Return a context that raises TimeoutError once the time of this attempt is up."""
+        left_s = self._started_s + self._timeout_s - time.monotonic()
+        return gevent.Timeout(max(0.0, left_s), TimeoutError("the time of the attempt is up"))
+
     def _send(self) -> None:
         try:
             self._connection.request(
@@ -428,7 +452,7 @@
             kind = ports.OutcomeKind.CANCELLED
         elif not self._bytes_sent:
             kind = ports.OutcomeKind.CONNECT_FAILED
-        elif isinstance(error, (exceptions.TimeoutError, TimeoutError)):
+        elif _is_timeout(error):
             kind = ports.OutcomeKind.TIMEOUT
         else:
             kind = ports.OutcomeKind.RESET
@@ -472,17 +496,9 @@
                 self._outcome(ports.OutcomeKind.TRUNCATED, response.status),
             )
         try:
-            start = self._read_start(response, chunked, length)
-            if self._cancelled:
-                # An answer without a length that is cut off here looks like a whole one.
-                raise OSError("the attempt was cancelled")
-            return start
+            return self._read_start(response, chunked, length)
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
-            kind = ports.OutcomeKind.TRUNCATED
-            if self._cancelled:
-                kind = ports.OutcomeKind.CANCELLED
-            elif isinstance(error, exceptions.TimeoutError):
-                kind = ports.OutcomeKind.TIMEOUT
+            kind = ports.OutcomeKind.CANCELLED if self._cancelled else _broken_kind(error)
             raise AttemptError(
                 f"the answer's body ended early: {type(error).__name__}",
                 self._outcome(kind, response.status),
@@ -493,13 +509,14 @@
     ) -> tuple[bytes, Iterator[bytes] | None]:
         if not chunked and length is not None:
             if int(length) > PREFETCH_BYTES:
-                return b"", response.stream(_CHUNK_BYTES, decode_content=False)
-            data = response.read(decode_content=False)
+                return b"", self._stream(response)
+            with self._time_limit():
+                data = response.read(decode_content=False)
             self._release(True)
             return data, None
         # One iterator for the whole body: dropping it half-way would close the answer, which
         # then looks complete.
-        pieces = response.stream(_CHUNK_BYTES, decode_content=False)
+        pieces = self._stream(response)
         data = bytearray()
         for piece in pieces:
             data += piece
@@ -508,6 +525,21 @@
         self._release(True)
         return bytes(data), None
 
+    def _stream(self, response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+        """Yield the body's pieces until its end or that of the attempt's time."""
+        pieces = response.stream(_CHUNK_BYTES, decode_content=False)
+        while True:
+            if time.monotonic() >= self._started_s + self._timeout_s:
+                raise TimeoutError("the time of the attempt is up")
+            with self._time_limit():
+                piece = next(pieces, None)
+            if piece is None:
+                break
+            yield piece
+        if self._cancelled:
+            # An answer without a length that is cut off here looks like a whole one.
+            raise OSError("the attempt was cancelled")
+
     def _check_status(self, answer: Answer) -> None:
         kind = answer.kind()
         refused = kind in (ports.OutcomeKind.SHED, ports.OutcomeKind.MISDIRECTED)
@@ -545,6 +577,15 @@
     return ports.OutcomeKind.OK
 
 
+def _is_timeout(error: Exception) -> bool:
+    return isinstance(error, (exceptions.TimeoutError, TimeoutError))
+
+
+def _broken_kind(error: Exception) -> ports.OutcomeKind:
+    """Return how an answer ended whose head had come."""
+    return ports.OutcomeKind.TIMEOUT if _is_timeout(error) else ports.OutcomeKind.TRUNCATED
+
+
 def _keep_alive_s(headers: urllib3.HTTPHeaderDict) -> float:
     """Return how long a connection may wait for its next request, by what its server states."""
     stated = _KEEP_ALIVE.search(headers.get("Keep-Alive", ""))
