A probe ends at its time-out, however its answer comes

A probed server that sends without end held a greenlet and memory for as long as it sent, or stopped the whole host; its probe never counted as failed.

Cause: the time-out bounded each read, and the whole body was read into memory.

Now one limit holds for the whole probe, its answer is read through the bounded connection, and more than 64 KiB of it counts as a failure.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -5,12 +5,13 @@
 import socket
 
 import gevent
+import urllib3
 from gevent import socket as gevent_socket
 from urllib3 import connection
 
 from verbenadrum.daemon import sockets
 
-__all__ = ["BoundedConnection", "MAX_LINES_BYTES"]
+__all__ = ["BoundedConnection", "BoundedPool", "MAX_LINES_BYTES"]
 
 # As much as `http.client` allows for a single line.
 MAX_LINES_BYTES = 65_536
@@ -113,3 +114,9 @@
     """Connection whose answers are read fairly and within bounds."""
 
     response_class = _BoundedResponse
+
+
+class BoundedPool(urllib3.HTTPConnectionPool):
+    """Pool of such connections to one server."""
+
+    ConnectionCls = BoundedConnection
--- a/verbenadrum/daemon/prober.py
+++ b/verbenadrum/daemon/prober.py
@@ -7,10 +7,12 @@
 from urllib3 import exceptions
 
 from verbenadrum.core import engine, ports
-from verbenadrum.daemon import sockets, upstream
+from verbenadrum.daemon import answers, sockets, upstream
 
 __all__ = ["Prober"]
 
+# A server says how it is in a few words.
+_MAX_ANSWER_BYTES = 65_536
 _MS_PER_S = 1000.0
 
 
@@ -45,7 +47,7 @@
             status = response.status
             kind = upstream.outcome_kind(status, response.headers, self._names)
             draining = upstream.says_draining(response.headers, self._names)
-        except exceptions.TimeoutError:
+        except (exceptions.TimeoutError, TimeoutError):
             kind = ports.OutcomeKind.TIMEOUT
         except (exceptions.HTTPError, OSError):
             kind = ports.OutcomeKind.CONNECT_FAILED
@@ -58,5 +60,28 @@
     def _ask(self, order: ports.ProbeOrder) -> urllib3.BaseHTTPResponse:
         ip, port = sockets.split_address(order.address)
         timeout_s = order.timeout_ms / _MS_PER_S
-        with urllib3.HTTPConnectionPool(ip, port, timeout=timeout_s, retries=False) as pool:
-            return pool.request("GET", order.path, headers={"X-Probe": "true"}, redirect=False)
+        headers = {"X-Probe": "true"}
+        with (
+            gevent.Timeout(timeout_s, TimeoutError("the time of the probe is up")),
+            answers.BoundedPool(ip, port, timeout=timeout_s, retries=False) as pool,
+            pool.request(
+                "GET", order.path, headers=headers, redirect=False, preload_content=False
+            ) as response,
+        ):
+            _read_whole(response)
+        return response
+
+
+def _read_whole(response: urllib3.BaseHTTPResponse) -> None:
+    """Read an answer to its end, since one that is cut off is no sign of health.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        If it is cut off or too long.
+    """
+    count = 0
+    for piece in response.stream(_MAX_ANSWER_BYTES, decode_content=False):
+        count += len(piece)
+        if count > _MAX_ANSWER_BYTES:
+            raise exceptions.ProtocolError("the answer to a probe is too long")
--- a/verbenadrum/daemon/tests/endless.py
+++ b/verbenadrum/daemon/tests/endless.py
@@ -5,6 +5,7 @@
 
 import gevent
 import msgspec
+import pytest
 
 from standins import child, endless, serving
 from verbenadrum.daemon.tests import test_upstream
@@ -30,6 +31,19 @@
     "unframed": (f"{HEAD}\r\n", "x", 65_536),
     "length": (f"{HEAD}Content-Length: 999999999999\r\n\r\n", "x", 65_536),
 }
+# Beginning and piece of answers that are sent with a pause after each piece.
+DRIPPING = {
+    "status-line": ("HTTP/1.1 200 ", "x"),
+    "one-line": ("", "x"),
+    "header-line": (f"{HEAD}X-More: ", "x"),
+    "interim-heads": ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk-extension": (f"{CHUNKED}5;", "x"),
+    "trailers": (f"{CHUNKED}0\r\n", "X-More: 1\r\n"),
+    "chunks": (CHUNKED, "1\r\nx\r\n"),
+    "unframed": (f"{HEAD}\r\n", "x"),
+    "short-length": (f"{HEAD}Content-Length: 5000\r\n\r\n", "x"),
+    "long-length": (f"{HEAD}Content-Length: 5000000\r\n\r\n", "x"),
+}
 # More than the operating system's buffers hold on both sides of a connection.
 MANY_BYTES = 48_000_000
 _CLOSE_TIMEOUT_S = 2.0
@@ -78,3 +92,16 @@
     def stop(self):
         self._greenlet.kill()
         return self.longest_s
+
+
+@pytest.fixture
+def serve(tmp_path):
+    running = []
+
+    def start(*args, **options):
+        running.append(EndlessServer(tmp_path, *args, **options))
+        return running[-1]
+
+    yield start
+    for server in running:
+        server.process.kill()
--- a/verbenadrum/daemon/tests/test_endless_answers.py
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -13,6 +13,7 @@
 from verbenadrum.daemon.tests import endless, test_upstream
 
 Kind = ports.OutcomeKind
+serve = endless.serve
 LIMIT_S = 0.5
 LATE_S = 1.0
 MEMORY_LIMIT_BYTES = 4_000_000
@@ -30,19 +31,6 @@
             gevent.sleep(0.01)
 
 
-@pytest.fixture
-def serve(tmp_path):
-    running = []
-
-    def start(*args, **options):
-        running.append(endless.EndlessServer(tmp_path, *args, **options))
-        return running[-1]
-
-    yield start
-    for server in running:
-        server.process.kill()
-
-
 @pytest.fixture
 def pools():
     return upstream.ConnectionPools(max_idle=2)
@@ -130,23 +118,9 @@
         assert caught.value.outcome.kind is Kind.CANCELLED
 
 
-DRIPPING = {
-    "status-line": ("HTTP/1.1 200 ", "x"),
-    "one-line": ("", "x"),
-    "header-line": (f"{endless.HEAD}X-More: ", "x"),
-    "interim-heads": ("", "HTTP/1.1 100 Continue\r\n\r\n"),
-    "chunk-extension": (f"{endless.CHUNKED}5;", "x"),
-    "trailers": (f"{endless.CHUNKED}0\r\n", "X-More: 1\r\n"),
-    "chunks": (endless.CHUNKED, "1\r\nx\r\n"),
-    "unframed": (f"{endless.HEAD}\r\n", "x"),
-    "short-length": (f"{endless.HEAD}Content-Length: 5000\r\n\r\n", "x"),
-    "long-length": (f"{endless.HEAD}Content-Length: 5000000\r\n\r\n", "x"),
-}
-
-
-@pytest.mark.parametrize("case", DRIPPING)
+@pytest.mark.parametrize("case", endless.DRIPPING)
 def test_answer_that_drips_ends_when_the_time_of_the_attempt_is_up(pools, serve, case):
-    server = serve(*DRIPPING[case], pause_s=0.005)
+    server = serve(*endless.DRIPPING[case], pause_s=0.005)
     outcome = outcome_of(pools, server, names=upstream.HeaderNames(unframed=True))
     assert (outcome.kind, outcome.may_have_run) == (Kind.TIMEOUT, True)
     server.await_closed()
--- /dev/null
+++ b/verbenadrum/daemon/tests/test_prober.py
@@ -0,0 +1,88 @@
+"""Tests of probes of servers that answer wrongly or without end."""
+
+import time
+import tracemalloc
+
+import gevent
+import pytest
+
+from verbenadrum.core import ports
+from verbenadrum.daemon import prober
+from verbenadrum.daemon.tests import endless, test_upstream
+
+Kind = ports.OutcomeKind
+serve = endless.serve
+TIMEOUT_S = 0.5
+LATE_S = 1.0
+MEMORY_LIMIT_BYTES = 4_000_000
+LONGEST_PAUSE_S = 0.5
+
+
+class FakeEngine:
+    """Orders one probe and keeps its outcome."""
+
+    def __init__(self, address):
+        self.order = ports.ProbeOrder(
+            lease="l1",
+            service="svc",
+            server="s1",
+            address=address,
+            path="/health",
+            timeout_ms=1000.0 * TIMEOUT_S,
+        )
+        self.outcomes = []
+
+    def take_probes(self):
+        return [self.order]
+
+    def probed(self, order, outcome):
+        self.outcomes.append(outcome)
+
+
+def outcome_of(address):
+    """Return how a probe ends, and check that it ends in time and in bounded memory."""
+    fake = FakeEngine(address)
+    ticker = endless.Ticker()
+    started_s = time.monotonic()
+    tracemalloc.start()
+    try:
+        prober.Prober(engine=fake).start_due()
+        with gevent.Timeout(5.0):
+            while not fake.outcomes:
+                gevent.sleep(0.01)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert time.monotonic() - started_s < TIMEOUT_S + LATE_S
+    assert ticker.stop() < LONGEST_PAUSE_S
+    assert peak < MEMORY_LIMIT_BYTES
+    return fake.outcomes[0]
+
+
+@pytest.mark.parametrize("case", endless.NO_ANSWERS | endless.BODIES)
+def test_probe_that_is_answered_without_end_fails(serve, case):
+    server = serve(*(endless.NO_ANSWERS | endless.BODIES)[case])
+    assert outcome_of(server.address).kind in (Kind.CONNECT_FAILED, Kind.TIMEOUT)
+    assert max(server.await_closed()) < endless.MANY_BYTES
+
+
+@pytest.mark.parametrize("case", endless.DRIPPING)
+def test_probe_whose_answer_drips_ends_at_its_timeout(serve, case):
+    server = serve(*endless.DRIPPING[case], pause_s=0.005)
+    assert outcome_of(server.address).kind is Kind.TIMEOUT
+    server.await_closed()
+
+
+@pytest.mark.parametrize(
+    ("answer", "after", "kind"),
+    [
+        (b"Content-Length: 2\r\n\r\nok", "keep", Kind.OK),
+        (b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "keep", Kind.OK),
+        (b"\r\nok", "close", Kind.OK),
+        (b"Content-Length: 9\r\n\r\nok", "close", Kind.CONNECT_FAILED),
+    ],
+)
+def test_probe_reads_the_whole_answer(answer, after, kind):
+    backend = test_upstream.Backend(test_upstream.HEAD + answer, after=after)
+    found = outcome_of(backend.address)
+    assert (found.kind, found.status) == (kind, 200 if kind is Kind.OK else 0)
