A call to the platform is read within bounds and fairly

A platform or store that sends interim heads or trailers without end stopped a whole host; one that sends a negative chunk size, or tiny chunks, filled its memory beside.

Cause: the size limit held for the body alone, http.client ignores it after a negative chunk size and keeps a list of all chunks, and the time limit cannot take effect while nothing else runs.

Now these calls use the bounded connection, and the body is read piece by piece. Other greenlets run after every 4th read, not every 16th: with 16, tiny chunks held them up for 0.6 s in one of two runs on a busy machine.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -7,16 +7,28 @@
 import gevent
 import urllib3
 from gevent import socket as gevent_socket
-from urllib3 import connection
+from urllib3 import connection, exceptions
 
 from verbenadrum.daemon import sockets
 
-__all__ = ["BoundedConnection", "BoundedPool", "MAX_LINES_BYTES"]
+__all__ = [
+    "BodyTooLongError",
+    "BoundedConnection",
+    "BoundedPool",
+    "MAX_LINES_BYTES",
+    "make_manager",
+    "read_body",
+]
 
 # As much as `http.client` allows for a single line.
 MAX_LINES_BYTES = 65_536
 # Reads from a socket after which other greenlets run, though more bytes wait.
-_READS_PER_TURN = 16
+_READS_PER_TURN = 4
+_CHUNK_BYTES = 65_536
+
+
+class BodyTooLongError(exceptions.HTTPError):
+    """A body of more bytes than are wanted."""
 
 
 class _FairReads(io.RawIOBase):
@@ -120,3 +132,40 @@
     """Pool of such connections to one server."""
 
     ConnectionCls = BoundedConnection
+
+
+class _BoundedTlsConnection(connection.HTTPSConnection):
+    """The same over TLS."""
+
+    response_class = _BoundedResponse
+
+
+class _BoundedTlsPool(urllib3.HTTPSConnectionPool):
+    """Pool of such connections to one server."""
+
+    ConnectionCls = _BoundedTlsConnection
+
+
+def make_manager(**options: object) -> urllib3.PoolManager:
+    """Return a manager of bounded pools, made with the options of `urllib3.PoolManager`."""
+    manager = urllib3.PoolManager(**options)
+    manager.pool_classes_by_scheme = {"http": BoundedPool, "https": _BoundedTlsPool}
+    return manager
+
+
+def read_body(response: urllib3.BaseHTTPResponse, *, most_bytes: int) -> bytes:
+    """Return a body that has not been read yet.
+
+    Raises
+    ------
+    BodyTooLongError
+        If it has more than ``most_bytes``.
+    urllib3.exceptions.HTTPError
+        If it ends early.
+    """
+    data = bytearray()
+    for piece in response.stream(_CHUNK_BYTES, decode_content=False):
+        data += piece
+        if len(data) > most_bytes:
+            raise BodyTooLongError(f"a body of more than {most_bytes} bytes")
+    return bytes(data)
--- a/verbenadrum/daemon/platform_reader.py
+++ b/verbenadrum/daemon/platform_reader.py
@@ -7,7 +7,7 @@
 import urllib3
 
 from verbenadrum.core import engine, ports
-from verbenadrum.daemon import sources
+from verbenadrum.daemon import answers, sources
 from verbenadrum.dissemination import duty
 
 __all__ = ["HttpSource", "PlatformReader"]
@@ -50,7 +50,7 @@
         self._options = options
         self._headers = {"X-Reader": options.host, "Accept": "application/json"}
         # urllib3 sets TCP_NODELAY on the sockets of its connections by itself.
-        self._http = urllib3.PoolManager(
+        self._http = answers.make_manager(
             num_pools=len(options.urls), maxsize=_CONNECTIONS_PER_URL, retries=False
         )
 
--- a/verbenadrum/daemon/prober.py
+++ b/verbenadrum/daemon/prober.py
@@ -68,20 +68,6 @@
                 "GET", order.path, headers=headers, redirect=False, preload_content=False
             ) as response,
         ):
-            _read_whole(response)
+            # An answer that is cut off is no sign of health.
+            answers.read_body(response, most_bytes=_MAX_ANSWER_BYTES)
         return response
-
-
-def _read_whole(response: urllib3.BaseHTTPResponse) -> None:
-    """Read an answer to its end, since one that is cut off is no sign of health.
-
-    Raises
-    ------
-    urllib3.exceptions.HTTPError
-        If it is cut off or too long.
-    """
-    count = 0
-    for piece in response.stream(_MAX_ANSWER_BYTES, decode_content=False):
-        count += len(piece)
-        if count > _MAX_ANSWER_BYTES:
-            raise exceptions.ProtocolError("the answer to a probe is too long")
--- a/verbenadrum/daemon/sources.py
+++ b/verbenadrum/daemon/sources.py
@@ -5,6 +5,7 @@
 import msgspec
 import urllib3
 
+from verbenadrum.daemon import answers
 from verbenadrum.dissemination import duty
 from verbenadrum.utils import errors, registry
 
@@ -69,12 +70,12 @@
         If it is too large.
     """
     try:
-        data = response.read(_MAX_ANSWER_BYTES + 1)
+        return answers.read_body(response, most_bytes=_MAX_ANSWER_BYTES)
+    except answers.BodyTooLongError as error:
+        response.close()
+        raise SourceError(f"{error.args[0]} from {base}") from error
     except BaseException:
         response.close()
         raise
     finally:
         response.release_conn()
-    if len(data) > _MAX_ANSWER_BYTES:
-        raise SourceError(f"answer of more than {_MAX_ANSWER_BYTES} bytes from {base}")
-    return data
--- a/verbenadrum/platform/store.py
+++ b/verbenadrum/platform/store.py
@@ -7,7 +7,7 @@
 import msgspec
 import urllib3
 
-from verbenadrum.daemon import sources
+from verbenadrum.daemon import answers, sources
 from verbenadrum.dissemination import duty
 from verbenadrum.platform import wire
 
@@ -38,7 +38,7 @@
 
     def __init__(self, *, options: sources.SourceOptions) -> None:
         self._options = options
-        self._http = urllib3.PoolManager(num_pools=2, maxsize=2, retries=False)
+        self._http = answers.make_manager(num_pools=2, maxsize=2, retries=False)
         self._reported: set[tuple[str, int]] = set()
 
     def poll(self, base: str, stream: duty.Stream, order: duty.PollOrder) -> duty.RecordsAnswer:
