A Content-Length that is no number ends its attempt at once

A request whose backend server states a length such as a superscript digit or one of 5,000 digits was answered only at its deadline; its attempt's greenlet died and its slot was never given back by it.

Cause: str.isdigit() accepts digits and lengths that int() does not, and the ValueError is none of the errors that an attempt expects.

Now a length is 1 to 18 ASCII digits; anything else is no length.

--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -40,6 +40,8 @@
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_ALIVE_S = 4.0
 _KEEP_ALIVE = re.compile(r"timeout\s*=\s*([0-9]+)")
+# As many digits as an integer of 64 bits may surely have.
+_LENGTH = re.compile(r"[0-9]{1,18}")
 _MISDIRECTED_STATUS = 421
 _FALSE = ("", "0", "false")
 _MS_PER_S = 1000.0
@@ -489,7 +491,7 @@
         length = response.headers.get("Content-Length")
         chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
         unframed = length is None and self._names.unframed
-        if not chunked and not unframed and (length is None or not length.isdigit()):
+        if not chunked and not unframed and not _LENGTH.fullmatch(length or ""):
             # Without a length, an answer that was cut off may look like a whole one.
             raise AttemptError(
                 "the answer has no length",
