A fault while idle connections are closed cuts no request; how late a linger ended is logged

A fault in the look ended the host's end with a request in flight: test_fault_in_closing_idle_connections_cuts_no_request failed (no answer).

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -210,13 +210,18 @@
         self._sleep_until(since_ms + linger_ms - refuses_ms)
         self._engine.refuse_late()
         self._sleep_until(since_ms + linger_ms)
+        late_ms = round(self._clock.now_ms() - since_ms - linger_ms, 1)
         self._caller_server.drain()
-        _log.info("listener closed", extra=self._open_work())
+        _log.info("listener closed", extra={**self._open_work(), "late_ms": late_ms})
         # A request may arrive on a kept connection until the moment at which that is closed, and
         # those that are refused because the time is up get their answers after it.
         closes_ms = ends_ms + margin_ms / 2.0
         while self._caller_server.connections and self._clock.now_ms() < closes_ms:
-            self._caller_server.close_idle()
+            try:
+                self._caller_server.close_idle()
+            except Exception:
+                # Without it connections end later; a cut would lose what is in flight.
+                _log.exception("idle connections not closed")
             gevent.sleep(_SHUTDOWN_POLL_S)
         # The last releases and ends of claims are still on their way to other hosts.
         gevent.sleep(_LAST_MESSAGES_S)
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -211,6 +211,20 @@
     assert data.startswith(b"HTTP/1.1 200 ")
 
 
+def test_fault_in_closing_idle_connections_cuts_no_request(quick, monkeypatch):
+    def fail():
+        raise OSError("cannot look")
+
+    monkeypatch.setattr(quick.host._caller_server, "close_idle", fail)
+    quick.server.work_s = 0.6
+    running = quick.begin()
+    wait_until(lambda: quick.server.heads)
+    quick.host.begin_shutdown()
+    data, clean = received(running)
+    assert data.startswith(b"HTTP/1.1 200 ")
+    assert clean
+
+
 def test_answer_that_arrived_before_the_deadline_is_delivered_by_a_host_that_is_late(stalled):
     stall = monkey.get_original("time", "sleep")
     with stalled.connect() as sock:
