--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -221,6 +221,7 @@
     wait_until(lambda: quick.server.heads)
     quick.host.begin_shutdown()
     data, clean = received(running)
+    assert not quick.host._stopped.is_set()
     assert data.startswith(b"HTTP/1.1 200 ")
     assert clean
 
