A connection on which bytes come after an answer carries no other request

A request that may run only once failed where its kept connection had carried more bytes than the answer before: the rest of them was read as its answer. A server that went on sending kept its idle connection for up to a minute.

Cause: bytes that had come together with an answer's end went away with its buffer, so that the connection looked clean when it was taken again; idle connections were looked at only when taken.

Before: the second attempt on the connection ended as reset (BadStatusLine), and the idle connection was still open when the test's 2 s were over.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -40,6 +40,11 @@
         Reads from the socket.
     sock : socket.socket
         The socket.
+
+    Attributes
+    ----------
+    received : int
+        Bytes read so far.
     """
 
     def __init__(self, *, raw: io.RawIOBase, sock: socket.socket) -> None:
@@ -47,6 +52,7 @@
         self._raw = raw
         self._sock = sock
         self._reads = 0
+        self.received = 0
 
     def readable(self) -> bool:
         """Return True."""
@@ -62,7 +68,9 @@
             self._reads = 0
             self._let_others_run()
         self._reads += 1
-        return self._raw.readinto(buffer)
+        count = self._raw.readinto(buffer)
+        self.received += count or 0
+        return count
 
     def close(self) -> None:
         """Let go of the socket."""
@@ -82,10 +90,17 @@
 class _BoundedReader(io.BufferedReader):
     """Buffered reads of one answer whose heads, chunk sizes and trailers are bounded."""
 
-    def __init__(self, raw: io.RawIOBase) -> None:
+    def __init__(self, raw: _FairReads) -> None:
         super().__init__(raw)
+        self._reads = raw
+        self._taken = 0
         self._lines_bytes = 0
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether more bytes came than were taken; it can be asked after closing, too."""
+        return self._reads.received > self._taken
+
     def readline(self, size: int | None = -1) -> bytes:
         """Read a line, where not too many have come since the last byte of the body.
 
@@ -95,6 +110,7 @@
             If the lines are longer than `MAX_LINES_BYTES` together.
         """
         line = super().readline(size)
+        self._taken += len(line)
         self._lines_bytes += len(line)
         if self._lines_bytes > MAX_LINES_BYTES:
             raise http.client.LineTooLong("head or trailers")
@@ -111,7 +127,9 @@
         if size is None or size < 0:
             raise http.client.HTTPException("a part of the body without a size")
         self._lines_bytes = 0
-        return super().read(size)
+        data = super().read(size)
+        self._taken += len(data)
+        return data
 
 
 class _BoundedResponse(http.client.HTTPResponse):
@@ -125,7 +143,20 @@
 class BoundedConnection(connection.HTTPConnection):
     """Connection whose answers are read fairly and within bounds."""
 
-    response_class = _BoundedResponse
+    _reader: _BoundedReader | None = None
+
+    @property
+    def has_surplus(self) -> bool:
+        """Whether bytes came after the last answer, to which no request belongs."""
+        return self._reader is not None and self._reader.has_surplus
+
+    def response_class(
+        self, sock: socket.socket, *args: object, **kwargs: object
+    ) -> http.client.HTTPResponse:
+        """Make an answer."""
+        response = _BoundedResponse(sock, *args, **kwargs)
+        self._reader = response.fp
+        return response
 
 
 class BoundedPool(urllib3.HTTPConnectionPool):
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -12,7 +12,7 @@
 import gevent
 import msgspec
 import urllib3
-from urllib3 import connection, exceptions
+from urllib3 import exceptions
 
 from verbenadrum.core import ports
 from verbenadrum.daemon import answers, sockets
@@ -237,7 +237,7 @@
 class _Idle(msgspec.Struct, frozen=True):
     """A connection that waits for its next request, since and until when (monotonic seconds)."""
 
-    connection: connection.HTTPConnection
+    connection: answers.BoundedConnection
     since_s: float
     until_s: float
 
@@ -268,7 +268,7 @@
 
     def take(
         self, address: str, *, timeout_s: float, idle_at_most_s: float = math.inf
-    ) -> connection.HTTPConnection:
+    ) -> answers.BoundedConnection:
         """Return a connection to a server, connecting where no idle one is usable.
 
         Raises
@@ -295,22 +295,29 @@
         return fresh
 
     def put(
-        self, address: str, used: connection.HTTPConnection, *, keep_s: float = math.inf
+        self, address: str, used: answers.BoundedConnection, *, keep_s: float = math.inf
     ) -> None:
-        """Keep a connection whose last answer was read whole, or close it if too many wait."""
+        """Keep a connection whose last answer was read whole.
+
+        It is closed where too many wait, or where bytes have come that belong to no request.
+        """
         idle = self._idle.setdefault(address, collections.deque())
-        if used.sock is None or len(idle) >= self._max_idle:
+        if used.sock is None or used.has_surplus or len(idle) >= self._max_idle:
             used.close()
         else:
             now_s = time.monotonic()
             idle.append(_Idle(used, now_s, now_s + keep_s))
 
     def close_idle(self, *, longer_than_s: float) -> None:
-        """Close connections that have waited for long; the ones used last wait at the end."""
+        """Close connections that have waited for long, have ended, or hold bytes of no request."""
         oldest_s = time.monotonic() - longer_than_s
         for address, idle in list(self._idle.items()):
-            while idle and idle[0].since_s < oldest_s:
-                idle.popleft().connection.close()
+            for _ in range(len(idle)):
+                row = idle.popleft()
+                if row.since_s < oldest_s or sockets.ended(row.connection.sock):
+                    row.connection.close()
+                else:
+                    idle.append(row)
             if not idle:
                 del self._idle[address]
 
@@ -351,7 +358,7 @@
         self._order = order
         self._sent = sent
         self._timeout_s = timeout_s
-        self._connection: connection.HTTPConnection | None = None
+        self._connection: answers.BoundedConnection | None = None
         # The connection lets go of both where the answer ends with it.
         self._sock: socket.socket | None = None
         self._response: urllib3.BaseHTTPResponse | None = None
