A body after a status that has none is not read

A 204 or 304 with chunks without end was read into memory with no time limit, and an error while reading it ended the attempt's greenlet without an outcome.

Cause: http.client reads chunks whatever the status, and this read stood outside of all that guards the others.

Now such an answer is closed unread. Bytes that came with it, or come later, close its connection as after any other answer.

--- a/verbenadrum/daemon/tests/test_endless_answers.py
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -192,3 +192,18 @@
             gevent.sleep(0.05)
             pools.close_idle(longer_than_s=60.0)
     assert max(server.await_closed()) < endless.MANY_BYTES
+
+
+@pytest.mark.parametrize(("status", "method"), [(204, "GET"), (304, "GET"), (200, "HEAD")])
+def test_body_of_an_answer_that_has_none_is_not_read(pools, serve, status, method):
+    first = endless.CHUNKED.replace("200 OK", f"{status} No")
+    server = serve(first, *endless.BODIES["chunks"][1:])
+    running = test_upstream.attempt(pools, server.address, method=method, timeout_s=LIMIT_S)
+    with gevent.Timeout(LIMIT_S + LATE_S):
+        answer = running.run()
+    assert (answer.status, answer.prefetched, answer.whole) == (status, b"", True)
+    with gevent.Timeout(2.0):
+        while pools.idle:
+            gevent.sleep(0.05)
+            pools.close_idle(longer_than_s=60.0)
+    assert max(server.await_closed()) < endless.MANY_BYTES
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -492,7 +492,7 @@
     def _prefetch(self, response: urllib3.BaseHTTPResponse) -> tuple[bytes, Iterator[bytes] | None]:
         """Read the start of the body, so that a small answer is known whole before it passes."""
         if self._sent.method == "HEAD" or response.status in _BODILESS_STATUSES:
-            response.read(decode_content=False)
+            response.close()
             self._release(True)
             return b"", None
         length = response.headers.get("Content-Length")
