Cancelling an answer that comes fast resets its connection

A backend server that had filled its connection with an answer stayed blocked after that answer had been cancelled, 8 s and more.

Cause: after the shutdown the rest is read up to the end, so that nothing is unread at the close and no reset is sent, and a socket that has been shut down for reading announces no more room to a server that waits to send.

Now a connection that is cancelled after the head of its answer is reset when it is closed. One whose request waits for its answer ends as before.

--- a/verbenadrum/daemon/sockets.py
+++ b/verbenadrum/daemon/sockets.py
@@ -2,6 +2,7 @@
 
 import socket
 import ssl
+import struct
 
 from verbenadrum.settings import types
 
@@ -14,11 +15,14 @@
     "listen",
     "peer_client_context",
     "peer_server_context",
+    "reset_on_close",
     "server_context",
     "split_address",
 ]
 
 _BACKLOG = 1024
+# On, and no seconds to wait for what was sent.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -38,6 +42,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def reset_on_close(sock: socket.socket) -> None:
+    """Have closing a socket reset its connection, whatever has been shut down before."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
 def has_gone(address: str, *, connect_timeout_s: float, hold_s: float) -> bool:
     """Return whether a server takes no new connection, or ends it before anything is sent.
 
--- a/verbenadrum/daemon/tests/test_endless_answers.py
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -207,3 +207,13 @@
             gevent.sleep(0.05)
             pools.close_idle(longer_than_s=60.0)
     assert max(server.await_closed()) < endless.MANY_BYTES
+
+
+def test_cancelled_answer_that_comes_fast_resets_its_connection(pools, serve):
+    server = serve(*endless.BODIES["small-chunks"])
+    running = test_upstream.attempt(pools, server.address)
+    gevent.spawn_later(0.3, running.cancel)
+    with gevent.Timeout(0.3 + LATE_S), pytest.raises(upstream.AttemptError) as caught:
+        running.run()
+    assert caught.value.outcome.kind is Kind.CANCELLED
+    server.await_closed()
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -373,6 +373,9 @@
         self._cancelled = True
         if self._sock is not None:
             with contextlib.suppress(OSError):  # The connection may have ended already.
+                if self._response is not None:
+                    # A server that waits to send more of its answer does not see the shutdown.
+                    sockets.reset_on_close(self._sock)
                 self._sock.shutdown(socket.SHUT_RDWR)
 
     def run(self) -> Answer:
