Tests of what callers get from backend servers that send without end

They play the callers' port with an engine: status and not_run of a request that may run once, one run each, answers at the deadline, streamed bodies that end without looking complete while another request goes on, and a repeatable request that another server answers. Each outcome is one that counts.

--- a/verbenadrum/daemon/tests/test_callers.py
+++ b/verbenadrum/daemon/tests/test_callers.py
@@ -64,7 +64,7 @@
         return [body]
 
 
-def make_engine(address):
+def make_engine(*addresses, **pool):
     time = clock.SystemClock()
     made = context.Context(
         host="h1",
@@ -79,10 +79,13 @@
     core = engine.Engine(context=made, choices=BASELINES)
     row = ports.HostRow(host="h1", address="127.0.0.1:1", data_centre="d1", region="r1")
     core.apply_hosts(1, (row,))
-    entry = types.ServerEntry(server="s1", address=address)
+    entries = tuple(
+        types.ServerEntry(server=f"s{number}", address=address)
+        for number, address in enumerate(addresses, start=1)
+    )
     specs = [
         (types.RecordKind.ROUTE, types.RouteSpec(path_prefix="/", service="svc")),
-        (types.RecordKind.POOL, types.PoolSpec(servers=(entry,))),
+        (types.RecordKind.POOL, types.PoolSpec(servers=entries, **pool)),
         (types.RecordKind.WORKSPACE, types.WorkspaceSpec(rate_per_s=1e6, burst=1e6)),
         (types.RecordKind.KEY, types.KeySpec(workspace="svc", sha256=keys.hash_key("secret"))),
     ]
--- /dev/null
+++ b/verbenadrum/daemon/tests/test_endless_callers.py
@@ -0,0 +1,156 @@
+"""Tests of what callers get from backend servers whose bytes come without end."""
+
+import contextlib
+import socket
+import time
+
+import gevent
+import pytest
+import urllib3
+
+from verbenadrum.core import engine, ports
+from verbenadrum.daemon import callers, http_server, sockets, upstream
+from verbenadrum.daemon.tests import endless, test_callers
+from verbenadrum.settings import types
+
+serve = endless.serve
+Kind = ports.OutcomeKind
+ID_LINE = "X-Request-Id: q1\r\n"
+HEADERS = {**test_callers.KEY, "X-Deadline-Ms": "1000"}
+# A second to the deadline, and one more until a read ends that was not cancelled.
+LIMIT_S = 2.0
+LATE_S = 1.5
+STREAMED = {case: (*what, 0.0) for case, what in endless.BODIES.items()}
+STREAMED["long-length"] = (*endless.DRIPPING["long-length"], 1, 0.005)
+FAILURES = (Kind.RESET, Kind.TRUNCATED, Kind.TIMEOUT, Kind.CANCELLED)
+
+
+class RecordingEngine:
+    """Notes the outcomes that are reported to an engine."""
+
+    def __init__(self, core):
+        self._core = core
+        self.kinds = []
+
+    def __getattr__(self, name):
+        return getattr(self._core, name)
+
+    def outcome(self, request, lease, outcome, answer=None):
+        self.kinds.append(outcome.kind)
+        return self._core.outcome(request, lease, outcome, answer)
+
+
+class Host:
+    """Callers' port with the engine's ticks; its address, and the outcomes so far."""
+
+    def __init__(self, *addresses):
+        core, clock = test_callers.make_engine(*addresses, echoes_request_id=False)
+        self.core = RecordingEngine(core)
+        port = callers.CallersPort(
+            engine=self.core,
+            pools=upstream.ConnectionPools(max_idle=2),
+            clock=clock,
+            meters=test_callers.Meters(),
+            headers=types.HeadersTable(unframed_answers=True),
+        )
+        self.server = http_server.HttpServer(
+            listener=sockets.listen("127.0.0.1:0"), application=port.application
+        )
+        self.server.start()
+        self.url = f"http://127.0.0.1:{self.server.server_port}"
+        self._ticks = gevent.spawn(self._tick)
+
+    def _tick(self):
+        while True:
+            gevent.sleep(engine.TICK_MS / 1000.0)
+            self.core.on_tick()
+
+    def call(self, method, path="/x"):
+        return urllib3.request(
+            method, f"{self.url}{path}", headers=HEADERS, retries=False, timeout=LIMIT_S + LATE_S
+        )
+
+    def stop(self):
+        self._ticks.kill()
+        self.server.stop(timeout=0)
+
+
+@pytest.fixture
+def start():
+    with contextlib.ExitStack() as stack:
+
+        def make(*addresses):
+            host = Host(*addresses)
+            stack.callback(host.stop)
+            return host
+
+        yield make
+
+
+def without_id(first, *rest):
+    return first.replace(ID_LINE, ""), *rest
+
+
+def read_all(host, path="/x"):
+    """Return all bytes of an answer up to the end of its connection."""
+    lines = [f"GET {path} HTTP/1.1", "Host: a", "Connection: close"]
+    lines.extend(f"{name}: {value}" for name, value in HEADERS.items())
+    received = bytearray()
+    with socket.create_connection(("127.0.0.1", host.server.server_port)) as sock:
+        sock.settimeout(LIMIT_S + LATE_S)
+        sock.sendall("\r\n".join([*lines, "", ""]).encode())
+        while data := sock.recv(1_000_000):
+            received = received[-100:] + data if received else bytearray(data)
+    return bytes(received)
+
+
+@pytest.mark.parametrize("case", endless.NO_ANSWERS)
+def test_request_that_may_run_once_is_told_that_its_outcome_is_unknown(serve, start, case):
+    server = serve(*without_id(*endless.NO_ANSWERS[case]))
+    host = start(server.address)
+    answer = host.call("POST")
+    assert (answer.status, answer.json()["not_run"]) == (502, "unknown")
+    assert len(host.core.kinds) == 1
+    assert host.core.kinds[0] in FAILURES
+    server.await_closed()
+    assert len(server.events("requested")) == 1
+
+
+@pytest.mark.parametrize("case", sorted(set(endless.DRIPPING) - {"long-length"}))
+def test_request_whose_answer_drips_is_answered_at_its_deadline(serve, start, case):
+    server = serve(*without_id(*endless.DRIPPING[case]), pause_s=0.005)
+    host = start(server.address)
+    started_s = time.monotonic()
+    answer = host.call("POST")
+    assert time.monotonic() - started_s < LIMIT_S
+    assert (answer.status, answer.json()["not_run"]) == (504, "unknown")
+    server.await_closed()
+
+
+@pytest.mark.parametrize("case", STREAMED)
+def test_streamed_body_without_end_is_cut_off_and_holds_up_nobody(serve, start, case):
+    *what, pause_s = STREAMED[case]
+    server = serve(*without_id(*what), pause_s=pause_s)
+    host = start(server.address)
+    good = start(test_callers.Backend().address)
+    started_s = time.monotonic()
+    streaming = gevent.spawn(read_all, host)
+    longest_s = 0.0
+    while not streaming.ready() and time.monotonic() - started_s < LIMIT_S + LATE_S:
+        asked_s = time.monotonic()
+        assert good.call("GET").status == 200
+        longest_s = max(longest_s, time.monotonic() - asked_s)
+        gevent.sleep(0.01)
+    assert not streaming.get(timeout=0.0).endswith(b"\r\n0\r\n\r\n")
+    assert longest_s < 1.0
+    assert host.core.kinds[0] in FAILURES
+    server.await_closed()
+
+
+def test_repeatable_request_is_answered_by_another_server(serve, start):
+    server = serve(*endless.NO_ANSWERS["interim-heads"])
+    host = start(server.address, test_callers.Backend().address)
+    for _ in range(10):
+        answer = host.call("GET")
+        assert (answer.status, answer.data[:2]) == (200, b"0 ")
+    assert Kind.RESET in host.core.kinds
