A server that sends before it is asked does not count as crashed

A request that met such a server counted as one that kills its servers, and could be refused as such after two of them.

Cause: the look after a broken answer took any end of its wait but a time-out for a closed connection, bytes too.

Now only an end is an end.

--- a/verbenadrum/daemon/sockets.py
+++ b/verbenadrum/daemon/sockets.py
@@ -62,14 +62,14 @@
     try:
         with socket.create_connection(split_address(address), connect_timeout_s) as sock:
             sock.settimeout(hold_s)
-            sock.recv(1)
+            # A server that sends before it is asked is there.
+            return not sock.recv(1)
     except TimeoutError:
         # Nothing came and nothing closed, as at any idle server; a connection that takes too
         # long is no proof of a crash either.
         return False
     except OSError:
         return True
-    return True
 
 
 def is_tls(sock: socket.socket) -> bool:
--- a/verbenadrum/daemon/tests/test_endless_answers.py
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -31,6 +31,16 @@
             gevent.sleep(0.01)
 
 
+class UnaskedBackend(test_upstream.Backend):
+    """Sends before it is asked, until its connection is closed."""
+
+    def handle(self, sock, address):
+        with contextlib.suppress(OSError):
+            while True:
+                sock.sendall(self.answer)
+                gevent.sleep(0.001)
+
+
 @pytest.fixture
 def pools():
     return upstream.ConnectionPools(max_idle=2)
@@ -217,3 +227,9 @@
         running.run()
     assert caught.value.outcome.kind is Kind.CANCELLED
     server.await_closed()
+
+
+def test_server_that_sends_unasked_has_not_crashed(pools):
+    backend = UnaskedBackend(b"junk\r\n")
+    outcome = test_upstream.outcome_of(pools, backend)
+    assert (outcome.kind, outcome.server_gone) == (Kind.RESET, False)
