--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -372,10 +372,11 @@
         """Close the connection at once, which the backend server sees as a cancellation."""
         self._cancelled = True
         if self._sock is not None:
-            with contextlib.suppress(OSError):  # The connection may have ended already.
-                if self._response is not None:
-                    # A server that waits to send more of its answer does not see the shutdown.
+            if self._response is not None:
+                # A server that waits to send more of its answer does not see the shutdown.
+                with contextlib.suppress(OSError):  # An ended connection needs no reset.
                     sockets.reset_on_close(self._sock)
+            with contextlib.suppress(OSError):  # The connection may have ended already.
                 self._sock.shutdown(socket.SHUT_RDWR)
 
     def stop(self) -> ports.Outcome:
