--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -46,7 +46,7 @@
 # Callers count the linger from the sending of SIGTERM, which a busy process handles late.
 _SIGNAL_DELAY_MS = 250.0
 # Two ticks until requests expire, as long to write their refusals, and the last messages.
-_LEAST_MARGIN_MS = 300.0
+_LEAST_MARGIN_MS = 400.0
 _MAX_IDLE_CONNECTIONS = 8
 # Pool homes count a connection for 60 s after its last use, so it must be closed by then.
 _IDLE_CONNECTION_S = 45.0
@@ -215,7 +215,7 @@
         _log.info("listener closed", extra={**self._open_work(), "late_ms": late_ms})
         # A request may arrive on a kept connection until the moment at which that is closed, and
         # those that are refused because the time is up get their answers after it.
-        closes_ms = ends_ms + margin_ms / 2.0
+        closes_ms = ends_ms + margin_ms / 2.0 - _LAST_MESSAGES_S * _MS_PER_S
         while self._caller_server.connections and self._clock.now_ms() < closes_ms:
             try:
                 self._caller_server.close_idle()
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -149,7 +149,7 @@
 
     For ``linger_ms`` it still accepts connections, since callers or a balancer learn of the end
     late, though no longer than half of its time. ``margin_ms`` before ``limit_ms``, and at least
-    300 ms before it, every request that is still in flight is refused; half of this time is for
+    400 ms before it, every request that is still in flight is refused; half of this time is for
     writing the refusals.
     """
 
