--- a/standins/backend.py
+++ b/standins/backend.py
@@ -2,12 +2,13 @@
 
 It reads raw HTTP/1.1, since a WSGI server would not let it send broken answers. Query parameters
 choose the answer: ``ms`` the service time, ``size`` the body's bytes. A body's first line is the
-caller's ``X-Nonce``, and ``/echo`` adds the request headers received. Each begun run is printed to
-standard output, so that it is known even after a crash. Control paths: ``/control/faults`` (a list
-of `behaviours.Fault`) and ``/control/runs``.
+caller's ``X-Nonce``, and ``/echo`` adds the request headers received. Begin and end of each run are
+printed to standard output, so that they are known even after a crash. Control paths:
+``/control/faults`` (a list of `behaviours.Fault`) and ``/control/runs``.
 """
 
 import collections
+import enum
 import http.server
 import os
 import random
@@ -24,7 +25,7 @@
 
 from standins import behaviours, serving
 
-__all__ = ["Backend", "Run", "RunCounts"]
+__all__ = ["Backend", "Run", "RunCounts", "RunEnd", "RunOutcome"]
 
 _PORT = flags.DEFINE_integer("backend_port", 0, "Port to listen on; 0 for any free one.")
 _NAME = flags.DEFINE_string("server_name", "s1", "Identifier of this backend server.")
@@ -40,7 +41,16 @@
 _CRASH_EXIT_CODE = 70
 
 
-class Run(msgspec.Struct, frozen=True, kw_only=True):
+class RunOutcome(enum.Enum):
+    """How a run ended."""
+
+    ANSWERED = "answered"
+    CALLER_LEFT = "caller left"
+    DEADLINE = "deadline"
+    CUT = "cut"
+
+
+class Run(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """A run that has begun; ``secret`` says whether a caller's key came with it."""
 
     server: str
@@ -51,6 +61,15 @@
     secret: bool = False
 
 
+class RunEnd(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A run that has ended; its answer, if any, is with the operating system."""
+
+    server: str
+    request: str
+    at_ms: float
+    outcome: RunOutcome
+
+
 class RunCounts(msgspec.Struct, frozen=True, kw_only=True):
     """Runs begun, by request identifier and by idempotency key."""
 
@@ -123,6 +142,11 @@
             self._by_key[f"{run.workspace}/{run.key}"] += 1
         print(msgspec.json.encode(run).decode(), flush=True)
 
+    def end_run(self, request: str, outcome: RunOutcome) -> None:
+        """Print the end of a run."""
+        end = RunEnd(server=self.name, request=request, at_ms=time.time() * 1000.0, outcome=outcome)
+        print(msgspec.json.encode(end).decode(), flush=True)
+
 
 class Connection(http.server.BaseHTTPRequestHandler):
     """One caller's connection; ``server`` is the `Backend`."""
@@ -167,16 +191,30 @@
             at_ms=time.time() * 1000.0,
             secret=SECRET_MARK in f"{self.path} {self.headers}",
         )
-        if not behaviours.Call(target=self.path).is_probe:
-            self.server.begin_run(run)
+        if behaviours.Call(target=self.path).is_probe:
+            self._finish_run(plan, run, query, deadline, body)
+            return
+        self.server.begin_run(run)
+        outcome = RunOutcome.CUT
+        try:
+            outcome = self._finish_run(plan, run, query, deadline, body)
+        finally:
+            self.server.end_run(run.request, outcome)
+
+    def _finish_run(
+        self, plan: behaviours.Plan, run: Run, query: dict, deadline: float, body: str
+    ) -> RunOutcome:
+        """Work, and answer as planned."""
         if plan.crash:
             os._exit(_CRASH_EXIT_CODE)
-        if not self._work(plan.service_ms, deadline):
-            return
+        outcome = self._work(plan.service_ms, deadline)
+        if outcome is not RunOutcome.ANSWERED:
+            return outcome
         if plan.status != 200:
             self._send_status(plan.status, not_run=False)
-            return
-        self._send_answer(plan, self._make_answer(run.request, query), body)
+        else:
+            self._send_answer(plan, self._make_answer(run.request, query), body)
+        return outcome
 
     def _make_answer(self, request: str, query: dict) -> Answer:
         prefix = f"{self.headers.get('X-Nonce', self.path)}\n".encode()
@@ -185,17 +223,17 @@
         size = int(query.get("size", [_DEFAULT_SIZE])[0])
         return Answer(request=request, prefix=prefix, size=max(size, len(prefix)))
 
-    def _work(self, service_ms: float, deadline: float) -> bool:
-        """Work until done; False where the caller left or the deadline passed."""
+    def _work(self, service_ms: float, deadline: float) -> RunOutcome:
+        """Work until done, or until the caller leaves or the deadline passes."""
         end = time.monotonic() + min(service_ms / 1000.0, _MAX_WORK_S)
         while (now := time.monotonic()) < end:
             if now >= deadline:
                 self._send_status(504, not_run=False)
-                return False
+                return RunOutcome.DEADLINE
             if self._caller_left(min(end, deadline) - now):
                 self.close_connection = True
-                return False
-        return True
+                return RunOutcome.CALLER_LEFT
+        return RunOutcome.ANSWERED
 
     def _caller_left(self, wait_s: float) -> bool:
         readable, _, _ = select.select([self.connection], [], [], min(wait_s, _POLL_S))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -22,6 +22,7 @@
 _SHARE_START_MS = 600_000.0
 _SERVE_AFTER_MS = 60_000.0
 _CLOCK_MARGIN_MS = 2_000.0
+_RUN_LINE = backend.Run | backend.RunEnd
 _SETTINGS = """\
 [host]
 id = "{spec.host}"
@@ -40,6 +41,7 @@
 seed = {seed}
 ring_size = 65536
 {decisions}
+{tables}
 """
 
 
@@ -64,6 +66,7 @@
     process: child.Child
     callers: int
     operators: int
+    peers: int
     listed: platform.Host
 
 
@@ -85,6 +88,8 @@
         Whether peers and backend servers are reached through the fault proxy.
     decisions : str
         Further TOML lines of the daemons' ``[decisions]`` table.
+    tables : str
+        Further TOML tables of the daemons' settings.
 
     Attributes
     ----------
@@ -92,10 +97,13 @@
         Settings and logs of every process; deleted at the end.
     """
 
-    def __init__(self, *, seed: int = 1, proxied: bool = True, decisions: str = "") -> None:
+    def __init__(
+        self, *, seed: int = 1, proxied: bool = True, decisions: str = "", tables: str = ""
+    ) -> None:
         self._seed = seed
         self._proxied = proxied
         self._decisions = decisions
+        self._tables = tables
         self._folder = tempfile.TemporaryDirectory(prefix="verbenadrum-")
         self.directory = pathlib.Path(self._folder.name)
         self._children: list[child.Child] = []
@@ -140,9 +148,11 @@
             holder.close()
         self._folder.cleanup()
 
-    def start_servers(self, specs: Iterable[ServerSpec], *, service_ms: float = 5.0) -> None:
+    def start_servers(
+        self, specs: Iterable[ServerSpec], *, service_ms: float = 5.0, slots: int = 3
+    ) -> None:
         """Start backend servers; `pool_entries` then names them for a pool record."""
-        started = [(spec, self._start_server(spec, service_ms)) for spec in specs]
+        started = [(spec, self._start_server(spec, service_ms, slots)) for spec in specs]
         for spec, process in started:
             port = process.read_port()
             self._servers[spec.server] = _RunningServer(
@@ -174,6 +184,23 @@
         for spec in specs:
             self.wait_ready(spec.host)
 
+    def restart_host(self, host: str) -> child.Child:
+        """Start an ended host again at its ports, and return the process, which may not yet listen.
+
+        Its seeds are other hosts of the fleet.
+        """
+        running = self._hosts[host]
+        ports = [running.callers, running.operators, running.peers]
+        path = self._write_settings(running.spec, ports)
+        running.process = self._start_daemon(host, path)
+        return running.process
+
+    def reload_host(self, host: str) -> None:
+        """Write a host's settings with its present seeds, and tell it to read them again."""
+        running = self._hosts[host]
+        self._write_settings(running.spec, [running.callers, running.operators, running.peers])
+        running.process.send_signal(signal.SIGHUP)
+
     def list_hosts(self, unlisted: Iterable[str] = (), leaving: Iterable[str] = ()) -> None:
         """Publish the host list, without some hosts and with some as leaving."""
         rows = [
@@ -278,24 +305,32 @@
 
     def runs(self) -> list[backend.Run]:
         """Return every run that a backend server began, crashed servers included."""
+        return [line for line in self._run_lines() if isinstance(line, backend.Run)]
+
+    def run_ends(self) -> list[backend.RunEnd]:
+        """Return the end of every run that has ended."""
+        return [line for line in self._run_lines() if isinstance(line, backend.RunEnd)]
+
+    def _run_lines(self) -> list[backend.Run | backend.RunEnd]:
         found = []
         for running in self._servers.values():
             lines = running.process.stdout.read_bytes().splitlines()[1:]
-            found += [msgspec.json.decode(line, type=backend.Run) for line in lines]
-        return sorted(found, key=lambda run: run.at_ms)
+            found += [msgspec.json.decode(line, type=_RUN_LINE) for line in lines]
+        return sorted(found, key=lambda line: line.at_ms)
 
     def _start(self, name: str, *arguments: str) -> child.Child:
         process = child.Child(name=name, arguments=arguments, directory=self.directory)
         self._children.append(process)
         return process
 
-    def _start_server(self, spec: ServerSpec, service_ms: float) -> child.Child:
+    def _start_server(self, spec: ServerSpec, service_ms: float, slots: int) -> child.Child:
         return self._start(
             spec.server,
             "-m",
             "standins.backend",
             f"--server_name={spec.server}",
             f"--service_ms={service_ms}",
+            f"--slots={slots}",
             f"--backend_seed={self._seed}",
         )
 
@@ -308,14 +343,23 @@
             region=spec.region,
         )
         path = self._write_settings(spec, ports)
-        process = self._start(spec.host, "-m", "verbenadrum.daemon", "--config", str(path))
         self._hosts[spec.host] = _RunningHost(
-            spec=spec, process=process, callers=ports[0], operators=ports[1], listed=listed
+            spec=spec,
+            process=self._start_daemon(spec.host, path),
+            callers=ports[0],
+            operators=ports[1],
+            peers=ports[2],
+            listed=listed,
         )
-        serving.call(self._proxy_port, "/control/sources", {process.pid: spec.host})
+
+    def _start_daemon(self, host: str, path: pathlib.Path) -> child.Child:
+        process = self._start(host, "-m", "verbenadrum.daemon", "--config", str(path))
+        serving.call(self._proxy_port, "/control/sources", {process.pid: host})
+        return process
 
     def _write_settings(self, spec: HostSpec, ports: list[int]) -> pathlib.Path:
-        seeds = ", ".join(f'"{each.listed.address}"' for each in list(self._hosts.values())[:3])
+        others = [each.listed for each in self._hosts.values() if each.spec.host != spec.host]
+        seeds = ", ".join(f'"{each.address}"' for each in others[:3])
         path = self.directory / f"{spec.host}.toml"
         path.write_text(
             _SETTINGS.format(
@@ -327,6 +371,7 @@
                 platform=self._platform_port,
                 seed=self._seed + len(self._hosts),
                 decisions=self._decisions,
+                tables=self._tables,
             )
         )
         return path
