--- /dev/null
+++ b/standins/raw_caller.py
@@ -0,0 +1,314 @@
+"""Caller on a plain socket: it sends in pieces, and sees each reset, cut and stray byte."""
+
+import enum
+import itertools
+import socket
+import time
+from collections.abc import Iterator
+
+import gevent
+import msgspec
+import xxhash
+
+from verbenadrum.daemon import sockets
+
+__all__ = ["Connection", "Ending", "Piece", "Request", "Row"]
+
+_CONNECT_TIMEOUT_S = 1.0
+_ANSWER_TIMEOUT_S = 15.0
+_READ_BYTES = 65_536
+_HEAD_END = b"\r\n\r\n"
+_numbers = itertools.count(1)
+
+
+class Ending(enum.Enum):
+    """How a request ended at its caller.
+
+    A ``CLOSED`` connection brought no byte of an answer, a ``TRUNCATED`` answer is not complete,
+    and of an ``UNSENT`` request the connection did not take all bytes.
+    """
+
+    ANSWERED = "answered"
+    CLOSED = "closed"
+    TRUNCATED = "truncated"
+    UNSENT = "unsent"
+    TIMEOUT = "timeout"
+
+
+class Piece(msgspec.Struct, frozen=True, kw_only=True):
+    """Bytes to send after a pause."""
+
+    data: bytes
+    pause_s: float = 0.0
+
+
+class Request(msgspec.Struct, frozen=True, kw_only=True):
+    """A request, cut into the pieces in which it is sent.
+
+    Attributes
+    ----------
+    request : str
+        Identifier, which is its nonce too.
+    method, target : str
+        What is asked.
+    once : bool
+        Whether it may run only once.
+    pieces : tuple of Piece
+        Head and body as they are sent.
+    body_checksum : str
+        Checksum of the body.
+    read_pauses : int
+        Pauses of ``read_pause_s`` seconds between the first reads of the answer.
+    """
+
+    request: str
+    method: str
+    target: str
+    once: bool
+    pieces: tuple[Piece, ...]
+    body_checksum: str
+    read_pauses: int = 0
+    read_pause_s: float = 0.0
+
+
+class Row(msgspec.Struct, kw_only=True):
+    """Result of one request; times are milliseconds since the epoch, 0 where it did not happen.
+
+    ``read_ms`` is how long the caller pauses in its reading at most, and ``position`` counts the
+    requests of the connection.
+    """
+
+    request: str
+    target: str
+    once: bool
+    host: str
+    connection: int
+    position: int
+    opened_ms: float
+    begun_ms: float
+    sent_ms: float = 0.0
+    ended_ms: float = 0.0
+    read_ms: float = 0.0
+    ending: Ending = Ending.CLOSED
+    error: str = ""
+    status: int = 0
+    code: str = ""
+    closing: bool = False
+    fault: str = ""
+
+
+class _Problem(msgspec.Struct):
+    """Fields of a refusal that are recorded."""
+
+    code: str = ""
+
+
+class _CutError(OSError):
+    """A connection that ended inside an answer, or before it."""
+
+
+class Connection:
+    """A connection to a host, used for one request at a time.
+
+    Parameters
+    ----------
+    host : str
+        Name of the host, for the rows.
+    address : str
+        Its ``ip:port``.
+    receive_bytes : int
+        Size of the receive buffer, or 0 for the system's.
+
+    Raises
+    ------
+    OSError
+        If the host takes no connection.
+    """
+
+    def __init__(self, *, host: str, address: str, receive_bytes: int = 0) -> None:
+        self.host = host
+        self.number = next(_numbers)
+        self.usable = True
+        self._asked = 0
+        self._buffer = b""
+        self._sock = socket.socket()
+        if receive_bytes:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        self._sock.settimeout(_CONNECT_TIMEOUT_S)
+        try:
+            self._sock.connect(sockets.split_address(address))
+        except OSError:
+            self._sock.close()
+            raise
+        sockets.disable_nagle(self._sock)
+        self._sock.settimeout(None)
+        self.opened_ms = _now_ms()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.usable = False
+        self._sock.close()
+
+    def look(self) -> bytes:
+        """Return bytes that belong to no request; an ended connection is not usable any more."""
+        self._sock.settimeout(0.0)
+        try:
+            stray = self._sock.recv(_READ_BYTES)
+        except BlockingIOError:
+            return b""
+        except OSError:
+            stray = b""
+        finally:
+            self._sock.settimeout(None)
+        self.usable = False
+        return stray
+
+    def ask(self, request: Request) -> Row:
+        """Send a request and read its answer."""
+        self._asked += 1
+        row = Row(
+            request=request.request,
+            target=request.target,
+            once=request.once,
+            host=self.host,
+            connection=self.number,
+            position=self._asked,
+            opened_ms=self.opened_ms,
+            begun_ms=_now_ms() + request.pieces[0].pause_s * 1000.0,
+            read_ms=request.read_pauses * request.read_pause_s * 1000.0,
+        )
+        with gevent.Timeout(_ANSWER_TIMEOUT_S, False):
+            self._exchange(request, row)
+            row.ended_ms = _now_ms()
+            self.usable = self.usable and row.ending is Ending.ANSWERED and not row.closing
+            return row
+        row.ended_ms = _now_ms()
+        row.ending = Ending.TIMEOUT
+        self.usable = False
+        return row
+
+    def _exchange(self, request: Request, row: Row) -> None:
+        try:
+            self._send(request, row)
+        except OSError as error:
+            row.error = type(error).__name__
+        try:
+            self._receive(request, row)
+            row.ending = Ending.ANSWERED
+        except OSError as error:
+            row.error = row.error or type(error).__name__
+            row.ending = Ending.TRUNCATED if self._buffer or row.status else Ending.CLOSED
+            if not row.sent_ms:
+                row.ending = Ending.UNSENT
+        except (ValueError, IndexError) as error:
+            row.ending = Ending.TRUNCATED
+            row.fault = f"bytes that are no answer: {error}"
+
+    def _send(self, request: Request, row: Row) -> None:
+        for piece in request.pieces:
+            gevent.sleep(piece.pause_s)
+            self._sock.sendall(piece.data)
+        row.sent_ms = _now_ms()
+
+    def _receive(self, request: Request, row: Row) -> None:
+        pauses = iter([request.read_pause_s] * request.read_pauses)
+        status, headers = self._read_head()
+        row.status = status
+        row.closing = headers.get("connection", "").lower() == "close"
+        row.closing = row.closing or _is_unframed(headers)
+        body = self._read_body(headers, pauses)
+        if self._buffer:
+            row.fault = f"{len(self._buffer)} bytes beyond the answer"
+            self.usable = False
+        elif status == 200:
+            row.fault = _fault(request, headers, body)
+        else:
+            row.code = _code(body)
+
+    def _read_head(self) -> tuple[int, dict[str, str]]:
+        while _HEAD_END not in self._buffer:
+            self._read_more()
+        head, _, self._buffer = self._buffer.partition(_HEAD_END)
+        first, *lines = head.decode("latin-1").split("\r\n")
+        pairs = (line.partition(":") for line in lines)
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        return int(first.split()[1]), headers
+
+    def _read_body(self, headers: dict[str, str], pauses: Iterator[float]) -> bytes:
+        if _is_unframed(headers):
+            return self._read_to_end()
+        if "content-length" in headers:
+            return self._read_exactly(int(headers["content-length"]), pauses)
+        return self._read_chunks(pauses)
+
+    def _read_to_end(self) -> bytes:
+        while self._read_more(at_end=True):
+            pass
+        body, self._buffer = self._buffer, b""
+        return body
+
+    def _read_chunks(self, pauses: Iterator[float]) -> bytes:
+        body = []
+        while size := int(self._read_line().partition(b";")[0], 16):
+            body.append(self._read_exactly(size, pauses))
+            self._read_line()
+        while self._read_line():
+            pass
+        return b"".join(body)
+
+    def _read_line(self) -> bytes:
+        while b"\r\n" not in self._buffer:
+            self._read_more()
+        line, _, self._buffer = self._buffer.partition(b"\r\n")
+        return line
+
+    def _read_exactly(self, size: int, pauses: Iterator[float]) -> bytes:
+        pieces = [self._buffer]
+        left = size - len(self._buffer)
+        self._buffer = b""
+        while left > 0:
+            pause_s = next(pauses, 0.0)
+            gevent.sleep(pause_s)
+            self._read_more()
+            pieces.append(self._buffer)
+            left -= len(self._buffer)
+            self._buffer = b""
+        body = b"".join(pieces)
+        self._buffer = body[size:]
+        return body[:size]
+
+    def _read_more(self, *, at_end: bool = False) -> bool:
+        data = self._sock.recv(_READ_BYTES)
+        if not data and not at_end:
+            raise _CutError("the connection ended")
+        self._buffer += data
+        return bool(data)
+
+
+def _is_unframed(headers: dict[str, str]) -> bool:
+    chunked = headers.get("transfer-encoding", "").lower() == "chunked"
+    return not chunked and "content-length" not in headers
+
+
+def _fault(request: Request, headers: dict[str, str], body: bytes) -> str:
+    """Return what is wrong with a success, or nothing."""
+    if headers.get("x-request-id") != request.request:
+        return f"answer of request {headers.get('x-request-id')}"
+    if body.partition(b"\n")[0].decode(errors="replace") != request.request:
+        return "body of another request"
+    if headers.get("x-checksum") != xxhash.xxh3_64_hexdigest(body):
+        return f"body of {len(body)} bytes is not the server's"
+    if headers.get("x-body-checksum") != request.body_checksum:
+        return "the server read another body"
+    return ""
+
+
+def _code(body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=_Problem).code
+    except msgspec.MsgspecError:
+        return ""
+
+
+def _now_ms() -> float:
+    return time.time() * 1000.0
