--- a/verbenadrum/daemon/tests/test_host_end.py
+++ b/verbenadrum/daemon/tests/test_host_end.py
@@ -14,9 +14,6 @@
 from verbenadrum.settings import load
 
 TIMEOUT_S = 10.0
-LINGER_S = 0.2
-LIMIT_S = 1.0
-MARGIN_S = 0.3
 SETTINGS = """
 [host]
 id = "h1"
@@ -145,6 +142,13 @@
     made.stop()
 
 
+@pytest.fixture
+def quick():
+    made = Hosted(work_s=0.01)
+    yield made
+    made.stop()
+
+
 def test_request_that_waits_for_a_server_is_refused_before_its_host_ends(stalled):
     first = stalled.begin()
     wait_until(lambda: stalled.server.heads)
@@ -153,7 +157,8 @@
     stalled.host.begin_shutdown()
     data, _ = received(waiting)
     assert data.startswith(b"HTTP/1.1 503 ")
-    assert json.loads(data.split(b"\r\n\r\n", 1)[1])["not_run"] == ports.NotRun.TRUE.value
+    refusal = json.loads(data.split(b"\r\n\r\n", 1)[1])
+    assert (refusal["code"], refusal["not_run"]) == ("host-ended", ports.NotRun.TRUE.value)
     assert len(stalled.server.heads) == 1
     first.close()
 
@@ -165,3 +170,26 @@
     data, _ = received(running)
     assert data.startswith(b"HTTP/1.1 504 ")
     assert json.loads(data.split(b"\r\n\r\n", 1)[1])["not_run"] == ports.NotRun.UNKNOWN.value
+
+
+def test_request_that_becomes_whole_after_the_linger_is_not_passed_on(stalled):
+    with stalled.connect() as late:
+        late.sendall(b"POST /x HTTP/1.1\r\n")
+        gevent.sleep(0.05)
+        stalled.host.begin_shutdown()
+        wait_until(lambda: not stalled.host._caller_server.started)
+        late.sendall(b"Host: a\r\nContent-Length: 0\r\n\r\n")
+        data, _ = received(late)
+    assert data.startswith(b"HTTP/1.1 503 ")
+    assert not stalled.server.heads
+
+
+def test_request_that_ends_in_time_is_served_after_the_linger(quick):
+    with quick.connect() as late:
+        late.sendall(b"POST /x HTTP/1.1\r\nX-Deadline-Ms: 300\r\n")
+        gevent.sleep(0.05)
+        quick.host.begin_shutdown()
+        wait_until(lambda: not quick.host._caller_server.started)
+        late.sendall(b"Host: a\r\nContent-Length: 0\r\n\r\n")
+        data, _ = received(late)
+    assert data.startswith(b"HTTP/1.1 200 ")
