--- a/standins/soak.py
+++ b/standins/soak.py
@@ -147,9 +147,9 @@
             for violation in found:
                 print(f"({violation.check}) {violation.text}")
             print(checks.summary())
-            print(f"seed {seed}: {len(found)} violations")
             if found and _KEEP_LOGS.value:
                 _keep_logs(running, seed)
+            print(f"seed {seed}: {len(found)} violations")
     except (child.ChildError, serving.CallError) as error:
         print(f"cannot run the soak: {error}", file=sys.stderr)
         return EXIT_NOT_RUN
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -16,6 +16,10 @@
 _APPLY_MS = 4_000.0
 # Statuses that promise that the request has not run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Statuses of a host that gives up a request that may have run.
+_GIVEN_UP_STATUSES = (502, 504)
+# Servers are told the time that is left in whole milliseconds.
+_DEADLINE_STEP_MS = 1.0
 
 
 class Violation(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,17 +105,23 @@
             yield self._violation("b", "ran more than once", row, life)
         if row.status in _NOT_RUN_STATUSES and passage.runs:
             yield self._violation("c", f"ran, answered {row.status}", row, life)
-        if row.ending is raw_caller.Ending.ANSWERED:
-            return
-        if passage.runs:
+        if passage.runs and not self._has_answer(row, life):
             excuse = self._excuse(row, life, passage)
             if excuse:
                 self.excused[excuse] += 1
             else:
                 yield self._violation("a", f"ran, {row.ending.value}", row, life)
-        elif row.sent_ms:
+        elif row.sent_ms and row.ending is not raw_caller.Ending.ANSWERED:
             yield from self._check_unread(row, life)
 
+    def _has_answer(self, row: raw_caller.Row, life: planned_work.Life | None) -> bool:
+        """Return whether a request got an answer, other than one of an ending host's own."""
+        if row.ending is not raw_caller.Ending.ANSWERED:
+            return False
+        told_ms = life.told_ms if life else 0.0
+        given_up = row.status in _GIVEN_UP_STATUSES and row.code
+        return not (given_up and 0 < told_ms <= row.ended_ms)
+
     def _check_unread(
         self, row: raw_caller.Row, life: planned_work.Life | None
     ) -> Iterator[Violation]:
@@ -131,10 +141,10 @@
             return ""
         last_ms = life.told_ms + self._shutdown.limit_ms - self._shutdown.margin_ms
         in_time = row.sent_ms <= life.told_ms + self._shutdown.linger_ms
-        if not in_time or row.ended_ms < last_ms:
+        if not in_time or row.ended_ms < last_ms - _DEADLINE_STEP_MS:
             return ""
         end = passage.ends.get(passage.runs[-1].server)
-        if end is None or end.at_ms >= last_ms:
+        if end is None or end.at_ms >= last_ms - _DEADLINE_STEP_MS:
             return "its server was at work at the host's limit"
         if end.at_ms + row.read_ms >= last_ms:
             return "its caller was still reading at the host's limit"
