--- a/standins/soak.py
+++ b/standins/soak.py
@@ -16,13 +16,14 @@
 import shutil
 import signal
 import sys
+import time
 
 import gevent
 from absl import app, flags
 
 from standins import child, fleet, planned_work, raw_caller, serving, soak_callers, soak_checks
 
-__all__ = ["run"]
+__all__ = ["StallWatch", "run"]
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the work and of what callers send.")
 _SECONDS = flags.DEFINE_float("seconds", 20.0, "Seconds in which planned work begins.")
@@ -41,6 +42,7 @@
 _SETTLE_TRIES = 100
 _SETTLE_PAUSE_S = 0.1
 _AFTERMATH_S = 0.5
+_STALL_INTERVAL_S = 0.01
 _DECISIONS = """\
 host_list = "seeded"
 epochs = "counted"
@@ -54,6 +56,26 @@
 """
 
 
+class StallWatch:
+    """Notes how late this process itself runs, which tells a busy machine from a slow host.
+
+    Attributes
+    ----------
+    longest_ms : float
+        Longest delay seen, in milliseconds.
+    """
+
+    def __init__(self) -> None:
+        self.longest_ms = 0.0
+
+    def run(self) -> None:
+        """Watch until killed."""
+        while True:
+            due_s = time.monotonic() + _STALL_INTERVAL_S
+            gevent.sleep(_STALL_INTERVAL_S)
+            self.longest_ms = max(self.longest_ms, (time.monotonic() - due_s) * 1000.0)
+
+
 def run(running: fleet.Fleet, work: planned_work.PlannedWork, seed: int) -> soak_checks.Checks:
     """Carry out the work of a seed beside callers, and return what was seen."""
     callers = soak_callers.Callers(
@@ -142,11 +164,16 @@
         with fleet.Fleet(
             seed=seed, proxied=False, decisions=_DECISIONS, tables=f"{_TABLES}{shutdown.table}"
         ) as running:
-            checks = run(running, _prepare(running, shutdown, seed), seed)
+            work = _prepare(running, shutdown, seed)
+            watch = StallWatch()
+            watcher = gevent.spawn(watch.run)
+            checks = run(running, work, seed)
+            watcher.kill()
             found = checks.violations()
             for violation in found:
                 print(f"({violation.check}) {violation.text}")
             print(checks.summary())
+            print(f"the soak itself was late by {watch.longest_ms:.0f} ms at most")
             if found and _KEEP_LOGS.value:
                 _keep_logs(running, seed)
             print(f"seed {seed}: {len(found)} violations")
