--- a/standins/planned_work.py
+++ b/standins/planned_work.py
@@ -162,7 +162,9 @@
         for step in steps:
             gevent.sleep(max(0.0, start_s + step.at_s - time.monotonic()))
             actions.get(step.action)(self, step)
-        gevent.joinall(self._greenlets)
+        while self._greenlets:
+            # A later part of a step may add more work.
+            self._greenlets.pop().join()
         for host in self.fleet.hosts:
             try:
                 self.fleet.wait_ready(host)
