--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -22,6 +22,7 @@
 LINGER_ENDS_MS = 10_600.0
 LIMIT_MS = 11_500.0
 ANSWERED = {"ending": raw_caller.Ending.ANSWERED, "status": 200}
+STREAMED = {"body_bytes": 65_537, "sent_ms": LINGER_ENDS_MS + 100.0}
 
 
 class Seen:
@@ -87,6 +88,8 @@
         ("a", {"server_ends_ms": LIMIT_MS - 50.0}),
         ("", {"server_ends_ms": LIMIT_MS - 50.0, "read_ms": 100.0}),
         ("a", {"server_ends_ms": LIMIT_MS, "sent_ms": LINGER_ENDS_MS + 1.0}),
+        ("", {**STREAMED, "head_ms": LINGER_ENDS_MS - 1.0}),
+        ("a", {**STREAMED, "head_ms": LINGER_ENDS_MS + 1.0}),
         ("a", {"ended_ms": LIMIT_MS - 100.0}),
         ("a", {"ending": raw_caller.Ending.TRUNCATED, "ended_ms": 10_300.0}),
         ("", {**ANSWERED}),
