--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -10,8 +10,8 @@
 TIMEOUT_S = 120.0
 # A long margin leaves a busy machine time to end the process.
 ARGUMENTS = (
-    "--seed=1",
-    "--seconds=1",
+    "--seed=33",
+    "--seconds=1.2",
     "--hosts=4",
     "--connections=8",
     "--linger_ms=400",
