--- a/standins/planned_work.py
+++ b/standins/planned_work.py
@@ -13,12 +13,11 @@
 import msgspec
 from gevent import event
 
-from standins import child, fleet
+from standins import child, fleet, soak_configuration
 from verbenadrum.daemon import sockets
-from verbenadrum.records import types
 from verbenadrum.utils import registry
 
-__all__ = ["Life", "PlannedWork", "Publication", "Shutdown", "Step", "draw_steps"]
+__all__ = ["Life", "PlannedWork", "Shutdown", "Step", "draw_steps"]
 
 # How many hosts are left alone at any time.
 _MIN_SERVING = 2
@@ -28,12 +27,9 @@
 # How much longer than its limit a host is watched before it is killed.
 _OVERTIME_S = 3.0
 _START_TIMEOUT_S = 20.0
-_IDLE_TIMES_MS = (300.0, 1_000.0, 3_000.0, 20_000.0)
-_ROUTE_TIMEOUTS_MS = (1_500.0, 3_000.0, 5_000.0)
+_IDLE_TIMES_MS = (300.0, 1_000.0, 3_000.0, soak_configuration.FIRST_IDLE_MS)
+_ROUTE_TIMEOUTS_MS = (1_500.0, 3_000.0, soak_configuration.FIRST_TIMEOUT_MS)
 _WEIGHTS = (0.2, 0.5, 1.0, 2.0)
-SERVICES = ("one", "two")
-SLOTS = 8
-_EVERY_METHOD = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
 
 class Shutdown(msgspec.Struct, frozen=True, kw_only=True):
@@ -68,14 +64,6 @@
         return self.signals_ms[0] if self.signals_ms else 0.0
 
 
-class Publication(msgspec.Struct, frozen=True, kw_only=True):
-    """What was published, and when in milliseconds since the epoch."""
-
-    at_ms: float
-    idle_ms: float
-    timeout_ms: float
-
-
 class Step(msgspec.Struct, frozen=True, kw_only=True):
     """A piece of planned work: what, when, on which hosts first, and how long to its next part."""
 
@@ -118,8 +106,8 @@
     ----------
     lives : list of Life
         Every run of a host process.
-    published : list of Publication
-        Every configuration, the newest last.
+    configurations : Configurations
+        What was published.
     done : list of str
         Actions carried out.
     faults : list of str
@@ -130,16 +118,13 @@
         self.fleet = running
         self.shutdown = shutdown
         self.lives: list[Life] = []
-        self.published: list[Publication] = []
+        self.configurations = soak_configuration.Configurations(running=running)
         self.done: list[str] = []
         self.faults: list[str] = []
         self._rng = rng
         self._current: dict[str, Life] = {}
         self._busy: set[str] = set()
         self._greenlets: list[gevent.Greenlet] = []
-        self._idle_ms = _IDLE_TIMES_MS[-1]
-        self._timeout_ms = _ROUTE_TIMEOUTS_MS[-1]
-        self._weights = (1.0, 1.0)
 
     def life(self, host: str) -> Life:
         """Return the newest run of a host."""
@@ -171,49 +156,9 @@
             except child.ChildError as error:
                 self.faults.append(f"(g) {host} does not serve after the last work: {error}")
 
-    def publish(self) -> None:
-        """Publish the whole configuration as it is now."""
-        backends = tuple(
-            types.BackendShare(service=name, weight=weight)
-            for name, weight in zip(SERVICES, self._weights, strict=True)
-        )
-        routes = tuple(
-            types.NamedRoute(
-                name=name,
-                spec=types.RouteSpec(
-                    path_prefix=f"/{name}",
-                    service=SERVICES[0],
-                    public=True,
-                    timeout_ms=self._timeout_ms,
-                    idempotent_methods=methods,
-                    backends=backends,
-                ),
-            )
-            for name, methods in (("safe", _EVERY_METHOD), ("once", ()))
-        )
-        spec = types.ConfigurationSpec(
-            version=len(self.published) + 1,
-            routes=routes,
-            pools=tuple(self._pool(service) for service in SERVICES),
-            callers=types.CallerLimits(idle_timeout_ms=self._idle_ms),
-        )
-        self.published.append(
-            Publication(at_ms=now_ms(), idle_ms=self._idle_ms, timeout_ms=self._timeout_ms)
-        )
-        self.fleet.publish("configuration", "configuration", spec)
-
-    def _pool(self, service: str) -> types.NamedPool:
-        servers = msgspec.convert(
-            self.fleet.pool_entries(service), tuple[types.ServerEntry, ...], strict=False
-        )
-        spec = types.PoolSpec(servers=servers, slots=SLOTS, probe_path="/health")
-        return types.NamedPool(name=service, spec=spec)
-
     def change(self, step: Step, **fields: object) -> None:
         """Publish a configuration with other values."""
-        for name, value in fields.items():
-            setattr(self, f"_{name}", value)
-        self.publish()
+        self.configurations.change(**fields)
         self.done.append(step.action)
 
     def choose(self, step: Step, count: int) -> list[str]:
--- a/standins/raw_caller.py
+++ b/standins/raw_caller.py
@@ -4,12 +4,12 @@
 import itertools
 import socket
 import time
-from collections.abc import Iterator
 
 import gevent
 import msgspec
 import xxhash
 
+from standins import raw_answer
 from verbenadrum.daemon import sockets
 
 __all__ = ["Connection", "Ending", "Piece", "Request", "Row"]
@@ -17,7 +17,6 @@
 _CONNECT_TIMEOUT_S = 1.0
 _ANSWER_TIMEOUT_S = 15.0
 _READ_BYTES = 65_536
-_HEAD_END = b"\r\n\r\n"
 _numbers = itertools.count(1)
 
 
@@ -112,10 +111,6 @@
     code: str = ""
 
 
-class _CutError(OSError):
-    """A connection that ended inside an answer, or before it."""
-
-
 class Connection:
     """A connection to a host, used for one request at a time.
 
@@ -139,7 +134,6 @@
         self.number = next(_numbers)
         self.usable = True
         self._asked = 0
-        self._buffer = b""
         self._sock = socket.socket()
         if receive_bytes:
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
@@ -151,6 +145,7 @@
             raise
         sockets.disable_nagle(self._sock)
         self._sock.settimeout(None)
+        self._reader = raw_answer.AnswerReader(sock=self._sock)
         self.opened_ms = _now_ms()
 
     def close(self) -> None:
@@ -207,7 +202,7 @@
             row.ending = Ending.ANSWERED
         except OSError as error:
             row.error = row.error or type(error).__name__
-            row.ending = Ending.TRUNCATED if self._buffer or row.status else Ending.CLOSED
+            row.ending = Ending.TRUNCATED if self._reader.pending or row.status else Ending.CLOSED
             if not row.sent_ms:
                 row.ending = Ending.UNSENT
         except (ValueError, IndexError) as error:
@@ -223,87 +218,22 @@
         row.sent_ms = _now_ms()
 
     def _receive(self, request: Request, row: Row) -> None:
-        pauses = iter([request.read_pause_s] * request.read_pauses)
-        status, headers = self._read_head()
-        row.status = status
-        row.closing = headers.get("connection", "").lower() == "close"
-        row.closing = row.closing or _is_unframed(headers)
-        body = self._read_body(headers, pauses)
-        if self._buffer:
-            row.fault = f"{len(self._buffer)} bytes beyond the answer"
+        answer = self._reader.read_head()
+        row.status = answer.status
+        row.closing = answer.closing
+        self._reader.read_body(answer, iter([request.read_pause_s] * request.read_pauses))
+        if self._reader.pending:
+            row.fault = f"{len(self._reader.pending)} bytes beyond the answer"
             self.usable = False
-        elif status == 200:
-            row.fault = _fault(request, headers, body)
+        elif answer.status == 200:
+            row.fault = _fault(request, answer)
         else:
-            row.code = _code(body)
-
-    def _read_head(self) -> tuple[int, dict[str, str]]:
-        while _HEAD_END not in self._buffer:
-            self._read_more()
-        head, _, self._buffer = self._buffer.partition(_HEAD_END)
-        first, *lines = head.decode("latin-1").split("\r\n")
-        pairs = (line.partition(":") for line in lines)
-        headers = {name.lower(): value.strip() for name, _, value in pairs}
-        return int(first.split()[1]), headers
-
-    def _read_body(self, headers: dict[str, str], pauses: Iterator[float]) -> bytes:
-        if _is_unframed(headers):
-            return self._read_to_end()
-        if "content-length" in headers:
-            return self._read_exactly(int(headers["content-length"]), pauses)
-        return self._read_chunks(pauses)
-
-    def _read_to_end(self) -> bytes:
-        while self._read_more(at_end=True):
-            pass
-        body, self._buffer = self._buffer, b""
-        return body
-
-    def _read_chunks(self, pauses: Iterator[float]) -> bytes:
-        body = []
-        while size := int(self._read_line().partition(b";")[0], 16):
-            body.append(self._read_exactly(size, pauses))
-            self._read_line()
-        while self._read_line():
-            pass
-        return b"".join(body)
-
-    def _read_line(self) -> bytes:
-        while b"\r\n" not in self._buffer:
-            self._read_more()
-        line, _, self._buffer = self._buffer.partition(b"\r\n")
-        return line
-
-    def _read_exactly(self, size: int, pauses: Iterator[float]) -> bytes:
-        pieces = [self._buffer]
-        left = size - len(self._buffer)
-        self._buffer = b""
-        while left > 0:
-            pause_s = next(pauses, 0.0)
-            gevent.sleep(pause_s)
-            self._read_more()
-            pieces.append(self._buffer)
-            left -= len(self._buffer)
-            self._buffer = b""
-        body = b"".join(pieces)
-        self._buffer = body[size:]
-        return body[:size]
-
-    def _read_more(self, *, at_end: bool = False) -> bool:
-        data = self._sock.recv(_READ_BYTES)
-        if not data and not at_end:
-            raise _CutError("the connection ended")
-        self._buffer += data
-        return bool(data)
-
-
-def _is_unframed(headers: dict[str, str]) -> bool:
-    chunked = headers.get("transfer-encoding", "").lower() == "chunked"
-    return not chunked and "content-length" not in headers
-
-
-def _fault(request: Request, headers: dict[str, str], body: bytes) -> str:
+            row.code = _code(answer.body)
+
+
+def _fault(request: Request, answer: raw_answer.Answer) -> str:
     """Return what is wrong with a success, or nothing."""
+    headers, body = answer.headers, answer.body
     if headers.get("x-request-id") != request.request:
         return f"answer of request {headers.get('x-request-id')}"
     if body.partition(b"\n")[0].decode(errors="replace") != request.request:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -21,7 +21,16 @@
 import gevent
 from absl import app, flags
 
-from standins import child, fleet, planned_work, raw_caller, serving, soak_callers, soak_checks
+from standins import (
+    child,
+    fleet,
+    planned_work,
+    raw_caller,
+    serving,
+    soak_callers,
+    soak_checks,
+    soak_configuration,
+)
 
 __all__ = ["StallWatch", "run"]
 
@@ -97,7 +106,7 @@
     work = planned_work.PlannedWork(
         running=running, shutdown=shutdown, rng=random.Random(f"{seed}/work")
     )
-    services = planned_work.SERVICES
+    services = soak_configuration.SERVICES
     running.start_servers(
         [
             fleet.ServerSpec(
@@ -105,9 +114,9 @@
             )
             for number in range(_SERVERS)
         ],
-        slots=planned_work.SLOTS,
+        slots=soak_configuration.SLOTS,
     )
-    work.publish()
+    work.configurations.change()
     running.start_hosts(
         [
             fleet.HostSpec(host=f"h{number + 1}", data_centre="d1", region="r1")
--- a/standins/soak_callers.py
+++ b/standins/soak_callers.py
@@ -206,7 +206,7 @@
         """Wait until the next request is due, and return the work it asks for, if that matters."""
         pause_s = rng.expovariate(1.0 / self._mean_pause_s)
         if rng.random() < 0.2:
-            idle_s = self._work.published[-1].idle_ms / _MS_PER_S
+            idle_s = self._work.configurations.published[-1].idle_ms / _MS_PER_S
             pause_s = min(pause_s, idle_s) + rng.uniform(*_AIM_S)
         life = self._work.life(host)
         gevent.wait([life.told, self._stopped], timeout=max(0.0, pause_s), count=1)
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -139,7 +139,10 @@
         self, row: raw_caller.Row, life: planned_work.Life | None, passage: _Passage
     ) -> str:
         """Return why a request that ran may have no answer, or nothing."""
-        if row.ended_ms - row.begun_ms >= self._least_timeout_ms(row):
+        timeout_ms = self._work.configurations.least_timeout_ms(
+            row.begun_ms, row.ended_ms, _APPLY_MS
+        )
+        if row.ended_ms - row.begun_ms >= timeout_ms:
             return "its route's timeout was reached"
         if life is None or not life.told_ms:
             return ""
@@ -155,16 +158,6 @@
             return "its caller was still reading at the host's limit"
         return ""
 
-    def _least_timeout_ms(self, row: raw_caller.Row) -> float:
-        """Return the least timeout of a route that may have been in force during a request."""
-        older = [each for each in self._work.published if each.at_ms <= row.begun_ms - _APPLY_MS]
-        newer = [
-            each
-            for each in self._work.published
-            if row.begun_ms - _APPLY_MS < each.at_ms <= row.ended_ms
-        ]
-        return min(each.timeout_ms for each in [*older[-1:], *newer])
-
     def _check_life(self, life: planned_work.Life) -> Iterator[Violation]:
         if not life.told_ms:
             if life.process.exit_code is not None:
--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from standins import backend, child, planned_work, raw_caller, soak_checks
+from standins import backend, child, planned_work, raw_caller, soak_checks, soak_configuration
 
 TIMEOUT_S = 120.0
 # A long margin leaves a busy machine time to end the process.
@@ -62,7 +62,7 @@
     work = planned_work.PlannedWork(
         running=Seen(made, ends), shutdown=planned_work.Shutdown(), rng=None
     )
-    work.published.append(planned_work.Publication(at_ms=0.0, idle_ms=1_000.0, timeout_ms=5_000.0))
+    work.configurations.published.append(soak_configuration.Publication(at_ms=0.0))
     life = planned_work.Life(host="h", number=1, process=Ended(), started_ms=1.0)
     life.signals_ms.append(TOLD_MS)
     life.exit_code, life.ended_ms = exit_code, gone_ms
