--- a/standins/soak.py
+++ b/standins/soak.py
@@ -19,6 +19,7 @@
 import time
 
 import gevent
+import msgspec
 from absl import app, flags
 
 from standins import (
@@ -32,17 +33,7 @@
     soak_configuration,
 )
 
-__all__ = ["StallWatch", "run"]
-
-_SEED = flags.DEFINE_integer("seed", 1, "Seed of the work and of what callers send.")
-_SECONDS = flags.DEFINE_float("seconds", 20.0, "Seconds in which planned work begins.")
-_HOSTS = flags.DEFINE_integer("hosts", 5, "Hosts of the fleet.")
-_CONNECTIONS = flags.DEFINE_integer("connections", 16, "Connections kept open to each host.")
-_RATE = flags.DEFINE_float("rate", 60.0, "Requests a second, besides those around ends.")
-_LINGER_MS = flags.DEFINE_float("linger_ms", 600.0, "Setting linger_ms of the hosts.")
-_LIMIT_MS = flags.DEFINE_float("limit_ms", 2_000.0, "Setting limit_ms of the hosts.")
-_MARGIN_MS = flags.DEFINE_float("margin_ms", 500.0, "Setting margin_ms of the hosts.")
-_KEEP_LOGS = flags.DEFINE_string("keep_logs", "", "Folder for the logs of a failed seed.")
+__all__ = ["Options", "StallWatch", "run"]
 
 EXIT_KEPT = 0
 EXIT_BROKEN = 1
@@ -65,6 +56,18 @@
 """
 
 
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """What is run; hosts end as ``shutdown`` says, and logs are kept in a folder if it is named."""
+
+    seed: int
+    seconds: float
+    hosts: int
+    connections: int
+    rate_per_s: float
+    shutdown: planned_work.Shutdown
+    keep_logs: str
+
+
 class StallWatch:
     """Notes how late this process itself runs, which tells a busy machine from a slow host.
 
@@ -85,26 +88,29 @@
             self.longest_ms = max(self.longest_ms, (time.monotonic() - due_s) * 1000.0)
 
 
-def run(running: fleet.Fleet, work: planned_work.PlannedWork, seed: int) -> soak_checks.Checks:
+def run(work: planned_work.PlannedWork, options: Options) -> soak_checks.Checks:
     """Carry out the work of a seed beside callers, and return what was seen."""
     callers = soak_callers.Callers(
-        work=work, seed=seed, connections=_CONNECTIONS.value, rate_per_s=_RATE.value
+        work=work,
+        seed=options.seed,
+        connections=options.connections,
+        rate_per_s=options.rate_per_s,
     )
     callers.start()
-    rng = random.Random(f"{seed}/steps")
-    work.run(planned_work.draw_steps(rng, running.hosts, _SECONDS.value))
+    rng = random.Random(f"{options.seed}/steps")
+    work.run(planned_work.draw_steps(rng, work.fleet.hosts, options.seconds))
     gevent.sleep(_AFTERMATH_S)
     callers.stop()
-    _settle(work, seed)
+    _settle(work, options.seed)
     return soak_checks.Checks(work=work, rows=callers.rows, strays=callers.strays)
 
 
-def _prepare(
-    running: fleet.Fleet, shutdown: planned_work.Shutdown, seed: int
-) -> planned_work.PlannedWork:
+def _prepare(running: fleet.Fleet, options: Options) -> planned_work.PlannedWork:
     """Start servers and hosts, and wait until each host answers."""
     work = planned_work.PlannedWork(
-        running=running, shutdown=shutdown, rng=random.Random(f"{seed}/work")
+        running=running,
+        shutdown=options.shutdown,
+        rng=random.Random(f"{options.seed}/work"),
     )
     services = soak_configuration.SERVICES
     running.start_servers(
@@ -120,13 +126,13 @@
     running.start_hosts(
         [
             fleet.HostSpec(host=f"h{number + 1}", data_centre="d1", region="r1")
-            for number in range(_HOSTS.value)
+            for number in range(options.hosts)
         ]
     )
     for host in running.hosts:
         work.adopt(host)
         running.reload_host(host)
-    _settle(work, seed)
+    _settle(work, options.seed)
     if work.faults:
         raise child.ChildError(work.faults[0])
     return work
@@ -154,43 +160,71 @@
     return True
 
 
-def _keep_logs(running: fleet.Fleet, seed: int) -> None:
-    folder = pathlib.Path(_KEEP_LOGS.value) / f"soak-{seed}"
+def _keep_logs(running: fleet.Fleet, options: Options) -> None:
+    folder = pathlib.Path(options.keep_logs) / f"soak-{options.seed}"
     shutil.copytree(running.directory, folder, dirs_exist_ok=True)
     print(f"logs are in {folder}")
 
 
+def _run_seed(options: Options) -> int:
+    """Run one seed, print what was seen, and return the exit code."""
+    tables = f"{_TABLES}{options.shutdown.table}"
+    with fleet.Fleet(
+        seed=options.seed, proxied=False, decisions=_DECISIONS, tables=tables
+    ) as running:
+        work = _prepare(running, options)
+        watch = StallWatch()
+        watcher = gevent.spawn(watch.run)
+        checks = run(work, options)
+        watcher.kill()
+        found = checks.violations()
+        for violation in found:
+            print(f"({violation.check}) {violation.text}")
+        print(checks.summary())
+        print(f"the soak itself was late by {watch.longest_ms:.0f} ms at most")
+        if found and options.keep_logs:
+            _keep_logs(running, options)
+    print(f"seed {options.seed}: {len(found)} violations")
+    return EXIT_BROKEN if found else EXIT_KEPT
+
+
+def _define_flags() -> None:
+    """Define the flags, whose names other commands use too."""
+    flags.DEFINE_integer("seed", 1, "Seed of the work and of what callers send.")
+    flags.DEFINE_float("seconds", 20.0, "Seconds in which planned work begins.")
+    flags.DEFINE_integer("hosts", 5, "Hosts of the fleet.")
+    flags.DEFINE_integer("connections", 16, "Connections kept open to each host.")
+    flags.DEFINE_float("rate", 60.0, "Requests a second, besides those around ends.")
+    flags.DEFINE_float("linger_ms", 600.0, "Setting linger_ms of the hosts.")
+    flags.DEFINE_float("limit_ms", 2_000.0, "Setting limit_ms of the hosts.")
+    flags.DEFINE_float("margin_ms", 500.0, "Setting margin_ms of the hosts.")
+    flags.DEFINE_string("keep_logs", "", "Folder for the logs of a failed seed.")
+
+
 def main(argv: list[str]) -> int:
-    """Run one seed."""
+    """Run the seed that the flags name."""
     del argv
     # An end by SIGTERM, like one by Ctrl-C, must still end the children.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    seed = _SEED.value
-    shutdown = planned_work.Shutdown(
-        linger_ms=_LINGER_MS.value, limit_ms=_LIMIT_MS.value, margin_ms=_MARGIN_MS.value
+    given = flags.FLAGS
+    options = Options(
+        seed=given.seed,
+        seconds=given.seconds,
+        hosts=given.hosts,
+        connections=given.connections,
+        rate_per_s=given.rate,
+        shutdown=planned_work.Shutdown(
+            linger_ms=given.linger_ms, limit_ms=given.limit_ms, margin_ms=given.margin_ms
+        ),
+        keep_logs=given.keep_logs,
     )
     try:
-        with fleet.Fleet(
-            seed=seed, proxied=False, decisions=_DECISIONS, tables=f"{_TABLES}{shutdown.table}"
-        ) as running:
-            work = _prepare(running, shutdown, seed)
-            watch = StallWatch()
-            watcher = gevent.spawn(watch.run)
-            checks = run(running, work, seed)
-            watcher.kill()
-            found = checks.violations()
-            for violation in found:
-                print(f"({violation.check}) {violation.text}")
-            print(checks.summary())
-            print(f"the soak itself was late by {watch.longest_ms:.0f} ms at most")
-            if found and _KEEP_LOGS.value:
-                _keep_logs(running, seed)
-            print(f"seed {seed}: {len(found)} violations")
+        return _run_seed(options)
     except (child.ChildError, serving.CallError) as error:
         print(f"cannot run the soak: {error}", file=sys.stderr)
         return EXIT_NOT_RUN
-    return EXIT_BROKEN if found else EXIT_KEPT
 
 
 if __name__ == "__main__":
+    _define_flags()
     app.run(main)
