--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -10,10 +10,9 @@
 
 __all__ = ["Checks", "Violation"]
 
-# A request that is not passed on may be lost with its connection for this long after its last
-# byte (`loss_slack` of the users' sites).
+# How long after its last byte a request that is not passed on may wait for its connection's end.
 _LOSS_SLACK_MS = 200.0
-# How long a new configuration takes to be in force (`config_apply` of the users' sites).
+# How long a new configuration may take to be in force on every host.
 _APPLY_MS = 4_000.0
 # A host reads bodies of up to this many bytes whole before it passes the request on, and passes
 # longer ones on while they come (`callers.MAX_REPLAYABLE_BYTES`).
