--- a/verbenadrum/daemon/prober.py
+++ b/verbenadrum/daemon/prober.py
@@ -7,10 +7,12 @@
 from urllib3 import exceptions
 
 from verbenadrum.core import engine, ports
-from verbenadrum.daemon import sockets, upstream
+from verbenadrum.daemon import answers, sockets, upstream
 
 __all__ = ["Prober"]
 
+# A server says how it is in a few words.
+_MAX_ANSWER_BYTES = 65_536
 _MS_PER_S = 1000.0
 
 
@@ -45,7 +47,7 @@
             status = response.status
             kind = upstream.outcome_kind(status, response.headers, self._names)
             draining = upstream.says_draining(response.headers, self._names)
-        except exceptions.TimeoutError:
+        except (exceptions.TimeoutError, TimeoutError):
             kind = ports.OutcomeKind.TIMEOUT
         except (exceptions.HTTPError, OSError):
             kind = ports.OutcomeKind.CONNECT_FAILED
@@ -58,5 +60,14 @@
     def _ask(self, order: ports.ProbeOrder) -> urllib3.BaseHTTPResponse:
         ip, port = sockets.split_address(order.address)
         timeout_s = order.timeout_ms / _MS_PER_S
-        with urllib3.HTTPConnectionPool(ip, port, timeout=timeout_s, retries=False) as pool:
-            return pool.request("GET", order.path, headers={"X-Probe": "true"}, redirect=False)
+        headers = {"X-Probe": "true"}
+        with (
+            gevent.Timeout(timeout_s, TimeoutError("the time of the probe is up")),
+            answers.BoundedPool(ip, port, timeout=timeout_s, retries=False) as pool,
+            pool.request(
+                "GET", order.path, headers=headers, redirect=False, preload_content=False
+            ) as response,
+        ):
+            # An answer that is cut off is no sign of health.
+            answers.read_body(response, most_bytes=_MAX_ANSWER_BYTES)
+        return response
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -9,12 +9,13 @@
 import time
 from collections.abc import Callable, Iterator
 
+import gevent
 import msgspec
 import urllib3
 from urllib3 import connection, exceptions
 
 from verbenadrum.core import ports
-from verbenadrum.daemon import sockets
+from verbenadrum.daemon import answers, sockets
 from verbenadrum.utils import errors
 
 __all__ = [
@@ -39,6 +40,8 @@
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_KEEP_ALIVE_S = 4.0
 _KEEP_ALIVE = re.compile(r"timeout\s*=\s*([0-9]+)")
+# As many digits as an integer of 64 bits may surely have.
+_LENGTH = re.compile(r"[0-9]{1,18}")
 _MISDIRECTED_STATUS = 421
 _FALSE = ("", "0", "false")
 _MS_PER_S = 1000.0
@@ -147,6 +150,7 @@
         self.prefetched = prefetched
         self._rest = rest
         self.latency_ms = latency_ms
+        self._begun_s = time.monotonic()
 
     @property
     def whole(self) -> bool:
@@ -186,13 +190,19 @@
         """
         if self._rest is None:
             return
+        waited_s = 0.0
+        asked_s = time.monotonic()
         try:
-            yield from self._rest
+            for piece in self._rest:
+                waited_s += time.monotonic() - asked_s
+                yield piece
+                asked_s = time.monotonic()
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
+            waited_s += time.monotonic() - asked_s
             self.discard()
             raise AttemptError(
                 f"the answer's body ended early: {type(error).__name__}",
-                self.outcome(ports.OutcomeKind.TRUNCATED),
+                self.outcome(self._blamed_kind(error, waited_s)),
             ) from error
         self._release(True)
 
@@ -215,6 +225,14 @@
         """Close the connection, so that nothing late on it reaches another request."""
         self._release(False)
 
+    def _blamed_kind(self, error: Exception, waited_s: float) -> ports.OutcomeKind:
+        kind = _broken_kind(error)
+        passed_s = time.monotonic() - self._begun_s
+        if kind is ports.OutcomeKind.TIMEOUT and 2.0 * waited_s < passed_s:
+            # The caller took most of the time, for which the server cannot be blamed.
+            return ports.OutcomeKind.CANCELLED
+        return kind
+
 
 class _Idle(msgspec.Struct, frozen=True):
     """A connection that waits for its next request, since and until when (monotonic seconds)."""
@@ -269,7 +287,7 @@
                 return warm
             warm.close()
         ip, port = sockets.split_address(address)
-        fresh = connection.HTTPConnection(ip, port, timeout=min(_CONNECT_TIMEOUT_S, timeout_s))
+        fresh = answers.BoundedConnection(ip, port, timeout=min(_CONNECT_TIMEOUT_S, timeout_s))
         fresh.connect()
         self._connects += 1
         fresh.timeout = timeout_s
@@ -309,7 +327,7 @@
     sent : SentRequest
         What to send.
     timeout_s : float
-        Longest wait for the next byte.
+        Longest time to the last byte of the answer.
     names : HeaderNames
         Headers that carry meaning.
     reuse_idle_s : float
@@ -334,6 +352,9 @@
         self._sent = sent
         self._timeout_s = timeout_s
         self._connection: connection.HTTPConnection | None = None
+        # The connection lets go of both where the answer ends with it.
+        self._sock: socket.socket | None = None
+        self._response: urllib3.BaseHTTPResponse | None = None
         self._cancelled = False
         self._keep_s = _DEFAULT_KEEP_ALIVE_S
         self._started_s = time.monotonic()
@@ -343,10 +364,9 @@
     def cancel(self) -> None:
         """Close the connection at once, which the backend server sees as a cancellation."""
         self._cancelled = True
-        sock = self._connection.sock if self._connection is not None else None
-        if sock is not None:
+        if self._sock is not None:
             with contextlib.suppress(OSError):  # The connection may have ended already.
-                sock.shutdown(socket.SHUT_RDWR)
+                self._sock.shutdown(socket.SHUT_RDWR)
 
     def stop(self) -> ports.Outcome:
         """Close the connection of an attempt whose `run` was ended from outside."""
@@ -384,20 +404,29 @@
 
     def _exchange(self) -> urllib3.BaseHTTPResponse:
         try:
-            self._connection = self._pools.take(
-                self._order.address, timeout_s=self._timeout_s, idle_at_most_s=self._reuse_idle_s
-            )
-            if self._cancelled:
-                raise OSError("the attempt was cancelled")
-            self._bytes_sent = True
-            self._send()
-            response = self._connection.getresponse()
-            self._keep_s = _keep_alive_s(response.headers)
-            return response
+            with self._time_limit():
+                self._connection = self._pools.take(
+                    self._order.address,
+                    timeout_s=self._timeout_s,
+                    idle_at_most_s=self._reuse_idle_s,
+                )
+                self._sock = self._connection.sock
+                if self._cancelled:
+                    raise OSError("the attempt was cancelled")
+                self._bytes_sent = True
+                self._send()
+                self._response = self._connection.getresponse()
+            self._keep_s = _keep_alive_s(self._response.headers)
+            return self._response
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
             self._release(False)
             raise self._failed(error) from error
 
+    def _time_limit(self) -> gevent.Timeout:
+        """Return a context that raises TimeoutError once the time of this attempt is up."""
+        left_s = self._started_s + self._timeout_s - time.monotonic()
+        return gevent.Timeout(max(0.0, left_s), TimeoutError("the time of the attempt is up"))
+
     def _send(self) -> None:
         try:
             self._connection.request(
@@ -415,19 +444,23 @@
 
     def _release(self, reusable: bool) -> None:
         used, self._connection = self._connection, None
+        response, self._response = self._response, None
+        self._sock = None
         if used is None:
             return
         if reusable and not self._cancelled and not self._body_cut:
             self._pools.put(self._order.address, used, keep_s=self._keep_s)
-        else:
-            used.close()
+            return
+        if response is not None:
+            response.close()
+        used.close()
 
     def _failed(self, error: Exception) -> AttemptError:
         if self._cancelled:
             kind = ports.OutcomeKind.CANCELLED
         elif not self._bytes_sent:
             kind = ports.OutcomeKind.CONNECT_FAILED
-        elif isinstance(error, (exceptions.TimeoutError, TimeoutError)):
+        elif _is_timeout(error):
             kind = ports.OutcomeKind.TIMEOUT
         else:
             kind = ports.OutcomeKind.RESET
@@ -464,7 +497,7 @@
         length = response.headers.get("Content-Length")
         chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
         unframed = length is None and self._names.unframed
-        if not chunked and not unframed and (length is None or not length.isdigit()):
+        if not chunked and not unframed and not _LENGTH.fullmatch(length or ""):
             # Without a length, an answer that was cut off may look like a whole one.
             raise AttemptError(
                 "the answer has no length",
@@ -473,11 +506,7 @@
         try:
             return self._read_start(response, chunked, length)
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
-            kind = ports.OutcomeKind.TRUNCATED
-            if self._cancelled:
-                kind = ports.OutcomeKind.CANCELLED
-            elif isinstance(error, exceptions.TimeoutError):
-                kind = ports.OutcomeKind.TIMEOUT
+            kind = ports.OutcomeKind.CANCELLED if self._cancelled else _broken_kind(error)
             raise AttemptError(
                 f"the answer's body ended early: {type(error).__name__}",
                 self._outcome(kind, response.status),
@@ -488,13 +517,14 @@
     ) -> tuple[bytes, Iterator[bytes] | None]:
         if not chunked and length is not None:
             if int(length) > PREFETCH_BYTES:
-                return b"", response.stream(_CHUNK_BYTES, decode_content=False)
-            data = response.read(decode_content=False)
+                return b"", self._stream(response)
+            with self._time_limit():
+                data = response.read(decode_content=False)
             self._release(True)
             return data, None
         # One iterator for the whole body: dropping it half-way would close the answer, which
         # then looks complete.
-        pieces = response.stream(_CHUNK_BYTES, decode_content=False)
+        pieces = self._stream(response)
         data = bytearray()
         for piece in pieces:
             data += piece
@@ -503,6 +533,21 @@
         self._release(True)
         return bytes(data), None
 
+    def _stream(self, response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+        """Yield the body's pieces until its end or that of the attempt's time."""
+        pieces = response.stream(_CHUNK_BYTES, decode_content=False)
+        while True:
+            if time.monotonic() >= self._started_s + self._timeout_s:
+                raise TimeoutError("the time of the attempt is up")
+            with self._time_limit():
+                piece = next(pieces, None)
+            if piece is None:
+                break
+            yield piece
+        if self._cancelled:
+            # An answer without a length that is cut off here looks like a whole one.
+            raise OSError("the attempt was cancelled")
+
     def _check_status(self, answer: Answer) -> None:
         kind = answer.kind()
         refused = kind in (ports.OutcomeKind.SHED, ports.OutcomeKind.MISDIRECTED)
@@ -540,6 +585,15 @@
     return ports.OutcomeKind.OK
 
 
+def _is_timeout(error: Exception) -> bool:
+    return isinstance(error, (exceptions.TimeoutError, TimeoutError))
+
+
+def _broken_kind(error: Exception) -> ports.OutcomeKind:
+    """Return how an answer ended whose head had come."""
+    return ports.OutcomeKind.TIMEOUT if _is_timeout(error) else ports.OutcomeKind.TRUNCATED
+
+
 def _keep_alive_s(headers: urllib3.HTTPHeaderDict) -> float:
     """Return how long a connection may wait for its next request, by what its server states."""
     stated = _KEEP_ALIVE.search(headers.get("Keep-Alive", ""))
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -41,6 +41,8 @@
 _SECOND_OPINION_BONUS = 1.0
 # Cost of certain sickness, in parts of a server's slots.
 _DOUBT_WEIGHT = 1.5
+# A request that is not sent again goes to a server that may be sick only where no other has a slot.
+_LAST_ATTEMPT_COST = 1.5
 # A suspected request goes to a server with other work only where none is idle.
 _SHARED_COST = 10.0
 _TRIAL_WEIGHT = 0.2
@@ -65,6 +67,12 @@
         Whether the request was believed harmless.
     suspected : bool
         Whether a server had died under the request before, so that it runs on its own.
+    deadline_ms : float
+        When the time of the request is over.
+    repeat_until_ms : float
+        Until when another attempt may follow if this one fails.
+    recheck : bool
+        Whether the server gets no work otherwise, so that the attempt finds out whether it is well.
     """
 
     lease: ids.LeaseId
@@ -79,6 +87,9 @@
     waited_ms: float = 0.0
     trusted: bool = False
     suspected: bool = False
+    deadline_ms: float = math.inf
+    repeat_until_ms: float = -math.inf
+    recheck: bool = False
 
 
 class ServerTable:
@@ -244,6 +255,11 @@
             return None
         return best
 
+    def is_left_alone(self, entry: types.ServerEntry, *, trial: bool = False) -> bool:
+        """Return whether a server gets no work but to find out whether it is well again."""
+        doubt = self._doubt(ids.ServerId(entry.server))
+        return not self._slots(entry, doubt, self._limit(self._doubts(), trial=trial))
+
     def any_free(self) -> bool:
         """Return whether some server has a slot that some request may use."""
         return any(
@@ -284,6 +300,8 @@
             return math.inf
         cost = used / (entry.slots or self._part.spec.slots) + self._rng.random() * 0.1
         cost += (_TRIAL_WEIGHT if trial else _DOUBT_WEIGHT) * doubt
+        if not trial and doubt >= _UNSURE_DOUBT:
+            cost += _LAST_ATTEMPT_COST
         if doubt < _UNUSED_DOUBT and now_ms - self._taken_ms.get(server, -math.inf) > _UNUSED_MS:
             cost -= _UNUSED_BONUS
         if self._is_warm(server, observer):
