--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -12,24 +12,13 @@
 
 from verbenadrum.core import ports
 from verbenadrum.daemon import host, http_server
+from verbenadrum.daemon.tests import test_command
 from verbenadrum.records import types
 from verbenadrum.settings import load
 
 TIMEOUT_S = 10.0
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-SETTINGS = """
-[host]
-id = "h1"
-data_centre = "d1"
-region = "r1"
-[callers]
-listen = "127.0.0.1:0"
-[operators]
-listen = "127.0.0.1:0"
-[peers]
-listen = "127.0.0.1:0"
-[platform]
-urls = ["http://127.0.0.1:9"]
+SETTINGS = f"""{test_command.SETTINGS}
 [data_centres]
 d1 = "r1"
 [decisions]
