The test of a planted fault draws until it is found

test_machine_catches_a_table_that_takes_any_revision failed in the whole run, deterministically, since new modules were merged, and passed alone: the library draws from the constants of all modules that are imported, so that its 20 examples were others. The bound for the real table stays as it is.

--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -20,6 +20,7 @@
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 _CONVERGENCE_MS = 15_000.0
+_MOST_EXAMPLES = 400
 _NAMES = ("w0", "w1", "w2")
 _BAD_SPEC = {"rate_per_s": 0, "burst": 0}
 
@@ -174,8 +175,12 @@
 
 
 def fails_under_the_machine():
+    # What is drawn depends on the constants of every module that was imported before.
     unshrunk = hypothesis.settings(
-        _SETTINGS, phases=[hypothesis.Phase.generate], report_multiple_bugs=False
+        _SETTINGS,
+        max_examples=_MOST_EXAMPLES,
+        phases=[hypothesis.Phase.generate],
+        report_multiple_bugs=False,
     )
     try:
         stateful.run_state_machine_as_test(SpreadMachine, settings=unshrunk)
