Tests of answers without end measure starvation in processor time

test_platform_answer_without_end_is_a_failed_call[HttpSource-length] failed beside 20 busy processes: 1.14 s of wall time between two turns, of a bound of 0.5 s. What is to be caught is reading that never yields, which takes processor time; what the machine gives to other processes is not. The bound stays. With reads that never yield, test_body_that_never_makes_a_read_wait_holds_up_nobody still fails (1.50 s).

--- a/verbenadrum/daemon/tests/endless.py
+++ b/verbenadrum/daemon/tests/endless.py
@@ -77,7 +77,7 @@
 
 
 class Ticker:
-    """Measures for how long other greenlets could not run."""
+    """Measures the longest processor time for which other greenlets could not run."""
 
     def __init__(self):
         self.longest_s = 0.0
@@ -85,9 +85,10 @@
 
     def _run(self):
         while True:
-            before_s = time.monotonic()
+            # Wall time would count what the machine gives to other processes.
+            before_s = time.process_time()
             gevent.sleep(0.005)
-            self.longest_s = max(self.longest_s, time.monotonic() - before_s)
+            self.longest_s = max(self.longest_s, time.process_time() - before_s)
 
     def stop(self):
         self._greenlet.kill()
--- a/verbenadrum/daemon/tests/test_endless_answers.py
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -68,7 +68,7 @@
     finally:
         tracemalloc.stop()
     assert ticker.stop() < LONGEST_PAUSE_S
-    assert outcome.kind in FAILURES
+    assert outcome.kind in FAILURES, outcome
     assert outcome.may_have_run
     assert peak < MEMORY_LIMIT_BYTES
     assert max(server.await_closed()) < endless.MANY_BYTES
