--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -43,6 +43,8 @@
 _LAST_MESSAGES_S = 0.1
 _SEED_INTERVAL_S = 0.5
 _SHUTDOWN_POLL_S = 0.02
+# Two ticks until requests expire, as long to write their refusals, and the last messages.
+_LEAST_MARGIN_MS = 300.0
 _MAX_IDLE_CONNECTIONS = 8
 # Pool homes count a connection for 60 s after its last use, so it must be closed by then.
 _IDLE_CONNECTION_S = 45.0
@@ -111,7 +113,7 @@
         )
         self._prober = prober.Prober(engine=self._engine, names=self._callers.names)
         self._caller_server = self._make_caller_server()
-        self._operator_server = self._make_operator_server()
+        self._operator_servers = self._make_operator_servers()
         self._observe()
 
     def start(self) -> None:
@@ -119,7 +121,8 @@
         self._peers.start()
         self._setup.start()
         self._caller_server.start()
-        self._operator_server.start()
+        for server in self._operator_servers:
+            server.start()
         for run in (
             self._run_ticks,
             self._log.run,
@@ -141,9 +144,8 @@
             self._stopping = True
             gevent.spawn(self._shut_down)
 
-    def follow_settings(self, path: pathlib.Path) -> None:
+    def follow_settings(self, watched: watch.SettingsWatch) -> None:
         """Read the settings again whenever their file changes."""
-        watched = watch.SettingsWatch(path=path)
         self._greenlets.append(gevent.spawn(self._follow_settings, watched))
 
     def _follow_settings(self, watched: watch.SettingsWatch) -> None:
@@ -189,23 +191,35 @@
     def _finish_requests(self) -> None:
         _log.info("shutting down", extra={"in_flight": self._caller_server.in_flight})
         table = self._settings.shutdown
-        allowed_ms = max(0.0, table.limit_ms - table.margin_ms)
-        limit_ms = self._clock.now_ms() + allowed_ms
-        self._engine.leave()
+        margin_ms = max(table.margin_ms, _LEAST_MARGIN_MS)
+        allowed_ms = max(0.0, table.limit_ms - margin_ms)
+        ends_ms = self._clock.now_ms() + allowed_ms
+        self._engine.leave(ends_ms)
         self._caller_server.announce_end()
         # Callers, and a balancer before this host, learn of the end late.
         gevent.sleep(min(table.linger_ms, allowed_ms / 2.0) / _MS_PER_S)
+        self._engine.refuse_late()
         self._caller_server.drain()
-        # A request may arrive on a kept connection until the moment at which that is closed.
-        while self._caller_server.connections and self._clock.now_ms() < limit_ms:
+        _log.info("listener closed", extra=self._open_work())
+        # A request may arrive on a kept connection until the moment at which that is closed, and
+        # those that are refused because the time is up get their answers after it.
+        closes_ms = ends_ms + margin_ms / 2.0
+        while self._caller_server.connections and self._clock.now_ms() < closes_ms:
             self._caller_server.close_idle()
             gevent.sleep(_SHUTDOWN_POLL_S)
         # The last releases and ends of claims are still on their way to other hosts.
         gevent.sleep(_LAST_MESSAGES_S)
 
+    def _open_work(self) -> dict[str, int]:
+        server = self._caller_server
+        return {"connections": server.connections, "in_flight": server.in_flight}
+
     def _close_ports(self) -> None:
+        if self._caller_server.connections:
+            _log.warning("connections cut", extra=self._open_work())
         self._caller_server.close_connections()
-        self._operator_server.stop(timeout=0)
+        for server in self._operator_servers:
+            server.stop(timeout=0)
         gevent.killall(self._greenlets)
         self._peers.stop()
         self._setup.stop()
@@ -282,17 +296,19 @@
             limits=lambda: self._engine.records.caller_limits,
         )
 
-    def _make_operator_server(self) -> http_server.HttpServer:
+    def _make_operator_servers(self) -> list[http_server.HttpServer]:
         port = operators.OperatorsPort(
             decisions=self._decisions,
             ready=self._is_ready,
             status=self._status,
             scrape=self._setup.scrape,
         )
-        return http_server.HttpServer(
-            listener=sockets.listen(self._settings.operators.listen),
-            application=port.application,
-        )
+        addresses = (self._settings.operators.listen, self._settings.metrics.listen)
+        return [
+            http_server.HttpServer(listener=sockets.listen(address), application=port.application)
+            for address in addresses
+            if address
+        ]
 
     def _send(self, to: ids.HostId, message: base.Message) -> None:
         if to in self._settings.peers.seeds:
@@ -365,6 +381,12 @@
                 "Requests.",
                 lambda: self._caller_server.in_flight,
             ),
+            (
+                "verbenadrum.callers.connections",
+                "",
+                "Open connections of callers.",
+                lambda: self._caller_server.connections,
+            ),
             ("verbenadrum.records.revision", "", "Records.", lambda: self._engine.records.revision),
             ("verbenadrum.peers.bytes_sent", "By", "To peers.", lambda: counters.bytes_sent),
             ("verbenadrum.peers.messages_sent", "", "To peers.", lambda: counters.messages_sent),
--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -43,10 +43,20 @@
 
 
 class AbortAnswer(errors.VerbenadrumError):
-    """A started answer cannot be completed: its connection is closed without a clean end."""
+    """An answer cannot be completed: its connection is closed without a clean end.
+
+    Attributes
+    ----------
+    reason : str
+        Short stable reason code, for the log.
+    """
 
     code = "answer-aborted"
 
+    def __init__(self, message: str, reason: str) -> None:
+        super().__init__(message)
+        self.reason = reason
+
 
 class CallerBodyError(OSError):
     """A caller's body that broke off, or is malformed, while it was passed on."""
@@ -296,6 +306,8 @@
         self.stopping = False
         self.in_flight = 0
         self.limits = limits
+        # From the accept to the close; a greenlet that is to handle one begins a turn later.
+        self._accepted: set[socket.socket] = set()
         self._open: set[socket.socket] = set()
         # Since when each connection has waited for a request (monotonic seconds).
         self._idle: dict[socket.socket, float] = {}
@@ -303,7 +315,7 @@
     @property
     def connections(self) -> int:
         """Number of open connections."""
-        return len(self._open)
+        return len(self._accepted)
 
     def note_idle(self, sock: socket.socket) -> None:
         """Note that a connection waits for its next request."""
@@ -316,6 +328,16 @@
         """
         return self._idle.pop(sock, None) is not None
 
+    def do_handle(self, sock: socket.socket, address: tuple) -> None:
+        """Begin to serve a connection that was accepted."""
+        self._accepted.add(sock)
+        super().do_handle(sock, address)
+
+    def do_close(self, sock: socket.socket, *rest: object) -> None:
+        """Close a connection that has been served."""
+        self._accepted.discard(sock)
+        super().do_close(sock, *rest)
+
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Serve one connection."""
         sockets.disable_nagle(sock)
@@ -331,8 +353,17 @@
         self.stopping = True
 
     def drain(self) -> None:
-        """Close the listener; requests on open connections are served and then closed."""
+        """Close the listener; requests on open connections are served and then closed.
+
+        Connections in the listen queue are open to their clients, so they are accepted first.
+        """
         self.stopping = True
+        self.stop_accepting()
+        try:
+            while accepted := self.do_read():
+                self.do_handle(*accepted)
+        except OSError as error:
+            _log.warning("listen queue not emptied", extra={"fault": str(error)})
         self.close()
 
     def close_idle(self) -> None:
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -1,6 +1,6 @@
 """Typed tables of the settings file."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -148,8 +148,9 @@
     """How a host ends after SIGTERM.
 
     For ``linger_ms`` it still accepts connections, since callers or a balancer learn of the end
-    late, though no longer than half of its time. ``margin_ms`` before ``limit_ms`` it ends whatever
-    is still in flight.
+    late, though no longer than half of its time. ``margin_ms`` before ``limit_ms``, and at least
+    300 ms before it, every request that is still in flight is refused; half of this time is for
+    writing the refusals.
     """
 
     linger_ms: Milliseconds = 500.0
@@ -169,8 +170,13 @@
 
 
 class MetricsTable(Table):
-    """Where metrics are pushed by OTLP, besides the scraping on the operators' port."""
+    """Where metrics are pushed by OTLP, besides the scraping on the operators' port.
 
+    ``listen`` is a further address of the operators' port, for a scraper that needs the same port
+    on every host; empty for none.
+    """
+
+    listen: Address | Literal[""] = ""
     otlp_endpoint: str = ""
     otlp_interval_ms: Annotated[int, msgspec.Meta(ge=1000)] = 15_000
 
