--- /dev/null
+++ b/verbenadrum/daemon/tests/test_endless_answers.py
@@ -0,0 +1,171 @@
+"""Tests of attempts against backend servers whose bytes come without end."""
+
+import contextlib
+import time
+import tracemalloc
+
+import gevent
+import pytest
+from gevent import monkey
+
+from verbenadrum.core import ports
+from verbenadrum.daemon import upstream
+from verbenadrum.daemon.tests import endless, test_upstream
+
+Kind = ports.OutcomeKind
+serve = endless.serve
+LIMIT_S = 0.5
+LATE_S = 1.0
+MEMORY_LIMIT_BYTES = 4_000_000
+LONGEST_PAUSE_S = 0.5
+FAILURES = (Kind.RESET, Kind.TRUNCATED, Kind.TIMEOUT)
+
+
+class SlowBackend(test_upstream.Backend):
+    """Sends an answer in pieces, and then closes."""
+
+    def handle(self, sock, address):
+        sock.recv(65_536)
+        for piece in self.answer:
+            sock.sendall(piece)
+            gevent.sleep(0.01)
+
+
+@pytest.fixture
+def pools():
+    return upstream.ConnectionPools(max_idle=2)
+
+
+def outcome_of(pools, server, **options):
+    """Return how an attempt ends whose whole answer is read, and check that it ends in time."""
+    started_s = time.monotonic()
+    with gevent.Timeout(5.0), pytest.raises(upstream.AttemptError) as caught:
+        answer = test_upstream.attempt(pools, server.address, timeout_s=LIMIT_S, **options).run()
+        for _ in answer.rest():
+            pass
+    assert time.monotonic() - started_s < LIMIT_S + LATE_S
+    return caught.value.outcome
+
+
+@pytest.mark.parametrize("case", endless.NO_ANSWERS)
+def test_lines_without_end_are_no_answer_and_hold_up_nobody(pools, serve, case):
+    server = serve(*endless.NO_ANSWERS[case])
+    ticker = endless.Ticker()
+    tracemalloc.start()
+    try:
+        outcome = outcome_of(pools, server)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert ticker.stop() < LONGEST_PAUSE_S
+    assert outcome.kind in FAILURES
+    assert outcome.may_have_run
+    assert peak < MEMORY_LIMIT_BYTES
+    assert max(server.await_closed()) < endless.MANY_BYTES
+    assert pools.idle == 0
+
+
+@pytest.mark.parametrize("case", endless.BODIES)
+def test_body_that_never_makes_a_read_wait_holds_up_nobody(pools, serve, case):
+    server = serve(*endless.BODIES[case])
+    names = upstream.HeaderNames(unframed=True)
+    ticker = endless.Ticker()
+    running = test_upstream.attempt(
+        pools, server.address, names=names, timeout_s=3.0 * LONGEST_PAUSE_S
+    )
+    ends_s = time.monotonic() + 3.0 * LONGEST_PAUSE_S
+    with contextlib.suppress(upstream.AttemptError):
+        for _ in running.run().rest():
+            if time.monotonic() > ends_s:
+                break
+    # What a starved greenlet has waited shows once it runs again.
+    gevent.sleep(0.02)
+    assert ticker.stop() < LONGEST_PAUSE_S
+
+
+def test_discarded_answer_without_a_length_closes_its_connection(pools, serve):
+    server = serve(*endless.BODIES["unframed"])
+    names = upstream.HeaderNames(unframed=True)
+    answer = test_upstream.attempt(pools, server.address, names=names).run()
+    assert not answer.whole
+    answer.discard()
+    assert max(server.await_closed()) < endless.MANY_BYTES
+
+
+@pytest.mark.parametrize("case", ["chunks", "unframed"])
+def test_cancelled_answer_that_drips_ends_at_once(pools, serve, case):
+    first, _, _ = endless.BODIES[case]
+    server = serve(first, "1\r\nx\r\n", pause_s=0.005)
+    names = upstream.HeaderNames(unframed=True)
+    running = test_upstream.attempt(pools, server.address, names=names)
+    gevent.spawn_later(0.2, running.cancel)
+    with gevent.Timeout(LATE_S), pytest.raises(upstream.AttemptError) as caught:
+        running.run()
+    assert caught.value.outcome.kind is Kind.CANCELLED
+    server.await_closed()
+
+
+def test_answer_without_a_length_that_is_cancelled_as_bytes_come_is_not_whole(pools, serve):
+    server = serve(f"{endless.HEAD}\r\n", "x", pause_s=0.005)
+    names = upstream.HeaderNames(unframed=True)
+    for _ in range(20):
+        running = test_upstream.attempt(pools, server.address, names=names)
+        gevent.spawn_later(0.05, running.cancel)
+        # The loop finds the cancellation and a byte at the same time.
+        gevent.spawn_later(0.04, monkey.get_original("time", "sleep"), 0.02)
+        with gevent.Timeout(LATE_S), pytest.raises(upstream.AttemptError) as caught:
+            running.run()
+        assert caught.value.outcome.kind is Kind.CANCELLED
+
+
+@pytest.mark.parametrize("case", endless.DRIPPING)
+def test_answer_that_drips_ends_when_the_time_of_the_attempt_is_up(pools, serve, case):
+    server = serve(*endless.DRIPPING[case], pause_s=0.005)
+    outcome = outcome_of(pools, server, names=upstream.HeaderNames(unframed=True))
+    assert (outcome.kind, outcome.may_have_run) == (Kind.TIMEOUT, True)
+    server.await_closed()
+    assert pools.idle == 0
+
+
+@pytest.mark.parametrize("case", endless.BODIES)
+def test_body_without_end_is_streamed_in_bounded_memory_until_the_time_is_up(pools, serve, case):
+    server = serve(*endless.BODIES[case])
+    tracemalloc.start()
+    try:
+        outcome = outcome_of(pools, server, names=upstream.HeaderNames(unframed=True))
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert (outcome.kind, outcome.may_have_run) == (Kind.TIMEOUT, True)
+    assert peak < MEMORY_LIMIT_BYTES
+    server.await_closed()
+
+
+@pytest.mark.parametrize("pause_s", [0.0, LIMIT_S])
+def test_time_that_the_caller_takes_is_no_fault_of_the_server(pools, serve, pause_s):
+    server = serve(*endless.BODIES["chunks"])
+    answer = test_upstream.attempt(pools, server.address, timeout_s=LIMIT_S).run()
+    gevent.sleep(pause_s)
+    with gevent.Timeout(LIMIT_S + LATE_S), pytest.raises(upstream.AttemptError) as caught:
+        for _ in answer.rest():
+            gevent.sleep(0.1)
+    assert caught.value.outcome.kind is Kind.CANCELLED
+    server.await_closed()
+
+
+@pytest.mark.parametrize(
+    ("framing", "pieces"),
+    [
+        (b"Content-Length: 20\r\n\r\n", [b"x"] * 20),
+        (b"Transfer-Encoding: chunked\r\n\r\n", [b"1\r\nx\r\n"] * 20 + [b"0\r\n\r\n"]),
+        (b"\r\n", [b"x"] * 20),
+        (b"Content-Length: 2000000\r\n\r\n", [b"x" * 100_000] * 20),
+    ],
+)
+def test_slow_answer_within_the_time_of_the_attempt_passes_whole(pools, framing, pieces):
+    backend = SlowBackend([test_upstream.HEAD + framing, *pieces])
+    names = upstream.HeaderNames(unframed=True)
+    answer = test_upstream.attempt(pools, backend.address, timeout_s=2.0, names=names).run()
+    passed = answer.prefetched + b"".join(answer.rest())
+    assert passed == b"x" * len(passed)
+    assert len(passed) in (20, 2_000_000)
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -58,6 +58,8 @@
 )
 # Each costs a look at every server.
 _MOST_PASSED_OVER = 3
+# A server that gives up a request at its deadline says so this long before it, at most.
+_TIME_UP_MS = 50.0
 _PROBE_OBSERVER = ids.HostId("")
 # Outcomes that show that a server lives.
 _ANSWERS = (ports.OutcomeKind.OK, ports.OutcomeKind.SERVER_ERROR, ports.OutcomeKind.SHED)
@@ -453,13 +455,14 @@
         trial = ask.idempotent and not ask.attempt
         suspicion = self._ledger.suspicion(ask.fingerprint, now_ms)
         suspected = suspicion is poison.Suspicion.SUSPECTED
+        pressed = self._unserved_share > _PRESSED_FROM
         entry = self._servers.choose(
             waiter.observer,
             ask.excluded,
             now_ms,
             trial=trial,
             suspected=suspected,
-            pressed=self._unserved_share > _PRESSED_FROM,
+            pressed=pressed,
         )
         if entry is None:
             return False
@@ -470,6 +473,10 @@
         lease.group = ids.DataCentreId(ask.data_centre)
         lease.trusted = suspicion is poison.Suspicion.GOOD
         lease.suspected = suspected
+        lease.recheck = pressed and self._servers.is_left_alone(entry, trial=trial)
+        lease.deadline_ms = now_ms + ask.remaining_ms
+        if ask.repeatable:
+            lease.repeat_until_ms = lease.deadline_ms
         self._open(lease)
         answer = _answer(
             ask,
@@ -584,6 +591,13 @@
     def _count_unserved(self, unserved: float) -> None:
         self._unserved_share += (unserved - self._unserved_share) * _UNSERVED_SMOOTHING
 
+    def _count_end(self, lease: servers.LeaseRow, kind: ports.OutcomeKind) -> None:
+        """Count the end of a request; a failed attempt is none while another one may follow."""
+        failed = kind is not ports.OutcomeKind.OK
+        if failed and self._context.now_ms() + self._service_ms < lease.repeat_until_ms:
+            return
+        self._count_unserved(float(failed))
+
     def _reply(self, waiter: _Waiter, state: int, reason: str, retry_after_ms: float = 0.0) -> None:
         self._asks.pop((waiter.observer, waiter.ask.number), None)
         answer = _answer(waiter.ask, state, reason, retry_after_ms=retry_after_ms)
@@ -628,8 +642,9 @@
         self._service_ms += (held_ms - self._service_ms) * _SERVICE_SMOOTHING
 
     def _learn(self, lease: servers.LeaseRow, kind: ports.OutcomeKind, latency_ms: float) -> None:
-        if kind in _ENDS:
-            self._count_unserved(float(kind is not ports.OutcomeKind.OK))
+        # A pool does not stay pressed by what it spends on finding servers that are well again.
+        if kind in _ENDS and not lease.recheck:
+            self._count_end(lease, kind)
         if kind is ports.OutcomeKind.OK:
             self._latencies.add(latency_ms)
         if lease.server in self._ejector.rows and self._ejector.excused(lease.server):
@@ -639,12 +654,19 @@
                 server=lease.server,
                 observer=lease.observer,
                 group=lease.group,
-                kind=kind,
+                kind=self._evidence_kind(lease, kind),
                 latency_ms=latency_ms,
                 at_ms=self._context.now_ms(),
             )
         )
 
+    def _evidence_kind(self, lease: servers.LeaseRow, kind: ports.OutcomeKind) -> ports.OutcomeKind:
+        """Return how an end counts: an error at the deadline says only that time was up."""
+        in_time = self._context.now_ms() < lease.deadline_ms - _TIME_UP_MS
+        if kind is not ports.OutcomeKind.SERVER_ERROR or in_time:
+            return kind
+        return ports.OutcomeKind.TIMEOUT
+
     def _note_poison(
         self, lease: servers.LeaseRow, kind: ports.OutcomeKind, server_gone: bool
     ) -> None:
