--- a/verbenadrum/daemon/sockets.py
+++ b/verbenadrum/daemon/sockets.py
@@ -3,6 +3,7 @@
 import select
 import socket
 import ssl
+import struct
 
 from gevent import monkey
 
@@ -17,6 +18,7 @@
     "listen",
     "peer_client_context",
     "peer_server_context",
+    "reset_on_close",
     "server_context",
     "split_address",
 ]
@@ -24,6 +26,8 @@
 _BACKLOG = 1024
 # The cooperative poll would let other greenlets run between a look and what follows from it.
 _poll = monkey.get_original("select", "poll")
+# On, and no seconds to wait for what was sent.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -43,6 +47,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def reset_on_close(sock: socket.socket) -> None:
+    """Have closing a socket reset its connection, whatever has been shut down before."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
 def has_gone(address: str, *, connect_timeout_s: float, hold_s: float) -> bool:
     """Return whether a server takes no new connection, or ends it before anything is sent.
 
@@ -58,14 +67,14 @@
     try:
         with socket.create_connection(split_address(address), connect_timeout_s) as sock:
             sock.settimeout(hold_s)
-            sock.recv(1)
+            # A server that sends before it is asked is there.
+            return not sock.recv(1)
     except TimeoutError:
         # Nothing came and nothing closed, as at any idle server; a connection that takes too
         # long is no proof of a crash either.
         return False
     except OSError:
         return True
-    return True
 
 
 def is_tls(sock: socket.socket) -> bool:
