--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -9,7 +9,7 @@
 import itertools
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -19,7 +19,7 @@
 from verbenadrum.decisions import ring
 from verbenadrum.entry import keys, pipeline
 from verbenadrum.membership import table as host_table
-from verbenadrum.placement import registry
+from verbenadrum.placement import budget, registry
 from verbenadrum.records import table as record_table
 from verbenadrum.records import types
 from verbenadrum.utils import clock
@@ -143,7 +143,16 @@
 class FleetHost:
     """One host: a pipeline, a placer and its tables."""
 
-    def __init__(self, *, fleet: "Fleet", row: ports.HostRow, placement: str, health: str) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: "Fleet",
+        row: ports.HostRow,
+        placement: str,
+        health: str,
+        retries: budget.RetryLimits,
+        incarnation: int,
+    ) -> None:
         self.row = row
         self.alive = True
         self.paused_until_ms = 0.0
@@ -156,14 +165,18 @@
             host=row.host,
             data_centre=row.data_centre,
             region=row.region,
-            incarnation=1,
+            incarnation=incarnation,
             clock=fleet.clock,
             rng=random.Random(fleet.rng.random()),
             send=lambda to, message: fleet.send(row.host, to, message),
             decisions=self.decisions,
         )
         self.placer = registry.placers.get(placement)(
-            context=self.context, records=self.records, membership=self.membership, judge=health
+            context=self.context,
+            records=self.records,
+            membership=self.membership,
+            judge=health,
+            retries=retries,
         )
         claims = local.LocalClaims(
             context=self.context, records=self.records, membership=self.membership, epochs=None
@@ -198,6 +211,8 @@
 
     def dispatch(self, order):
         self.log.attempts.append(order.server)
+        if len(self.log.attempts) > 1:
+            self.fleet.repeats_ms.append(self.fleet.clock.now_ms())
         self.fleet.dispatch(self, order)
 
     def refuse(self, refusal):
@@ -229,6 +244,13 @@
         Seed of every random choice.
     timeouts : dict of str to float
         Time-outs of routes that differ from ``timeout_ms``, by the path that they begin with.
+    retries : RetryLimits
+        How many requests may be repeated.
+
+    Attributes
+    ----------
+    repeats_ms : list of float
+        Times at which a request was sent to one more server.
     """
 
     def __init__(
@@ -248,7 +270,12 @@
         target_ms: float = 0.0,
         ranks: dict[str, int] | None = None,
         timeouts: dict[str, float] | None = None,
+        retries: budget.RetryLimits = budget.DEFAULT_LIMITS,
     ) -> None:
+        self._placement = placement
+        self._health = health
+        self._retries = retries
+        self.repeats_ms: list[float] = []
         self._timeouts = timeouts or {}
         self._target_ms = target_ms
         self._ranks = ranks or {}
@@ -283,9 +310,9 @@
         }
         self.hosts: dict[str, FleetHost] = {}
         for row in hosts:
-            self.hosts[row.host] = FleetHost(
-                fleet=self, row=row, placement=placement, health=health
-            )
+            self.hosts[row.host] = self._make_host(row, incarnation=1)
+        self._records: list[types.Record] = []
+        self._listed: tuple[ports.HostRow, ...] = ()
         self.entries = tuple(
             types.ServerEntry(server=name, address=f"127.0.0.1:{number}", data_centre=place)
             for number, (name, place) in enumerate(sorted(servers.items()), start=1)
@@ -317,15 +344,16 @@
             key = types.KeySpec(workspace=name, sha256=keys.hash_key(name))
             specs.append((types.RecordKind.KEY, name, key))
         self.revision += 1
-        for host in self.hosts.values():
-            for kind, name, spec in specs:
-                record = types.Record(kind=kind, name=name, revision=self.revision, spec=spec)
-                host.records.put(record)
+        self._records = [
+            types.Record(kind=kind, name=name, revision=self.revision, spec=spec)
+            for kind, name, spec in specs
+        ]
+        self._put_records(self.hosts.values())
 
     def list_hosts(self, names: tuple[str, ...], views: tuple[str, ...] = ()) -> None:
         """Give the hosts in ``views`` (all by default) a list of ``names``."""
         self.revision += 1
-        rows = tuple(self._rows[name] for name in names)
+        rows = self._listed = tuple(self._rows[name] for name in names)
         for name in views or tuple(self.hosts):
             self.hosts[name].membership.replace(self.revision, rows)
 
@@ -467,9 +495,33 @@
         return set().union(*(host.ejected() for host in live))
 
     def fail_host(self, name: str) -> None:
-        """Stop a host for good."""
+        """Stop a host."""
         self.hosts[name].alive = False
 
+    def restart_host(self, name: str) -> None:
+        """Put a new process in a stopped host's place, with the records and without memory."""
+        old = self.hosts[name]
+        host = self._make_host(old.row, incarnation=old.context.incarnation + 1)
+        self.hosts[name] = host
+        self._put_records((host,))
+        host.membership.replace(self.revision, self._listed)
+        self._tick(host)
+
+    def _make_host(self, row: ports.HostRow, *, incarnation: int) -> FleetHost:
+        return FleetHost(
+            fleet=self,
+            row=row,
+            placement=self._placement,
+            health=self._health,
+            retries=self._retries,
+            incarnation=incarnation,
+        )
+
+    def _put_records(self, hosts: Iterable[FleetHost]) -> None:
+        for host in hosts:
+            for record in self._records:
+                host.records.put(record)
+
     def _restart(self, server: StubServer) -> None:
         server.down = False
         server.up_since_ms = self.clock.now_ms()
--- a/verbenadrum/limits/tests/test_metered.py
+++ b/verbenadrum/limits/tests/test_metered.py
@@ -78,3 +78,70 @@
     fleet.faults.cut.update({tuple(regions), tuple(reversed(regions))})
     send(fleet, rng, RATE_PER_S * 4.7, 12_000.0)
     assert most_in_window(fleet) <= MOST
+
+
+def most_allowed(rate_per_s):
+    return (rate_per_s * WINDOW_MS / 1000.0 + rate_per_s) * 1.25 + 20.0
+
+
+def small_workspace(rows, rate_per_s, seed):
+    """Return a settled fleet of real hosts, and one workspace whose burst is a second's rate."""
+    fleet = limits_fleet.Fleet(seed=seed, make=metered.MeteredLimiter)
+    spec = types.WorkspaceSpec(rate_per_s=rate_per_s, burst=rate_per_s)
+    fleet.publish(types.RecordKind.WORKSPACE, WORKSPACE, spec)
+    for row in rows:
+        fleet.add(row)
+    fleet.publish_hosts()
+    fleet.run(fleet.now_ms + SETTLED_MS)
+    return fleet
+
+
+# Hosts that each see few of the workspace's requests.
+MANY = [limits_fleet.layout(2, 2, 11), limits_fleet.layout(2, 2, 23), limits_fleet.layout(2, 3, 18)]
+
+
+@pytest.mark.parametrize("times", [2.0, 4.7, 20.0])
+@pytest.mark.parametrize("rate_per_s", [4.0, 17.0])
+@pytest.mark.parametrize("rows", MANY, ids=len)
+def test_many_hosts_together_stay_within_the_bound_of_a_small_workspace(rows, rate_per_s, times):
+    fleet = small_workspace(rows, rate_per_s, seed=1)
+    rng = random.Random(1)
+    send(fleet, rng, rate_per_s / 1.6, 4_000.0)
+    before = len(fleet.admitted(WORKSPACE))
+    send(fleet, rng, rate_per_s * times, 10_000.0)
+    assert most_in_window(fleet) <= most_allowed(rate_per_s)
+    assert len(fleet.admitted(WORKSPACE)) - before >= 0.9 * rate_per_s * 10.0
+
+
+@pytest.mark.parametrize("rows", MANY, ids=len)
+def test_homes_that_follow_each_other_stay_within_the_bound(rows):
+    rate_per_s = 17.0
+    fleet = small_workspace(rows, rate_per_s, seed=2)
+    rng = random.Random(2)
+    send(fleet, rng, rate_per_s / 1.6, 4_000.0)
+    for _ in range(8):
+        hosts = fleet.hosts[fleet.names[0]].membership
+        home = hosts.homes(f"limit/{WORKSPACE}", hosts.hosts(), 1)[0]
+        row = fleet.hosts[home].row
+        fleet.remove(home)
+        send(fleet, rng, rate_per_s * 4.7, 150.0)
+        fleet.publish_hosts()
+        send(fleet, rng, rate_per_s * 4.7, 1_150.0)
+        fleet.add(row)
+    assert most_in_window(fleet) <= most_allowed(rate_per_s)
+
+
+def test_hosts_that_are_restarted_in_turn_stay_within_the_bound():
+    rate_per_s = 17.0
+    rows = MANY[-1]
+    fleet = small_workspace(rows, rate_per_s, seed=3)
+    rng = random.Random(3)
+    send(fleet, rng, rate_per_s * 4.7, 4_000.0)
+    for row in rows[::2]:
+        fleet.remove(row.host)
+        fleet.publish_hosts()
+        send(fleet, rng, rate_per_s * 4.7, 100.0)
+        fleet.add(row)
+        fleet.publish_hosts()
+        send(fleet, rng, rate_per_s * 4.7, 50.0)
+    assert most_in_window(fleet) <= most_allowed(rate_per_s)
