Log when a host begins or ceases to be home, and when a home is passed over

The record's excess of repeats comes from several homes of one pool part. The log said who granted, but not why entry hosts asked different homes.

--- a/verbenadrum/decisions/ring.py
+++ b/verbenadrum/decisions/ring.py
@@ -27,6 +27,7 @@
     LEASE = "lease"
     RECORD = "record"
     MEMBERSHIP = "membership"
+    HOME = "home"
 
 
 class Decision(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -319,10 +319,28 @@
             row.homes = self.homes(part.service, part.region) or row.homes
             self._ask_home(row)
             return
-        self._slow_homes[row.asked] = self._context.now_ms() + _SLOW_HOME_MS
+        self._pass_over(row)
         row.homes = row.homes[1:]
         self._ask_home(row)
 
+    def _pass_over(self, row: _AskRow) -> None:
+        """Ask a silent home last for a while."""
+        now_ms = self._context.now_ms()
+        if self._slow_homes.get(row.asked, 0.0) <= now_ms:
+            self._context.decide(
+                ring.DecisionKind.HOME,
+                "passed-over",
+                "no-answer",
+                subject=row.request.service,
+                detail={
+                    "home": row.asked,
+                    "region": row.regions[0].region,
+                    "waited_ms": round(now_ms - row.sent_ms, 1),
+                    "for_ms": _SLOW_HOME_MS,
+                },
+            )
+        self._slow_homes[row.asked] = now_ms + _SLOW_HOME_MS
+
     def _granted(
         self, sender: ids.HostId, row: _AskRow | None, answer: messages.PlaceAnswer
     ) -> None:
--- a/verbenadrum/placement/pool_home.py
+++ b/verbenadrum/placement/pool_home.py
@@ -4,6 +4,7 @@
 
 from verbenadrum import ids
 from verbenadrum.core import context, ports, system
+from verbenadrum.decisions import ring
 from verbenadrum.health import messages as health_messages
 from verbenadrum.health import permits
 from verbenadrum.health import registry as health_registry
@@ -117,6 +118,7 @@
             if part is None or (home.idle and now_ms - home.last_asked_ms > _DROP_IDLE_MS):
                 del self._homes[key]
                 self._permits.pop(key, None)
+                self._note_home(key, "ends", "pool-gone" if part is None else "unused")
                 continue
             home.sync(part)
             home.on_tick()
@@ -259,6 +261,7 @@
         home = self._homes.get(key)
         if home is None:
             home = self._homes[key] = self._make_home(key, part)
+            self._note_home(key, "acts", "asked")
             hello = messages.HomeHello(service=part.service, region=part.region)
             for row in self._membership.hosts():
                 if row.host != self._context.host:
@@ -266,6 +269,18 @@
         home.sync(part)
         return home
 
+    def _note_home(self, key: PartKey, choice: str, reason: str) -> None:
+        service, region = key
+        candidates = self._entry.homes(service, region)
+        self._context.decide(
+            ring.DecisionKind.HOME,
+            choice,
+            reason,
+            subject=service,
+            alternatives=tuple(host for host in candidates if host != self._context.host),
+            detail={"region": region, "first": str(candidates[:1] == [self._context.host])},
+        )
+
     def _make_home(self, key: PartKey, part: parts.Part) -> home_side.PartHome:
         holder = self._permits[key] = permits.PermitHolder()
 
