Retry budget: repeats are earned at entry hosts and handed to homes

Callers saw nothing of it; servers of one service got up to 860 repeats in a window that allows 847.

Cause: each home of a pool part counted its own window and had the part's whole slack from its first moment. Homes that follow each other, or stand beside each other, added up.

Now a token exists once: an entry host earns a fifth for each first attempt that it places, owns an equal part of the slack, and hands what it owns over with its asks. A home repeats out of what it was handed, so the sum does not depend on how many homes there are. What a home keeps for a window is its part of the reached hosts, and only the first candidate keeps any.

--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -112,6 +112,10 @@
     def revision(self) -> int:
         """Revision of the host list in force here; 0 before the first list."""
 
+    @property
+    def changes(self) -> int:
+        """Number that grows whenever the list or a hint changes."""
+
     def hosts(
         self, *, region: ids.RegionId | None = None, data_centre: ids.DataCentreId | None = None
     ) -> tuple[HostRow, ...]:
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -41,6 +41,8 @@
     queued: bool = False
     # The same request's ask at another home; the first grant ends both.
     twin: int = 0
+    # Whether another home has charged the retry budget for the request's repeat.
+    counted: bool = False
     # Whether another home keeps a place in its queue for the request meanwhile.
     second: bool = False
 
@@ -76,6 +78,8 @@
         This host's memory of requests that crash servers.
     send : callable
         Sends a message to a host, this one included.
+    retries : RetryLimits
+        How many requests may be repeated.
     """
 
     def __init__(
@@ -86,6 +90,7 @@
         membership: ports.MembershipPort,
         ledger: poison.PoisonLedger,
         send: Callable[[ids.HostId, base.Message], None],
+        retries: budget.RetryLimits,
     ) -> None:
         self._context = context
         self._table = table
@@ -94,8 +99,9 @@
         self._send = send
         self._asks: dict[int, _AskRow] = {}
         self._held: dict[ids.LeaseId, _HeldRow] = {}
-        self._budgets: dict[ids.ServiceId, budget.RetryBudget] = collections.defaultdict(
-            budget.RetryBudget
+        started_ms = context.now_ms()
+        self._purses: dict[ids.ServiceId, budget.RetryPurse] = collections.defaultdict(
+            lambda: budget.RetryPurse(limits=retries, started_ms=started_ms)
         )
         self._slow_homes: dict[ids.HostId, float] = {}
         self._local: collections.Counter[ids.ServerId] = collections.Counter()
@@ -109,8 +115,6 @@
 
     def place(self, request: ports.PlacementRequest, done: Done) -> None:
         """Ask the home of the nearest part for a slot."""
-        if request.attempt == 0:
-            self._budgets[request.service].earn()
         found = self._table.parts(request.service)
         if not any(part.servers for part in found):
             done(_refusal("no-eligible-server"))
@@ -119,6 +123,8 @@
         if self._ledger.suspicion(request.fingerprint, now_ms) is poison.Suspicion.POISON:
             done(_refusal("poison-request"))
             return
+        if request.attempt == 0:
+            self._purses[request.service].earn()
         self._serial += 1
         near_first = sorted(found, key=lambda part: part.region != self._context.region)
         row = _AskRow(number=self._serial, request=request, done=done, regions=near_first, homes=[])
@@ -182,6 +188,7 @@
             self._ask_second(row)
         elif answer.state == messages.PlaceState.ELSEWHERE and len(row.regions) > 1:
             row.regions.pop(0)
+            row.counted = True
             self._ask_part(row)
         else:
             self._finish(row, _refusal(answer.reason, answer.retry_after_ms))
@@ -267,6 +274,7 @@
             regions=row.regions[1:],
             homes=[],
             twin=row.number,
+            counted=True,
             second=True,
         )
         row.twin = second.number
@@ -287,6 +295,7 @@
         row.sent_ms = now_ms
         row.queued = False
         remaining_ms = min(request.deadline_ms - now_ms, 3_600_000.0)
+        hosts = len(self._membership.hosts())
         self._send(
             row.asked,
             messages.PlaceAsk(
@@ -307,8 +316,9 @@
                     max(1.0, round(request.target_ms - now_ms, 1)) if request.target_ms else 0.0
                 ),
                 far=part.region not in (self._context.region, parts.EVERYWHERE),
-                counted=row.second,
+                counted=row.counted,
                 repeatable=request.repeatable,
+                tokens=round(self._purses[request.service].take(now_ms=now_ms, hosts=hosts), 6),
             ),
         )
 
@@ -403,8 +413,7 @@
         part = row.regions[0]
         now_ms = self._context.now_ms()
         request = row.request
-        repeat = request.attempt > 0 or request.hedge
-        if repeat and not self._budgets[request.service].draw(hedge=request.hedge):
+        if (request.attempt or request.hedge) and not self._draw_alone(request, now_ms):
             self._finish(row, _refusal("retry-budget-spent"))
             return
         suspicion = self._ledger.suspicion(row.request.fingerprint, now_ms)
@@ -442,6 +451,12 @@
             ),
         )
 
+    def _draw_alone(self, request: ports.PlacementRequest, now_ms: float) -> bool:
+        """Return whether this host may repeat a request that no home knows of; never a hedge."""
+        hosts = len(self._membership.hosts())
+        purse = self._purses[request.service]
+        return not request.hedge and purse.draw(now_ms=now_ms, hosts=hosts)
+
     def _local_allowance(self, part: parts.Part) -> int:
         hosts = max(1, len(self._table.hosts(part.region)))
         return max(1, math.ceil(part.spec.slots / hosts))
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -98,6 +98,8 @@
         Asks the other regions' homes for their allowance of a fingerprint.
     spread : callable
         Tells the other candidates a `messages.PoisonNotice`.
+    share : callable
+        Returns this home's part of the repeats that the service's homes may keep, 0 to 1.
     retries : RetryLimits
         How many requests may be repeated.
     """
@@ -115,6 +117,7 @@
         send: Callable[[ids.HostId, base.Message], None],
         reserve: Callable[[str], None],
         spread: Callable[[messages.PoisonNotice], None],
+        share: Callable[[], float],
         retries: budget.RetryLimits = budget.DEFAULT_LIMITS,
     ) -> None:
         self._context = context
@@ -137,7 +140,7 @@
             weight=weight, now_ms=context.now_ms
         )
         self._weight = weight
-        self._budget = budget.WindowBudget(limits=retries, parts=max(1, regions()))
+        self._budget = budget.RetryPool(limits=retries, share=share)
         # Servers that died, and when; none of them has answered anything since.
         self._died_ms: dict[ids.ServerId, float] = {}
         self._held_back: collections.deque[_Waiter] = collections.deque()
@@ -171,7 +174,7 @@
         return self._leases
 
     @property
-    def budget(self) -> budget.WindowBudget:
+    def budget(self) -> budget.RetryPool:
         """Repeats that this home may still grant."""
         return self._budget
 
@@ -200,6 +203,7 @@
             again = self._asks[known] or _answer(ask, messages.PlaceState.QUEUED, "queued")
             self._send(observer, again)
             return
+        self._budget.add(ask.tokens, now_ms=now_ms)
         patience_ms = self._patience_ms(ask)
         waiter = _Waiter(
             observer=observer,
@@ -218,7 +222,6 @@
             return
         if not len(self._queue) and self._grant(waiter):
             self._queue.charge(ask.workspace)
-            self._count_first(ask, now_ms)
             return
         self._enqueue(waiter)
 
@@ -392,11 +395,6 @@
             return True
         return self._budget.draw(now_ms=now_ms)
 
-    def _count_first(self, ask: messages.PlaceAsk, now_ms: float) -> None:
-        """Count a first attempt, once in the whole fleet: not where it goes elsewhere."""
-        if not (ask.attempt or ask.hedge or ask.counted):
-            self._budget.earn(now_ms=now_ms)
-
     def _patience_ms(self, ask: messages.PlaceAsk) -> float:
         """Return how long a request may wait for a slot."""
         if not ask.target_ms:
@@ -428,7 +426,6 @@
             self._refuse(waiter, "no-eligible-server", self._come_back_ms(0.0))
         elif not waiter.ask.last and wait_ms > max(elsewhere_ms, patience_ms):
             self._reply(waiter, messages.PlaceState.ELSEWHERE, "other-region-sooner")
-            return
         elif waiter.ask.far and waiter.ask.target_ms:
             # The way there and back keeps a slot from the callers of this region.
             self._refuse(waiter, "no-free-slot-for-far", come_back_ms)
@@ -440,7 +437,6 @@
             self._queue.push(workspace, waiter, rank=rank)
             sooner = not waiter.ask.last and wait_ms > elsewhere_ms
             self._queued(waiter, "queued", elsewhere=sooner)
-        self._count_first(waiter.ask, waiter.arrived_ms)
 
     def _expected_wait_ms(self, workspace: str, rank: int, slots: int) -> float:
         ahead = self._queue.waiting(workspace, rank)
@@ -581,8 +577,7 @@
                 "slots": self._servers.total_slots,
                 "in_use": self._servers.in_use,
                 "waiting": len(self._queue),
-                "repeats": self._budget.repeats,
-                "first_attempts": self._budget.firsts,
+                "retry_tokens": round(self._budget.tokens(now_ms=now_ms), 1),
             },
         )
         self._count_unserved(1.0)
--- a/verbenadrum/placement/messages.py
+++ b/verbenadrum/placement/messages.py
@@ -40,8 +40,9 @@
     ``last`` says that there is no other region to try, ``attempt`` is 0 for a request's first
     attempt, and ``priority`` its rank under load, 0 being the most urgent. The caller wants its
     answer within ``target_ms``, where that is not 0. ``far`` asks come from another region. An
-    ask is ``counted`` where another home has counted it in the retry budget, and ``repeatable``
-    where another attempt may follow if this one fails.
+    ask is ``counted`` where another home has charged it to the retry budget, and ``repeatable``
+    where another attempt may follow if this one fails. ``tokens`` are repeats that the entry
+    host owned and hands over.
     """
 
     number: int
@@ -61,6 +62,7 @@
     far: bool = False
     counted: bool = False
     repeatable: bool = False
+    tokens: float = 0.0
 
 
 @base.register
--- a/verbenadrum/placement/pool_home.py
+++ b/verbenadrum/placement/pool_home.py
@@ -1,5 +1,6 @@
 """Placer whose pools each have a home: a host that keeps the slots and gathers the evidence."""
 
+import collections
 from collections.abc import Callable
 
 from verbenadrum import ids
@@ -56,6 +57,9 @@
         self._voucher = permits.Voucher(started_ms=context.now_ms())
         self._homes: dict[PartKey, home_side.PartHome] = {}
         self._permits: dict[PartKey, permits.PermitHolder] = {}
+        # Parts of the kept repeats, with the state of the host list that they were worked out from.
+        self._shares: dict[PartKey, tuple[int, float]] = {}
+        self._most_hosts: collections.Counter[ids.RegionId] = collections.Counter()
         self._probe_homes: dict[ids.LeaseId, home_side.PartHome] = {}
         self._entry = entry_side.EntrySide(
             context=context,
@@ -63,6 +67,7 @@
             membership=membership,
             ledger=self._ledger,
             send=self._send,
+            retries=retries,
         )
         self._own_handlers = {type_: method for type_, method in self.handlers()}
 
@@ -300,9 +305,30 @@
             send=self._send,
             reserve=lambda fingerprint: self._reserve(key, fingerprint),
             spread=lambda notice: self._spread(part.service, notice),
+            share=lambda: self._share(key),
             retries=self._retries,
         )
 
+    def _share(self, key: PartKey) -> float:
+        """Return this host's part of what the homes of a service may keep together.
+
+        Of hosts that act as home of one part, those on two sides of a cut each have the part
+        that they reach, and on one side only the first candidate has any.
+        """
+        changes = self._membership.changes
+        known = self._shares.get(key)
+        if known is not None and known[0] == changes:
+            return known[1]
+        service, region = key
+        rows = self._table.hosts(region)
+        self._most_hosts[region] = max(self._most_hosts[region], len(rows))
+        own = self._context.host
+        reached = sum(row.host == own or self._membership.reachable(row.host) for row in rows)
+        first = self._table.homes(service, region)[:1] == (own,)
+        share = reached / self._most_hosts[region] / len(self._table.parts(service)) * first
+        self._shares[key] = (changes, share)
+        return share
+
     def _weight(self, workspace: str) -> float:
         spec = self._records.workspace(ids.WorkspaceId(workspace))
         return 1.0 if spec is None else spec.weight
