A new home of a pool part takes no leases away from a living one

Callers of a region were refused, or waited too long, for some three seconds after one host had an answer late; servers sat idle meanwhile.

Cause: a host that is asked as home says hello to all hosts, and they moved all their leases to it. The home that all others still asked heard no release any more, so its slots stayed taken until their leases ended by silence after 3 s.

Now a host releases to every home that counts the lease. The test fails without the change: slots taken 1.5 s after the last request's end.

--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -48,10 +48,14 @@
 
 
 class _HeldRow(msgspec.Struct, kw_only=True):
-    """A lease held by this host; ``home`` is empty for one that it gave itself."""
+    """A lease held by this host.
+
+    ``homes`` are the hosts that count it: the one that gave it and those that have become home
+    since; none for a lease that this host gave itself.
+    """
 
     lease: ids.LeaseId
-    home: ids.HostId
+    homes: list[ids.HostId]
     service: ids.ServiceId
     region: ids.RegionId
     server: ids.ServerId
@@ -140,7 +144,7 @@
         row = self._held.get(lease)
         if row is not None and not row.answered:
             row.answered = True
-            if row.home and self._context.now_ms() - row.started_ms >= _WAITING_AFTER_MS:
+            if row.homes and self._context.now_ms() - row.started_ms >= _WAITING_AFTER_MS:
                 self._say([row])
 
     def complete(self, lease: ids.LeaseId, outcome: ports.Outcome) -> None:
@@ -153,23 +157,22 @@
             self._shunned[row.server] = now_ms + _DRAINING_MS
         elif outcome.kind is ports.OutcomeKind.CONNECT_FAILED:
             self._shunned[row.server] = now_ms + _LOCAL_AVOID_MS
-        if not row.home:
+        if not row.homes:
             self._local[row.server] -= 1
             self._remember_death(row, outcome)
             return
-        self._send(
-            row.home,
-            messages.Release(
-                service=row.service,
-                region=row.region,
-                lease=lease,
-                kind=outcome.kind.value,
-                latency_ms=round(outcome.latency_ms, 1),
-                bytes_sent=outcome.bytes_sent,
-                draining=outcome.draining,
-                server_gone=outcome.server_gone,
-            ),
+        release = messages.Release(
+            service=row.service,
+            region=row.region,
+            lease=lease,
+            kind=outcome.kind.value,
+            latency_ms=round(outcome.latency_ms, 1),
+            bytes_sent=outcome.bytes_sent,
+            draining=outcome.draining,
+            server_gone=outcome.server_gone,
         )
+        for home in row.homes:
+            self._send(home, release)
 
     def on_answer(self, sender: ids.HostId, answer: messages.PlaceAnswer) -> None:
         """Take in a home's answer; a slot that is no longer wanted goes back at once."""
@@ -194,16 +197,20 @@
             self._finish(row, _refusal(answer.reason, answer.retry_after_ms))
 
     def holding(self, service: ids.ServiceId, region: ids.RegionId, home: ids.HostId) -> None:
-        """Tell a new home of a part which leases this host holds, and release to it from now."""
+        """Tell a new home of a part which leases this host holds, and release to it as well.
+
+        An earlier home may still act, as far as other hosts believe.
+        """
         rows = [
             row
             for row in self._held.values()
-            if row.service == service and row.region == region and row.home
+            if row.service == service and row.region == region and row.homes
         ]
         if not rows:
             return
         for row in rows:
-            row.home = home
+            if home not in row.homes:
+                row.homes.append(home)
         now_ms = self._context.now_ms()
         held = tuple(
             messages.HeldLease(
@@ -241,7 +248,7 @@
                 self._ask_part(row)
             elif now_ms - row.sent_ms >= self._timeout_ms(row):
                 self._on_silence(row)
-        self._say([row for row in self._held.values() if row.home and _due(row, now_ms)])
+        self._say([row for row in self._held.values() if row.homes and _due(row, now_ms)])
 
     def homes(self, service: ids.ServiceId, region: ids.RegionId) -> list[ids.HostId]:
         """Return the hosts to ask for a part; those that were silent lately come last."""
@@ -369,7 +376,7 @@
         self._hold(
             row,
             lease=lease,
-            home=sender,
+            homes=[sender],
             region=part.region,
             server=ids.ServerId(answer.server),
             trusted=answer.trusted,
@@ -438,8 +445,7 @@
         self._local[server] += 1
         origin = f"{self._context.host}:{self._context.incarnation}"
         lease = ids.LeaseId(f"{origin}:alone:{row.number}")
-        home = ids.HostId("")
-        self._hold(row, lease=lease, home=home, region=part.region, server=server, trusted=False)
+        self._hold(row, lease=lease, homes=[], region=part.region, server=server, trusted=False)
         self._finish(
             row,
             ports.Placement(
@@ -466,7 +472,7 @@
         row: _AskRow,
         *,
         lease: ids.LeaseId,
-        home: ids.HostId,
+        homes: list[ids.HostId],
         region: ids.RegionId,
         server: ids.ServerId,
         trusted: bool,
@@ -474,7 +480,7 @@
         now_ms = self._context.now_ms()
         self._held[lease] = _HeldRow(
             lease=lease,
-            home=home,
+            homes=homes,
             service=row.request.service,
             region=region,
             server=server,
@@ -549,7 +555,8 @@
         groups: dict[tuple[str, str, str], list[_HeldRow]] = collections.defaultdict(list)
         for row in rows:
             row.said_ms = now_ms
-            groups[row.home, row.service, row.region].append(row)
+            for home in row.homes:
+                groups[home, row.service, row.region].append(row)
         for (home, service, region), group in groups.items():
             leases = tuple(row.lease for row in group)
             waited = tuple(
--- a/verbenadrum/placement/tests/test_pool_home.py
+++ b/verbenadrum/placement/tests/test_pool_home.py
@@ -357,3 +357,23 @@
         reads.append(fleet.request(host, path=f"/read/{host}"))
         fleet.run(400.0)
     assert [log.attempts == ["s1"] for log in reads] == [False, True, True, True]
+
+
+def test_slots_are_free_again_at_a_home_that_one_host_passes_over():
+    fleet = one_region(hosts=8, seed=3, median_ms=230.0, sigma=0.3)
+    fleet.load(workspace="w", per_s=0.6 * 6 * 3 / 0.24, path=fresh_paths(fleet), until_ms=4_500.0)
+    fleet.run(4_000.0)
+    home = next(iter(fleet.hosts.values())).placer.entry.homes(stepped_fleet.SERVICE, "r1")[0]
+    other = next(name for name in fleet.hosts if name != home)
+    fleet.extra_ms = lambda sender, to: 500.0 if (sender, to) == (home, other) else 0.0
+    fleet.request(other, path="/answered-late")
+    fleet.run(450.0)
+    fleet.extra_ms = lambda sender, to: 0.0
+    assert [name for name, host in fleet.hosts.items() if host.placer.homes] != [home]
+    fleet.run(1_550.0)
+    assert not any(server.open_attempts for server in fleet.servers.values())
+    assert not any(
+        part.server_table.in_use
+        for host in fleet.hosts.values()
+        for part in host.placer.homes.values()
+    )
