Large changes of the records are pulled once and packed

Cause: the record has some 420 kB. A host that lags says so to a few peers several times a second, and each of them sent the whole change unasked; over links of 10 Mbit/s these copies, and the pulls of many hosts from the first that had it, took five seconds.

--- a/standins/channel.py
+++ b/standins/channel.py
@@ -1,6 +1,7 @@
 """Messages between hosts in stepped time: delay, loss, duplication, reordering and cuts."""
 
 import heapq
+import math
 import random
 from collections.abc import Callable
 
@@ -27,6 +28,8 @@
         Probability that a message is lost or comes twice.
     cuts : set of (str, str)
         Pairs of sender and receiver between which nothing passes, in that direction.
+    link_bytes_per_ms : float
+        What a host's link carries in each direction.
     """
 
     near_ms: float = 1.0
@@ -35,6 +38,7 @@
     loss: float = 0.0
     duplication: float = 0.0
     cuts: set[tuple[str, str]] = msgspec.field(default_factory=set)
+    link_bytes_per_ms: float = math.inf
 
 
 class PeerChannel:
@@ -63,6 +67,9 @@
         self._receivers: dict[str, Receive] = {}
         self._queue: list[tuple[float, int, str, bytes]] = []
         self._sent = 0
+        # Until when each host's link is busy with what it sends, and with what it receives.
+        self._sending_ms: dict[str, float] = {}
+        self._receiving_ms: dict[str, float] = {}
         self.conditions = Conditions()
         self.far_bytes = 0
         self.far_messages = 0
@@ -85,7 +92,8 @@
         copies = 2 if self._rng.random() < conditions.duplication else 1
         for _ in range(copies):
             self._sent += 1
-            due_ms = self._time.now_ms() + delay_ms * (1 + conditions.jitter * self._rng.random())
+            delay_ms *= 1 + conditions.jitter * self._rng.random()
+            due_ms = self._through_links(sender, receiver, len(data), delay_ms)
             heapq.heappush(self._queue, (due_ms, self._sent, receiver, data))
 
     def deliver(self) -> None:
@@ -97,6 +105,18 @@
                 envelope = codec.decode(data)
                 receive(envelope.sender, envelope.message)
 
+    def _through_links(self, sender: str, receiver: str, size: int, delay_ms: float) -> float:
+        """Return when a message arrives behind what both links carry already."""
+        now_ms = self._time.now_ms()
+        carried_ms = size / self.conditions.link_bytes_per_ms
+        if sender == receiver or not carried_ms:
+            return now_ms + delay_ms
+        left_ms = max(now_ms, self._sending_ms.get(sender, 0.0)) + carried_ms
+        self._sending_ms[sender] = left_ms
+        arrived_ms = max(left_ms + delay_ms, self._receiving_ms.get(receiver, 0.0) + carried_ms)
+        self._receiving_ms[receiver] = arrived_ms
+        return arrived_ms
+
     def _delay_ms(self, sender: str, receiver: str, size: int) -> float:
         if sender == receiver:
             return 0.0
--- a/verbenadrum/dissemination/messages.py
+++ b/verbenadrum/dissemination/messages.py
@@ -43,7 +43,8 @@
 
     ``final`` states that the sender knew of nothing else beyond ``after``; otherwise more
     follows, to be pulled from the same sender with ``after`` set to this ``to``. The sender knows
-    of every withdrawal after ``known_from``, and perhaps of none before.
+    of every withdrawal after ``known_from``, and perhaps of none before. The envelopes come in
+    ``packed``, see `pack`, where the receiver has said that it reads them so.
     """
 
     after: int
@@ -51,17 +52,20 @@
     final: bool
     envelopes: tuple[bytes, ...]
     known_from: int = 0
+    packed: bytes = b""
 
 
 @base.register
 class RecordPull(base.Message, tag="rp"):
     """Asks for the records that changed after a revision.
 
-    ``reply_to`` is the asker's address while the host list does not name it yet.
+    ``reply_to`` is the asker's address while the host list does not name it yet. ``unpacks`` says
+    that the asker reads `RecordChanges.packed`.
     """
 
     after: int
     reply_to: str = ""
+    unpacks: bool = False
 
 
 @base.register
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -7,7 +7,7 @@
 from verbenadrum import ids
 from verbenadrum.core import context, system
 from verbenadrum.decisions import ring
-from verbenadrum.dissemination import host_lists, messages, progress, sampler
+from verbenadrum.dissemination import host_lists, messages, packing, progress, sampler
 from verbenadrum.membership import table as host_table
 from verbenadrum.records import envelope, store
 
@@ -24,6 +24,8 @@
 # Larger news is announced by a digest and pulled, so that each host gets it once.
 _MAX_PUSH_BYTES = 1_500
 _MAX_CHUNK_BYTES = 262_144
+# A host that lags hears of it from several peers, so only little is sent to it unasked.
+_MAX_UNASKED_BYTES = 32_768
 # Digests go out several times a second while there is news, so their tail fits one packet.
 _MAX_TAIL_BYTES = 700
 _TAIL_AGE_MS = 5_000.0
@@ -89,6 +91,7 @@
         # Revision since which every withdrawal is known, and whether some are known to be missing.
         self._known_from = 0
         self._gap = False
+        self._last_packed: tuple[tuple[int, int], bytes] | None = None
         self._steps: collections.deque[tuple[float, int]] = collections.deque()
 
     @property
@@ -155,14 +158,30 @@
     def on_changes(self, sender: ids.HostId, message: messages.RecordChanges) -> None:
         """Take changes that a peer pushed or that were pulled from it."""
         self._heard_ms = self._context.now_ms()
+        envelopes = message.envelopes
+        if message.packed:
+            try:
+                envelopes = packing.unpack(message.packed)
+            except packing.MalformedPackError as error:
+                self._context.decide(
+                    ring.DecisionKind.RECORD,
+                    "unreadable",
+                    error.code,
+                    subject=sender,
+                    detail={"fault": error.message},
+                )
+                return
         self._compare_history(message)
-        self._take(sender, message.after, message.to, message.final, message.envelopes)
+        self._take(sender, message.after, message.to, message.final, envelopes)
 
     @system.handles(messages.RecordPull)
     def on_pull(self, sender: ids.HostId, message: messages.RecordPull) -> None:
         """Answer a pull with the next chunk."""
         self._membership.note_contact(sender, message.reply_to)
-        self._context.send(sender, self._chunk(message.after))
+        chunk = self._chunk(message.after)
+        if message.unpacks and sum(map(len, chunk.envelopes)) > _MAX_UNASKED_BYTES:
+            chunk = self._packed(chunk)
+        self._context.send(sender, chunk)
 
     @system.handles(messages.Digest)
     def on_digest(self, sender: ids.HostId, message: messages.Digest) -> None:
@@ -281,7 +300,8 @@
     def _catch_up(self, peer: ids.HostId, after: int) -> None:
         """Send a peer what it lacks, or that it lacks much: it then pulls at its own pace."""
         chunk = self._chunk(after)
-        self._context.send(peer, chunk if chunk.final else self._digest())
+        little = chunk.final and sum(map(len, chunk.envelopes)) <= _MAX_UNASKED_BYTES
+        self._context.send(peer, chunk if little else self._digest())
 
     def _chunk(self, after: int) -> messages.RecordChanges:
         envelopes: list[bytes] = []
@@ -299,6 +319,13 @@
             after, self.complete_to, True, tuple(envelopes), self._known_from
         )
 
+    def _packed(self, chunk: messages.RecordChanges) -> messages.RecordChanges:
+        """Return a chunk with its envelopes packed; many hosts pull the same one."""
+        span = (chunk.after, chunk.to)
+        if self._last_packed is None or self._last_packed[0] != span:
+            self._last_packed = (span, packing.pack(chunk.envelopes))
+        return msgspec.structs.replace(chunk, envelopes=(), packed=self._last_packed[1])
+
     # Pulling
 
     def _pulls_from(self, source: str) -> bool:
@@ -325,7 +352,7 @@
     def _send_pull(self) -> None:
         peer = self._pull.peer
         cursor = self._progress.cursor(peer)
-        self._context.send(peer, messages.RecordPull(cursor, self._hosts.reply_address()))
+        self._context.send(peer, messages.RecordPull(cursor, self._hosts.reply_address(), True))
 
     def _watch_pull(self, now_ms: float) -> None:
         """Repeat a pull that got no answer, then turn to another peer."""
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -8,7 +8,7 @@
 from standins import spreading
 from verbenadrum import ids
 from verbenadrum.core import ports
-from verbenadrum.dissemination import duty, messages, progress, sampler
+from verbenadrum.dissemination import duty, messages, packing, progress, sampler
 from verbenadrum.records import envelope, store, table, types
 
 _SETTINGS = hypothesis.settings(
@@ -296,6 +296,26 @@
     assert fleet.hosts["h1001"].engine.records.route("", "/7") is not None
 
 
+def test_large_change_is_everywhere_within_three_seconds_over_narrow_links():
+    fleet = ready_fleet(9, data_centres=3, hosts=18)
+    fleet.channel.conditions.link_bytes_per_ms = 10e6 / 8.0 / 1000.0
+    words = fleet.rng.choices(["timeout", "service", "prefix", *"abcdefghij"], k=100_000)
+    spec = {"path_prefix": "/x", "service": "s", "note": " ".join(words)}
+    revision = fleet.platform.publish("route", "r", spec)
+    assert fleet.run_until(lambda: fleet.all_have(revision), 3_000) < 3_000
+
+
+@pytest.mark.parametrize("packed", [b"junk", packing.pack((b"x" * 10_000,))[:-9], b"\x00"])
+def test_packed_changes_that_cannot_be_read_change_nothing(packed):
+    fleet = ready_fleet(11, data_centres=1, hosts=2)
+    host = next(iter(fleet.hosts.values()))
+    held = host.engine.record_spread.complete_to
+    changes = messages.RecordChanges(held, held + 5, True, (), packed=packed)
+    host.receive("h0001", changes)
+    assert host.engine.record_spread.complete_to == held
+    assert any(row.reason == "malformed-pack" for row in host.decisions.newest(20))
+
+
 def test_readers_are_few_and_calls_stay_small_while_the_platform_is_down():
     fleet = ready_fleet(6)
     reasons = [host.engine.reader_duty().reason for host in fleet.hosts.values()]
