Metered limiter: a request waits shortly for the next token

A home now grants a token that accrues within 250 ms and says when it may be used. The test fails without the change.

--- a/verbenadrum/limits/messages.py
+++ b/verbenadrum/limits/messages.py
@@ -142,9 +142,9 @@
 class TokenAnswer(base.Message, frozen=True, array_like=True, gc=False, tag="lv"):
     """A home's verdict.
 
-    After a refusal no token is free before ``wait_ms`` have passed, and the caller finds one
-    after ``retry_after_ms``. Without ``ask_first`` the host may admit the workspace's next
-    requests and report them.
+    A granted token may be used after ``wait_ms``. After a refusal another ask is of no use before
+    ``wait_ms``, and the caller finds a token after ``retry_after_ms``. Without ``ask_first`` the
+    host may admit the workspace's next requests and report them.
     """
 
     number: int
--- a/verbenadrum/limits/metered.py
+++ b/verbenadrum/limits/metered.py
@@ -83,6 +83,8 @@
         self._accounts: dict[ids.WorkspaceId, _Account] = {}
         self._waiting: dict[int, _Waiting] = {}
         self._numbers = itertools.count(context.rng.getrandbits(31))
+        # Requests with a token that may be used from a time on.
+        self._early: list[tuple[float, Callable[[ports.Admission], None]]] = []
         # Workspaces with unreported use, by home, and when each home was last told.
         self._unreported: dict[ids.HostId, set[ids.WorkspaceId]] = {}
         self._reported_ms: dict[ids.HostId, float] = {}
@@ -125,6 +127,10 @@
         for home in list(self._unreported):
             if now_ms - self._reported_ms.get(home, -_REPORT_MS) >= _REPORT_MS:
                 self._report(home, now_ms)
+        due = [done for at_ms, done in self._early if at_ms <= now_ms]
+        self._early = [row for row in self._early if row[0] > now_ms]
+        for done in due:
+            done(_GRANTED)
         late = [number for number, row in self._waiting.items() if row.until_ms <= now_ms]
         for number in late:
             self._on_silence(self._waiting.pop(number), now_ms)
@@ -168,12 +174,13 @@
         if spec is None:
             self._send(sender, messages.TokenAnswer(message.number, False))
             return
-        meter, granted = self._book.take(workspace, spec)
-        wait_ms = retry_after_ms = 0.0
-        if not granted:
-            wait_ms, retry_after_ms = self._book.waits_ms(workspace, spec, meter)
+        verdict = self._book.take(workspace, spec)
         answer = messages.TokenAnswer(
-            message.number, granted, round(wait_ms, 1), round(retry_after_ms, 1), meter.ask_first
+            message.number,
+            verdict.granted,
+            round(verdict.wait_ms, 1),
+            round(verdict.retry_after_ms, 1),
+            verdict.ask_first,
         )
         self._send(sender, answer)
 
@@ -188,9 +195,15 @@
         account = self._accounts.get(row.workspace)
         if account is not None:
             account.ask_until_ms = now_ms + _ASK_FIRST_MS if message.ask_first else 0.0
-            account.empty_until_ms = now_ms + message.wait_ms
-            account.retry_after_ms = max(0.0, message.retry_after_ms - message.wait_ms)
-        row.done(_GRANTED if message.granted else _over_rate(message.retry_after_ms))
+            if not message.granted:
+                account.empty_until_ms = now_ms + message.wait_ms
+                account.retry_after_ms = max(0.0, message.retry_after_ms - message.wait_ms)
+        if not message.granted:
+            row.done(_over_rate(message.retry_after_ms))
+        elif message.wait_ms > 0.0:
+            self._early.append((now_ms + message.wait_ms, row.done))
+        else:
+            row.done(_GRANTED)
 
     def _account(
         self, workspace: ids.WorkspaceId, spec: types.WorkspaceSpec, now_ms: float
--- a/verbenadrum/limits/meters.py
+++ b/verbenadrum/limits/meters.py
@@ -7,7 +7,7 @@
 from verbenadrum.decisions import ring
 from verbenadrum.records import types
 
-__all__ = ["Meter", "MeterBook", "candidates"]
+__all__ = ["Meter", "MeterBook", "Verdict", "candidates"]
 
 _MS_PER_S = 1000.0
 # Levels of the bucket, as fractions of the burst, at which hosts begin to ask first, and cease.
@@ -19,6 +19,8 @@
 # Part of the rate that a second candidate gives out while the first one does not answer.
 _STAND_IN_SHARE = 0.2
 _CANDIDATES = 2
+# A request waits at most so long for the token that comes next, instead of a refusal.
+_PATIENCE_MS = 250.0
 _FORGET_MS = 10_000.0
 
 
@@ -35,6 +37,18 @@
     next_ms: float = 0.0
 
 
+class Verdict(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to an ask for one token.
+
+    A granted one may be used after ``wait_ms``; after a refusal another ask is of no use before.
+    """
+
+    granted: bool
+    wait_ms: float = 0.0
+    retry_after_ms: float = 0.0
+    ask_first: bool = True
+
+
 def candidates(
     membership: ports.MembershipPort, workspace: ids.WorkspaceId
 ) -> tuple[ids.HostId, ...]:
@@ -70,29 +84,28 @@
         self._watch_level(workspace, spec, meter)
         return meter, meter.ask_first and not before
 
-    def take(self, workspace: ids.WorkspaceId, spec: types.WorkspaceSpec) -> tuple[Meter, bool]:
-        """Take one token, and return whether there was one."""
+    def take(self, workspace: ids.WorkspaceId, spec: types.WorkspaceSpec) -> Verdict:
+        """Take one token, or refuse where it takes too long to accrue."""
         meter = self._advanced(workspace, spec)
-        granted = meter.level >= 1.0
+        token_ms = _MS_PER_S / max(1e-6, spec.rate_per_s * self._share(workspace))
+        wait_ms = max(0.0, (1.0 - meter.level) * token_ms)
+        granted = wait_ms <= _PATIENCE_MS
         if granted:
             meter.level -= 1.0
         self._watch_level(workspace, spec, meter)
-        return meter, granted
-
-    def waits_ms(
-        self, workspace: ids.WorkspaceId, spec: types.WorkspaceSpec, meter: Meter
-    ) -> tuple[float, float]:
-        """Return how long no token is free, and when a refused caller finds one.
-
-        Refused callers are told times one token apart, so that they do not meet again.
-        """
+        if granted:
+            return Verdict(granted=True, wait_ms=wait_ms, ask_first=meter.ask_first)
+        # Refused callers are told times one token apart, so that they do not meet again.
         now_ms = self._context.now_ms()
-        token_ms = _MS_PER_S / max(1e-6, spec.rate_per_s * self._share(workspace))
-        wait_ms = (1.0 - meter.level) * token_ms
         meter.next_ms = max(meter.next_ms, now_ms + wait_ms)
         retry_after_ms = meter.next_ms - now_ms
         meter.next_ms += token_ms
-        return wait_ms, retry_after_ms
+        return Verdict(
+            granted=False,
+            wait_ms=wait_ms - _PATIENCE_MS,
+            retry_after_ms=retry_after_ms,
+            ask_first=meter.ask_first,
+        )
 
     def asked_first(self) -> list[ids.WorkspaceId]:
         """Return the workspaces whose requests this home wants to be asked for."""
--- a/verbenadrum/limits/tests/test_metered.py
+++ b/verbenadrum/limits/tests/test_metered.py
@@ -195,3 +195,11 @@
     fleet.publish_hosts()
     sent += send(fleet, rng, rate_per_s / 1.6, 8_000.0)
     assert len(fleet.admitted(WORKSPACE)) >= 0.95 * sent
+
+
+@pytest.mark.parametrize("rows", MANY, ids=len)
+def test_a_small_workspace_within_its_rate_is_refused_nothing(rows):
+    fleet = small_workspace(rows, 4.0, seed=1)
+    sent = send(fleet, random.Random(1), 4.0 / 1.6, 10_000.0)
+    fleet.run(fleet.now_ms + 1_000.0)
+    assert len(fleet.admitted(WORKSPACE)) == sent
