--- a/verbenadrum/limits/tests/test_guards.py
+++ b/verbenadrum/limits/tests/test_guards.py
@@ -139,6 +139,7 @@
     bench.clock.advance(3_000.0)
     lends.on_poll("a", poll())
     assert bench.last().granted == 0
+    assert bench.context.decisions.newest(1)[0].reason == "host-paused"
     bench.pass_ms(weights.HOLD_MS, lends)
     lends.on_poll("a", poll())
     assert bench.last().granted == BIT
--- a/verbenadrum/limits/weights.py
+++ b/verbenadrum/limits/weights.py
@@ -1,6 +1,7 @@
 """Fraction of every workspace's rate and burst that this host's data centre owns."""
 
 from verbenadrum.core import context, ports
+from verbenadrum.decisions import ring
 from verbenadrum.records import types
 
 __all__ = ["DataCentreWeight", "HOLD_MS"]
@@ -37,9 +38,17 @@
     def fraction(self) -> float:
         """Return the fraction in force now; to be called at least each tick."""
         now_ms = self._context.now_ms()
-        if now_ms - self._seen_ms > _PAUSE_MS:
+        paused_ms = now_ms - self._seen_ms
+        if paused_ms > _PAUSE_MS:
             self._in_force = 0.0
             self._since_ms = now_ms
+            self._context.decide(
+                ring.DecisionKind.LIMIT,
+                "share-held-back",
+                "host-paused",
+                subject=self._context.data_centre,
+                detail={"paused_ms": round(paused_ms), "for_ms": HOLD_MS},
+            )
         self._seen_ms = now_ms
         spec = self._records.fleet()
         if spec is not self._spec:
