--- a/verbenadrum/daemon/peers.py
+++ b/verbenadrum/daemon/peers.py
@@ -27,6 +27,8 @@
 _FRAME_TIMEOUT_S = 5.0
 _FIRST_RETRY_S = 0.05
 _LAST_RETRY_S = 2.0
+# Types of messages of other versions that are logged, against a peer that sends junk types.
+_MAX_SKIPPED_LOGGED = 100
 
 _log = logging.getLogger(__name__)
 
@@ -40,6 +42,7 @@
     bytes_received: int = 0
     messages_dropped: int = 0
     malformed: int = 0
+    unknown: int = 0
 
 
 class PeerStreams:
@@ -79,6 +82,8 @@
         self._deliver = deliver
         self._links: dict[str, _Link] = {}
         self.counters = PeerCounters()
+        # Faults of messages of other versions that have been logged.
+        self._skipped: set[str] = set()
         tls = {} if server_tls is None else {"ssl_context": server_tls}
         self._server = server.StreamServer(listener, self._receive, **tls)
 
@@ -122,7 +127,12 @@
         certified = _common_name(sock)
         try:
             for data in self._frames(sock):
-                envelope = codec.decode(data)
+                try:
+                    envelope = codec.decode(data)
+                except codec.UnknownMessageError as error:
+                    # Hosts of two versions run beside each other during an upgrade.
+                    self._skip(address[0], error)
+                    continue
                 if certified is not None and envelope.sender != certified:
                     raise codec.MalformedMessageError(
                         f"sender {envelope.sender!r} shows the certificate of {certified!r}"
@@ -137,6 +147,13 @@
         finally:
             sock.close()
 
+    def _skip(self, peer: str, error: codec.UnknownMessageError) -> None:
+        """Count a message of another version, and log the first of each type."""
+        self.counters.unknown += 1
+        if error.message not in self._skipped and len(self._skipped) < _MAX_SKIPPED_LOGGED:
+            self._skipped.add(error.message)
+            _log.info("peer message skipped", extra={"peer": peer, "fault": error.message})
+
     def _frames(self, sock: socket.socket):
         buffer = bytearray()
         while True:
--- a/verbenadrum/daemon/tests/test_peers.py
+++ b/verbenadrum/daemon/tests/test_peers.py
@@ -5,6 +5,7 @@
 
 import gevent
 import hypothesis
+import msgspec
 import pytest
 from gevent import event
 from hypothesis import strategies
@@ -138,6 +139,18 @@
         other.streams.stop()
 
 
+def test_message_of_another_version_is_skipped_and_the_stream_goes_on(nodes):
+    node = Node(host="h1", addresses={})
+    nodes.append(node)
+    with socket.create_connection(sockets.split_address(node.address), TIMEOUT_S) as sock:
+        later = msgspec.msgpack.encode(("h2", ["zz", 1, {"field": 2}]))
+        known = codec.encode("h2", messages.HostsPull(4))
+        sock.sendall(b"".join(struct.pack(">I", len(data)) + data for data in (later, known)))
+        wait_until(lambda: node.received)
+    assert node.received == [codec.Envelope("h2", messages.HostsPull(4))]
+    assert (node.streams.counters.unknown, node.streams.counters.malformed) == (1, 0)
+
+
 def test_half_a_frame_does_not_hold_its_connection(nodes, monkeypatch):
     monkeypatch.setattr(peers, "_FRAME_TIMEOUT_S", 0.05)
     node = Node(host="h1", addresses={})
--- a/verbenadrum/messages/codec.py
+++ b/verbenadrum/messages/codec.py
@@ -8,7 +8,14 @@
 from verbenadrum.messages import base
 from verbenadrum.utils import errors
 
-__all__ = ["Envelope", "MalformedMessageError", "MAX_MESSAGE_BYTES", "decode", "encode"]
+__all__ = [
+    "Envelope",
+    "MAX_MESSAGE_BYTES",
+    "MalformedMessageError",
+    "UnknownMessageError",
+    "decode",
+    "encode",
+]
 
 MAX_MESSAGE_BYTES = 1_048_576
 
@@ -19,6 +26,12 @@
     code = "malformed-message"
 
 
+class UnknownMessageError(errors.VerbenadrumError):
+    """A message of a type that this version does not have."""
+
+    code = "unknown-message"
+
+
 class Envelope(typing.NamedTuple):
     """A decoded message and the host that sent it."""
 
@@ -58,11 +71,27 @@
     ------
     MalformedMessageError
         If the bytes are too many, no msgpack, or no registered message.
+    UnknownMessageError
+        If they are a message of another version.
     """
     if len(data) > MAX_MESSAGE_BYTES:
         raise MalformedMessageError(f"{len(data)} bytes are more than {MAX_MESSAGE_BYTES}")
     try:
         sender, message = _decoder(base.message_types()).decode(data)
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        tag = _unknown_tag(data)
+        if tag:
+            raise UnknownMessageError(f"message type {tag!r} is not known") from error
         raise MalformedMessageError(str(error)) from error
     return Envelope(sender, message)
+
+
+def _unknown_tag(data: bytes) -> str:
+    """Return the tag of a message whose type is not registered; empty for anything else."""
+    try:
+        _, fields = msgspec.msgpack.decode(data, type=tuple[str, list])
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return ""
+    known = {message_type.__struct_config__.tag for message_type in base.message_types()}
+    tag = fields[0] if fields else ""
+    return tag if isinstance(tag, str) and tag not in known else ""
