--- a/verbenadrum/limits/tests/test_metered.py
+++ b/verbenadrum/limits/tests/test_metered.py
@@ -9,19 +9,23 @@
 from verbenadrum.records import types
 
 WORKSPACE = "busy"
-RATE_PER_S = BURST = 46.0
+RATE_PER_S = 46.0
 ROWS = limits_fleet.layout(2, 2, 11)
-# The users' bound: any window of five seconds, a quarter more and twenty requests.
 WINDOW_MS = 5_000.0
-MOST = (RATE_PER_S * WINDOW_MS / 1000.0 + BURST) * 1.25 + 20.0
 SETTLED_MS = 3_000.0
 
 
-def make_fleet(seed):
+def most_allowed(rate_per_s):
+    """Return the users' bound for any window: a quarter and twenty requests above the limit."""
+    return (rate_per_s * WINDOW_MS / 1000.0 + rate_per_s) * 1.25 + 20.0
+
+
+def make_fleet(seed, *, rows=ROWS, rate_per_s=RATE_PER_S):
+    """Return settled hosts, and one workspace whose burst is a second's rate."""
     fleet = limits_fleet.Fleet(seed=seed, make=metered.MeteredLimiter)
-    spec = types.WorkspaceSpec(rate_per_s=RATE_PER_S, burst=BURST)
+    spec = types.WorkspaceSpec(rate_per_s=rate_per_s, burst=rate_per_s)
     fleet.publish(types.RecordKind.WORKSPACE, WORKSPACE, spec)
-    for row in ROWS:
+    for row in rows:
         fleet.add(row)
     fleet.publish_hosts()
     fleet.run(fleet.now_ms + SETTLED_MS)
@@ -68,7 +72,7 @@
     send(fleet, rng, RATE_PER_S / 1.6, 4_000.0)
     before = len(fleet.admitted(WORKSPACE))
     send(fleet, rng, RATE_PER_S * times, 10_000.0)
-    assert most_in_window(fleet) <= MOST
+    assert most_in_window(fleet) <= most_allowed(RATE_PER_S)
     assert len(fleet.admitted(WORKSPACE)) - before >= 0.9 * RATE_PER_S * 10.0
 
 
@@ -82,23 +86,7 @@
                 host.membership.suspect(row.host, True)
     fleet.faults.cut.update({tuple(regions), tuple(reversed(regions))})
     send(fleet, rng, RATE_PER_S * 4.7, 12_000.0)
-    assert most_in_window(fleet) <= MOST
-
-
-def most_allowed(rate_per_s):
-    return (rate_per_s * WINDOW_MS / 1000.0 + rate_per_s) * 1.25 + 20.0
-
-
-def small_workspace(rows, rate_per_s, seed):
-    """Return a settled fleet of real hosts, and one workspace whose burst is a second's rate."""
-    fleet = limits_fleet.Fleet(seed=seed, make=metered.MeteredLimiter)
-    spec = types.WorkspaceSpec(rate_per_s=rate_per_s, burst=rate_per_s)
-    fleet.publish(types.RecordKind.WORKSPACE, WORKSPACE, spec)
-    for row in rows:
-        fleet.add(row)
-    fleet.publish_hosts()
-    fleet.run(fleet.now_ms + SETTLED_MS)
-    return fleet
+    assert most_in_window(fleet) <= most_allowed(RATE_PER_S)
 
 
 # Hosts that each see few of the workspace's requests.
@@ -109,7 +97,7 @@
 @pytest.mark.parametrize("rate_per_s", [4.0, 17.0])
 @pytest.mark.parametrize("rows", MANY, ids=len)
 def test_many_hosts_together_stay_within_the_bound_of_a_small_workspace(rows, rate_per_s, times):
-    fleet = small_workspace(rows, rate_per_s, seed=1)
+    fleet = make_fleet(1, rows=rows, rate_per_s=rate_per_s)
     rng = random.Random(1)
     send(fleet, rng, rate_per_s / 1.6, 4_000.0)
     before = len(fleet.admitted(WORKSPACE))
@@ -121,7 +109,7 @@
 @pytest.mark.parametrize("rows", MANY, ids=len)
 def test_homes_that_follow_each_other_stay_within_the_bound(rows):
     rate_per_s = 17.0
-    fleet = small_workspace(rows, rate_per_s, seed=2)
+    fleet = make_fleet(2, rows=rows, rate_per_s=rate_per_s)
     rng = random.Random(2)
     send(fleet, rng, rate_per_s / 1.6, 4_000.0)
     for _ in range(8):
@@ -138,7 +126,7 @@
 def test_hosts_that_are_restarted_in_turn_stay_within_the_bound():
     rate_per_s = 17.0
     rows = MANY[-1]
-    fleet = small_workspace(rows, rate_per_s, seed=3)
+    fleet = make_fleet(3, rows=rows, rate_per_s=rate_per_s)
     rng = random.Random(3)
     send(fleet, rng, rate_per_s * 4.7, 4_000.0)
     for row in rows[::2]:
@@ -153,7 +141,7 @@
 
 def test_a_home_that_stalls_and_its_stand_in_together_stay_within_the_bound():
     rate_per_s = 17.0
-    fleet = small_workspace(MANY[-1], rate_per_s, seed=4)
+    fleet = make_fleet(4, rows=MANY[-1], rate_per_s=rate_per_s)
     rng = random.Random(4)
     for _ in range(14):
         fleet.pause(home_of(fleet), 500.0)
@@ -163,7 +151,7 @@
 
 def test_lost_and_late_messages_keep_a_rush_within_the_bound():
     rate_per_s = 17.0
-    fleet = small_workspace(MANY[-1], rate_per_s, seed=5)
+    fleet = make_fleet(5, rows=MANY[-1], rate_per_s=rate_per_s)
     fleet.faults.loss, fleet.faults.late, fleet.faults.late_ms = 0.1, 0.2, 200.0
     send(fleet, random.Random(5), rate_per_s * 4.7, 12_000.0)
     assert most_in_window(fleet) <= most_allowed(rate_per_s)
@@ -171,7 +159,7 @@
 
 def test_the_design_size_stays_within_the_bound_of_a_small_workspace():
     rate_per_s = 17.0
-    fleet = small_workspace(limits_fleet.layout(2, 5, 89), rate_per_s, seed=6)
+    fleet = make_fleet(6, rows=limits_fleet.layout(2, 5, 89), rate_per_s=rate_per_s)
     send(fleet, random.Random(6), rate_per_s * 4.7, 7_000.0)
     assert most_in_window(fleet) <= most_allowed(rate_per_s)
 
@@ -179,14 +167,14 @@
 @pytest.mark.parametrize("rows", MANY, ids=len)
 def test_a_fleet_that_has_just_started_refuses_little_within_the_rate(rows):
     rate_per_s = 17.0
-    fleet = small_workspace(rows, rate_per_s, seed=7)
+    fleet = make_fleet(7, rows=rows, rate_per_s=rate_per_s)
     sent = send(fleet, random.Random(7), rate_per_s / 1.6, 10_000.0)
     assert len(fleet.admitted(WORKSPACE)) >= 0.95 * sent
 
 
 def test_a_dead_home_costs_callers_within_the_rate_little():
     rate_per_s = 17.0
-    fleet = small_workspace(MANY[-1], rate_per_s, seed=8)
+    fleet = make_fleet(8, rows=MANY[-1], rate_per_s=rate_per_s)
     rng = random.Random(8)
     sent = send(fleet, rng, rate_per_s / 1.6, 5_000.0)
     home = home_of(fleet)
@@ -199,7 +187,7 @@
 
 @pytest.mark.parametrize("rows", MANY, ids=len)
 def test_a_small_workspace_within_its_rate_is_refused_nothing(rows):
-    fleet = small_workspace(rows, 4.0, seed=1)
+    fleet = make_fleet(1, rows=rows, rate_per_s=4.0)
     sent = send(fleet, random.Random(1), 4.0 / 1.6, 10_000.0)
     fleet.run(fleet.now_ms + 1_000.0)
     assert len(fleet.admitted(WORKSPACE)) == sent
