--- a/verbenadrum/daemon/tests/test_endless_callers.py
+++ b/verbenadrum/daemon/tests/test_endless_callers.py
@@ -20,6 +20,8 @@
 # A second to the deadline, and one more until a read ends that was not cancelled.
 LIMIT_S = 2.0
 LATE_S = 1.5
+# Users' bound for work that goes on at a server after its caller has left.
+CANCEL_S = 0.5
 STREAMED = {case: (*what, 0.0) for case, what in endless.BODIES.items()}
 STREAMED["long-length"] = (*endless.DRIPPING["long-length"], 1, 0.005)
 FAILURES = (Kind.RESET, Kind.TRUNCATED, Kind.TIMEOUT, Kind.CANCELLED)
@@ -143,6 +145,10 @@
         gevent.sleep(0.01)
     assert not streaming.get(timeout=0.0).endswith(b"\r\n0\r\n\r\n")
     assert longest_s < 1.0
+    # The caller is answered at its deadline, before the cancelled attempt has ended.
+    with gevent.Timeout(CANCEL_S):
+        while not host.core.kinds:
+            gevent.sleep(0.005)
     assert host.core.kinds[0] in FAILURES
     server.await_closed()
 
