Explain describes decisions about homes

`verbenadrum explain SERVICE` ended with KeyError wherever a host had begun or ceased to act as home of a part of the service: `describe` had no sentence for the kind `home`. The new test goes over every kind of decision; before the change it failed for `home` (1 of 16), now all pass (python -m pytest verbenadrum/cli).

--- a/verbenadrum/cli/explain.py
+++ b/verbenadrum/cli/explain.py
@@ -30,6 +30,7 @@
     ring.DecisionKind.LEASE: "lease {subject}: {choice}",
     ring.DecisionKind.RECORD: "record {subject}: {choice}",
     ring.DecisionKind.MEMBERSHIP: "membership: {subject} {choice}",
+    ring.DecisionKind.HOME: "home of a part of {subject}: {choice}",
 }
 
 
--- a/verbenadrum/cli/tests/test_cli.py
+++ b/verbenadrum/cli/tests/test_cli.py
@@ -148,6 +148,16 @@
     assert run("explain", "q1")[0] is options.ExitCode.USAGE
 
 
+@pytest.mark.parametrize("kind", ring.DecisionKind)
+def test_explain_describes_each_kind_of_decision(kind, tmp_path):
+    (tmp_path / "h1.log").write_text(
+        log_line("h1", kind=kind, choice="chosen", reason="why", subject="svc", at_ms=1.0)
+    )
+    code, out, _ = run("explain", "svc", logs=(str(tmp_path / "h1.log"),))
+    assert code is options.ExitCode.OK
+    assert "because why" in out
+
+
 def test_watch_repeats_count_times():
     with operators_port(_STATUS) as only:
         code, out, _ = run("watch", only.address, count=2, interval_s=0.0)
