Age of the records that a host serves by, in digests, metrics and status

Each host now knows how long ago the platform confirmed its records, from its own poll or through digests: `verbenadrum.records.confirmed_age` and `confirmed_age_ms` in /status. A silent watch shows as an age that grows at all hosts, a silent stream as one that grows at one, readers that are turned away as one that grows at all while digests are heard. Nothing acts on it yet.

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -1,6 +1,7 @@
 """Assembles one host process: the decision core, its network ports and its background tasks."""
 
 import logging
+import math
 import pathlib
 import random
 import secrets
@@ -427,6 +428,7 @@
             "hosts": [row.host for row in self._engine.membership.hosts()],
             "epoch": self._engine.epochs.active(),
             "complete_revision": self._engine.record_spread.complete_revision,
+            "confirmed_age_ms": self._confirmed_age_ms(),
             "rejected_records": self._engine.store.rejections(),
             "suspected_hosts": self._engine.detector.suspicions(),
             "platform_reader": self._engine.platform_read_plan().reason,
@@ -434,6 +436,11 @@
             "peers": self._peers.counters,
         }
 
+    def _confirmed_age_ms(self) -> float:
+        """Return the age of the records held here, in ms; -1 if they were never confirmed."""
+        age_ms = self._engine.record_spread.confirmed_age_ms
+        return round(age_ms, 1) if math.isfinite(age_ms) else -1.0
+
     def _register_gauges(self) -> None:
         """Register the metrics that are read from this host's state at each collection."""
         counters = self._peers.counters
@@ -451,6 +458,12 @@
                 lambda: self._caller_server.connections,
             ),
             ("verbenadrum.records.revision", "", "Records.", lambda: self._engine.records.revision),
+            (
+                "verbenadrum.records.confirmed_age",
+                "ms",
+                "Since the platform confirmed the records held here; -1 before the first time.",
+                self._confirmed_age_ms,
+            ),
             ("verbenadrum.peers.bytes_sent", "By", "To peers.", lambda: counters.bytes_sent),
             ("verbenadrum.peers.messages_sent", "", "To peers.", lambda: counters.messages_sent),
             ("verbenadrum.peers.dropped", "", "To peers.", lambda: counters.messages_dropped),
--- a/verbenadrum/dissemination/messages.py
+++ b/verbenadrum/dissemination/messages.py
@@ -85,6 +85,9 @@
         The newest envelopes, so that a host which can receive but not send gets them too.
     wanted : tuple of Wanted
         Records whose newest revision the sender rejected and whose accepted one it may lack.
+    confirmed_age_ms : float
+        How long ago the platform last confirmed ``complete_revision`` as its newest revision, to
+        the sender or to a host that told it; -1 if that is not known.
     """
 
     complete_revision: int
@@ -92,6 +95,7 @@
     tail_after: int
     tail: tuple[bytes, ...] = ()
     wanted: tuple[Wanted, ...] = ()
+    confirmed_age_ms: float = -1.0
 
 
 @base.register
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -1,6 +1,7 @@
 """Gossip of records: eager push of new ones, periodic digests, and pull of missing ones."""
 
 import collections
+import math
 
 import msgspec
 
@@ -90,6 +91,7 @@
         self._load_timeout_ms = _INITIAL_LOAD_TIMEOUT_MS * (1.0 + context.rng.random())
         self._next_load_ms = 0.0
         self._last_heard_ms = context.now_ms()
+        self._confirmed_ms = -math.inf
         # Every withdrawal after this revision is known to this host.
         self._known_from = 0
         self._withdrawals_missing = False
@@ -107,6 +109,15 @@
         """Monotonic time of the last digest or changes received from a peer, in milliseconds."""
         return self._last_heard_ms
 
+    @property
+    def confirmed_age_ms(self) -> float:
+        """Time in milliseconds since the records held here were the platform's newest.
+
+        It is counted from the last answer of the platform, to this host or to one whose digests
+        have reached it, that held nothing newer; infinite before the first one.
+        """
+        return self._context.now_ms() - self._confirmed_ms
+
     @property
     def withdrawals_missing(self) -> bool:
         """Whether this host may lack withdrawals of records that its peers lack as well.
@@ -149,6 +160,8 @@
                 self._known_from = revision
             envelopes += self._store.withdrawals(envelopes, revision)
         self._apply_changes(PLATFORM, after, to, final, envelopes)
+        if final and to >= self.complete_revision:
+            self._confirmed_ms = self._context.now_ms()
         return to >= after if final else to > after
 
     def on_tick(self) -> None:
@@ -199,6 +212,9 @@
         self._apply_changes(
             sender, message.tail_after, message.complete_revision, True, message.tail
         )
+        if message.confirmed_age_ms >= 0.0 and message.complete_revision <= self.complete_revision:
+            confirmed_ms = self._context.now_ms() - message.confirmed_age_ms
+            self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
         if message.complete_revision < self.complete_revision:
             self._catch_up(sender, message.complete_revision)
         self._host_list.on_peer_revision(sender, message.hosts_revision)
@@ -291,6 +307,9 @@
             tail_after=tail_after,
             tail=tail,
             wanted=self._wanted(),
+            confirmed_age_ms=(
+                round(self.confirmed_age_ms, 1) if math.isfinite(self._confirmed_ms) else -1.0
+            ),
         )
 
     def _tail(self) -> tuple[int, tuple[bytes, ...]]:
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -346,6 +346,18 @@
     assert fleet.run_until(lambda: fleet.all_have(revision), 2_000) < 2_000
 
 
+def test_each_host_knows_the_age_of_its_records():
+    fleet = ready_fleet(13)
+    fleet.run(30_000)
+    ages_ms = [each.engine.record_spread.confirmed_age_ms for each in fleet.hosts.values()]
+    # A poll waits for 10 s, and digests spread its result.
+    assert max(ages_ms) < 20_000
+    fleet.platform.down = True
+    fleet.run(20_000)
+    for host in fleet.hosts.values():
+        assert 20_000 <= host.engine.record_spread.confirmed_age_ms < 40_000
+
+
 def test_host_list_changes_reach_all_hosts_and_never_revert():
     fleet = ready_fleet(8)
     rows = fleet.platform.rows
