--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -77,6 +77,8 @@
         Whether connections to it are accepted and then reset, not refused, while it is down.
     draining : bool
         Whether its answers tell the hosts to send it no new requests.
+    hides_draining_from_probes : bool
+        Whether its answers to health probes do not tell so.
     crash_path : str
         Path of the requests that crash it; it restarts after ``restart_ms``.
     up_since_ms : float
@@ -96,6 +98,7 @@
         self.down = False
         self.behind_proxy = False
         self.draining = False
+        self.hides_draining_from_probes = False
         self.crash_path = ""
         self.restart_ms = 2_000.0
         self.up_since_ms = -math.inf
@@ -664,7 +667,10 @@
         elif delay_ms > order.timeout_ms:
             delay_ms, kind = order.timeout_ms, ports.OutcomeKind.TIMEOUT
         outcome = ports.Outcome(
-            kind=kind, latency_ms=delay_ms, bytes_sent=True, draining=server.draining
+            kind=kind,
+            latency_ms=delay_ms,
+            bytes_sent=True,
+            draining=server.draining and not server.hides_draining_from_probes,
         )
         self.run_after(delay_ms, lambda: host.alive and host.placer.record_probe(order, outcome))
 
--- a/verbenadrum/daemon/tests/test_peers.py
+++ b/verbenadrum/daemon/tests/test_peers.py
@@ -10,6 +10,7 @@
 from gevent import event
 from hypothesis import strategies
 
+from standins import silence
 from verbenadrum.daemon import peers, sockets
 from verbenadrum.daemon.tests import certificates
 from verbenadrum.dissemination import messages
@@ -153,6 +154,32 @@
     assert (node.streams.counters.unknown, node.streams.counters.malformed) == (1, 0)
 
 
+def test_stream_that_has_gone_silent_is_replaced(nodes):
+    listener = sockets.listen("127.0.0.1:0")
+    node = Node(host="h1", addresses={"h2": f"127.0.0.1:{listener.getsockname()[1]}"})
+    nodes.append(node)
+    accepted = []
+
+    def accept():
+        while True:
+            accepted.append(listener.accept()[0])
+
+    acceptor = gevent.spawn(accept)
+    try:
+        node.streams.send("h2", messages.HostsPull(1))
+        wait_until(lambda: accepted)
+        silence.drop_incoming(accepted[0])
+        with gevent.Timeout(TIMEOUT_S):
+            while len(accepted) < 2:
+                node.streams.send("h2", messages.HostsPull(2))
+                gevent.sleep(0.05)
+        assert accepted[1].recv(1)
+    finally:
+        acceptor.kill()
+        for sock in (listener, *accepted):
+            sock.close()
+
+
 def test_half_a_frame_does_not_hold_its_connection(nodes, monkeypatch):
     monkeypatch.setattr(peers, "_FRAME_TIMEOUT_S", 0.05)
     node = Node(host="h1", addresses={})
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -346,6 +346,40 @@
     assert fleet.run_until(lambda: fleet.all_have(revision), 2_000) < 2_000
 
 
+def selected_readers(fleet):
+    return {
+        host
+        for host, each in fleet.hosts.items()
+        if each.engine.platform_read_plan().reason is duty.ReadReason.READER
+    }
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_change_is_in_force_in_time_while_all_readers_are_turned_away(seed):
+    fleet = ready_fleet(seed)
+    fleet.platform.unreachable = selected_readers(fleet)
+    for _ in range(3):
+        fleet.run(4_000)
+        revision = fleet.platform.publish("workspace", "w", good_spec(2))
+        assert fleet.run_until(lambda to=revision: fleet.all_have(to), 2_500) < 2_500
+
+
+def test_servers_whose_records_have_lapsed_leave_their_pool():
+    fleet = ready_fleet(14, data_centres=1, hosts=2)
+    fleet.platform.publish("pool", "svc", {"servers": []})
+    for name in ("s1", "s2", "s3"):
+        spec = {"service": "svc", "address": "127.0.0.1:1", "data_centre": "dc00"}
+        fleet.platform.publish("server", name, spec)
+    fleet.run(2_000)
+    for name in ("s1", "s2"):
+        fleet.platform.publish("server", name, None)
+    # An entry that the store lost by its own fault is back within two seconds.
+    fleet.run(4_000)
+    for host in fleet.hosts.values():
+        pool = host.engine.records.pool(ids.ServiceId("svc"))
+        assert [entry.server for entry in pool.servers] == ["s3"]
+
+
 def test_each_host_knows_the_age_of_its_records():
     fleet = ready_fleet(13)
     fleet.run(30_000)
--- /dev/null
+++ b/verbenadrum/placement/tests/test_leaving.py
@@ -0,0 +1,123 @@
+"""Tests that a host which has heard from a backend server that it is leaving sends it nothing."""
+
+import msgspec
+import pytest
+
+from standins import stepped_fleet
+from verbenadrum.core import behaviours, ports
+
+assert behaviours
+
+LEAVING = "s1"
+STARTED_WALL_MS = 1_000.0
+_ANSWERS = (ports.OutcomeKind.OK, ports.OutcomeKind.SERVER_ERROR)
+
+
+class LeavingFleet:
+    """Fleet in which one server says in its answers, but not to probes, that it is leaving.
+
+    ``broken`` lists the times and hosts of requests that a host sent to it after it had heard so.
+    """
+
+    def __init__(self, *, started_wall_ms=STARTED_WALL_MS, **fields):
+        rows = stepped_fleet.two_regions(4)[:8]
+        servers = {f"s{index}": "r1a" for index in range(6)}
+        self.fleet = stepped_fleet.Fleet(hosts=rows, servers=servers, **fields)
+        self.publish(started_wall_ms=started_wall_ms)
+        self.heard = set()
+        self.broken = []
+        self._dispatch = self.fleet.dispatch
+        self._end_attempt = self.fleet.end_attempt
+        self.fleet.dispatch = self.dispatch
+        self.fleet.end_attempt = self.end_attempt
+        self.fleet.load(workspace="w", per_s=200.0, path=lambda: f"/{self.fleet.rng.random()}")
+        self.fleet.run(3_000.0)
+        server = self.fleet.servers[LEAVING]
+        server.draining = True
+        server.hides_draining_from_probes = True
+
+    def publish(self, *, started_wall_ms, without=()):
+        entries = tuple(
+            msgspec.structs.replace(entry, started_wall_ms=started_wall_ms)
+            for entry in self.fleet.entries
+        )
+        all_entries = self.fleet.entries
+        self.fleet.publish(tuple(entry for entry in entries if entry.server not in without))
+        self.fleet.entries = all_entries
+
+    def dispatch(self, sink, order):
+        host = sink.host.row.host
+        if order.server == LEAVING and host in self.heard:
+            self.broken.append((self.fleet.clock.now_ms(), host))
+        self._dispatch(sink, order)
+
+    def end_attempt(self, attempt, kind):
+        if attempt.server.name == LEAVING and attempt.server.draining and kind in _ANSWERS:
+            self.heard.add(attempt.sink.host.row.host)
+        self._end_attempt(attempt, kind)
+
+    def restart_hosts_in_turn(self):
+        for name in sorted(self.fleet.hosts):
+            self.fleet.run(2_000.0)
+            self.fleet.fail_host(name)
+            self.fleet.run(2_000.0)
+            self.heard.discard(name)
+            self.fleet.restart_host(name)
+
+
+def test_leaving_server_gets_nothing_although_probes_pass_and_time_goes_by():
+    leaving = LeavingFleet(seed=1)
+    leaving.fleet.run(60_000.0)
+    assert leaving.heard
+    assert leaving.broken == []
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_leaving_server_gets_nothing_from_hosts_that_heard_it_while_homes_change(seed):
+    leaving = LeavingFleet(seed=seed)
+    leaving.restart_hosts_in_turn()
+    assert leaving.heard
+    assert leaving.broken == []
+
+
+def test_leaving_server_gets_nothing_after_its_record_lapsed_and_came_back():
+    leaving = LeavingFleet(seed=4)
+    leaving.fleet.run(3_000.0)
+    for _ in range(3):
+        leaving.publish(started_wall_ms=STARTED_WALL_MS, without=(LEAVING,))
+        leaving.fleet.run(1_000.0)
+        leaving.publish(started_wall_ms=STARTED_WALL_MS)
+        leaving.fleet.run(5_000.0)
+    assert leaving.heard
+    assert leaving.broken == []
+
+
+def test_leaving_server_gets_nothing_from_hosts_that_reach_no_home():
+    leaving = LeavingFleet(seed=5)
+    leaving.fleet.run(3_000.0)
+    names = list(leaving.fleet.hosts)
+    leaving.fleet.cut.update((one, other) for one in names for other in names if one != other)
+    leaving.fleet.run(40_000.0)
+    assert leaving.heard
+    assert leaving.broken == []
+
+
+def test_new_process_of_a_server_that_left_gets_requests():
+    leaving = LeavingFleet(seed=6)
+    leaving.fleet.run(5_000.0)
+    server = leaving.fleet.servers[LEAVING]
+    server.draining = False
+    leaving.publish(started_wall_ms=STARTED_WALL_MS + 1.0)
+    before = server.received
+    leaving.fleet.run(3_000.0)
+    assert server.received > before
+
+
+def test_server_without_a_start_time_returns_by_a_probe():
+    leaving = LeavingFleet(seed=7, started_wall_ms=0.0)
+    leaving.fleet.run(2_000.0)
+    server = leaving.fleet.servers[LEAVING]
+    server.draining = False
+    before = server.received
+    leaving.fleet.run(15_000.0)
+    assert server.received > before
