Streams between hosts that have gone silent are replaced

What callers saw: requests handled by an older configuration (CONFIG). Cause: a host sends to each peer over one connection and nothing tells it that its bytes are not acknowledged while the send buffer has room, so changes, digests and probes on a connection whose path has vanished without a reset were lost for up to 120 s, and after a cut as long again as the cut had lasted, by the doubling of TCP's retransmission time.

TCP_USER_TIMEOUT of 1.5 s now breaks such a connection; the next message opens another one, and the loss is logged. Idle connections cost nothing. Ruled out: acknowledgements of our own, which cost a packet for each batch and tell nothing more about the path; keep-alive probes, which cost a packet a second and connection, while streams that carry digests need none.

--- a/verbenadrum/daemon/peers.py
+++ b/verbenadrum/daemon/peers.py
@@ -26,6 +26,9 @@
 _MAX_QUEUED_BYTES = 4_194_304
 _CONNECT_TIMEOUT_S = 1.0
 _SEND_TIMEOUT_S = 5.0
+# A connection whose messages are not acknowledged for this long is replaced. A live peer behind a
+# lossy link acknowledges after a few retransmissions, the third of which is sent within 1 s.
+_UNACKNOWLEDGED_TIMEOUT_MS = 1_500
 # A sender closes its connection after this time without messages. The receiver waits twice as long,
 # so that the sender closes first.
 _IDLE_TIMEOUT_S = 120.0
@@ -226,7 +229,8 @@
     """Outgoing connection to one host, with a bounded queue of encoded messages.
 
     It connects when the first message is queued, reconnects with exponential backoff and closes
-    after `_IDLE_TIMEOUT_S` without messages.
+    after `_IDLE_TIMEOUT_S` without messages. A connection that has gone silent is replaced after
+    `_UNACKNOWLEDGED_TIMEOUT_MS`; the messages sent on it until then are lost.
 
     Parameters
     ----------
@@ -260,6 +264,7 @@
         self._queued_bytes = 0
         self._wake = event.Event()
         self._sock: socket.socket | None = None
+        self._peer_address = ""
         self._greenlet = gevent.spawn(self._run)
 
     def send(self, data: bytes) -> None:
@@ -282,6 +287,7 @@
         try:
             while self._wake.wait(timeout=_IDLE_TIMEOUT_S):
                 if self._sock is not None and sockets.is_unusable(self._sock):
+                    _log.info("peer connection lost", extra={"peer": self._peer_address})
                     self._disconnect()
                 if self._sock is None and not self._connect():
                     self._drop_queue()
@@ -304,6 +310,7 @@
                 sockets.split_address(address), timeout=_CONNECT_TIMEOUT_S
             )
             sockets.disable_nagle(sock)
+            sockets.limit_unacknowledged(sock, _UNACKNOWLEDGED_TIMEOUT_MS)
             if self._tls is not None:
                 sock = self._tls.wrap_socket(sock)
                 if self._expected_name and _common_name(sock) != self._expected_name:
@@ -313,6 +320,7 @@
         except (OSError, ValueError):
             return False
         self._sock = sock
+        self._peer_address = address
         return True
 
     def _flush(self) -> None:
--- a/verbenadrum/daemon/sockets.py
+++ b/verbenadrum/daemon/sockets.py
@@ -14,6 +14,7 @@
     "is_readable",
     "is_tls",
     "is_unusable",
+    "limit_unacknowledged",
     "listen",
     "peer_client_context",
     "peer_server_context",
@@ -48,6 +49,14 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def limit_unacknowledged(sock: socket.socket, timeout_ms: int) -> None:
+    """Break a connection whose peer has not acknowledged sent bytes for ``timeout_ms``.
+
+    A path that vanishes without a reset is noticed by this alone while the send buffer has room.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def reset_on_close(sock: socket.socket) -> None:
     """Make closing a socket reset its connection, even if it was shut down before."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER)
