A platform reader whose calls fail asks other hosts to read

What callers saw: requests handled by an older configuration (CONFIG). Cause: a host reads the platform itself only if it is one of the few readers or has heard no peer for 2 s. Where the store refused just the readers, or was cut off from them, their peers went on exchanging equally old digests, nobody found itself isolated, and no host learned of a change before the end.

A reader whose call fails now asks a random other host, and further ones at growing intervals, until the platform has confirmed the records since; the substitute reads at once and answers with its digest. Ruled out: more readers, which may be refused as well; every host once its age is beyond the calm one, which takes 8 s and sends all hosts to a store that is down.

--- a/verbenadrum/dissemination/duty.py
+++ b/verbenadrum/dissemination/duty.py
@@ -5,12 +5,14 @@
 """
 
 import enum
+import math
 
 import msgspec
 
+from verbenadrum import ids
 from verbenadrum.core import context, ports, system
 from verbenadrum.decisions import ring
-from verbenadrum.dissemination import host_lists, records, registry
+from verbenadrum.dissemination import host_lists, messages, records, registry
 from verbenadrum.membership import table as host_table
 
 __all__ = [
@@ -30,6 +32,13 @@
 _DELAY_AFTER_SUCCESS_MS = 50.0
 _BACKOFF_BASE_MS = 200.0
 _CONTACT_SEEDS_AFTER_MS = 500.0
+# A reader whose calls fail asks another host to read, and a further one at growing intervals until
+# the records have been confirmed since. A substitute that can read is asked again before its term
+# ends.
+_SUBSTITUTE_TERM_MS = 5_000.0
+_SUBSTITUTE_RENEWAL_MS = 2_000.0
+_MIN_SUBSTITUTE_INTERVAL_MS = 400.0
+_MAX_SUBSTITUTE_INTERVAL_MS = 5_000.0
 
 
 class Stream(enum.Enum):
@@ -44,13 +53,15 @@
 
     ``READER``: it is one of the selected readers. ``STARTING``: it lacks a host list or records.
     ``WITHDRAWALS_UNKNOWN``: it may have missed withdrawals of records. ``ISOLATED``: it has
-    received nothing from its peers for too long.
+    received nothing from its peers for too long. ``SUBSTITUTE``: a reader whose calls fail has
+    asked it to.
     """
 
     READER = "reader"
     STARTING = "starting"
     WITHDRAWALS_UNKNOWN = "withdrawals-unknown"
     ISOLATED = "no-peer-heard"
+    SUBSTITUTE = "asked-by-reader"
     NONE = "left-to-readers"
 
 
@@ -120,6 +131,17 @@
     rows: tuple[ports.HostRow, ...]
 
 
+class _SubstituteSearch(msgspec.Struct):
+    """A failing reader's search for a host that can read; times are monotonic.
+
+    ``host`` is the one that was asked last.
+    """
+
+    host: ids.HostId = ids.HostId("")
+    asked_ms: float = -math.inf
+    interval_ms: float = _MIN_SUBSTITUTE_INTERVAL_MS
+
+
 class _Backoff(msgspec.Struct):
     """Time of the next poll of a stream, and its consecutive failures."""
 
@@ -133,7 +155,9 @@
 
     A few hosts of each region read, selected by rendezvous hashing. While the host lists of hosts
     differ, more may read; this is harmless, as only newer answers are applied. A host without a
-    host list or records, or isolated from its peers, reads the platform itself.
+    host list or records, or isolated from its peers, reads the platform itself. A reader whose
+    calls fail asks random other hosts to read until one can, since the platform may refuse just the
+    readers, or be cut off from them.
 
     Parameters
     ----------
@@ -168,6 +192,10 @@
         self._reason = ReadReason.NONE
         self._ranked_at_change = -1
         self._selected = False
+        self._search = _SubstituteSearch()
+        self._substitute_until_ms = -math.inf
+        # Readers that wait for the result of this host's next call.
+        self._requesters: set[ids.HostId] = set()
 
     def plan(self) -> ReadPlan:
         """Return what to read now; the daemon calls this before each poll."""
@@ -199,6 +227,11 @@
             full_listing=answer.full_listing,
         )
         self._update_backoff(Stream.RECORDS, fresh)
+        if fresh:
+            self._search = _SubstituteSearch()
+            for requester in self._requesters:
+                self._record_spread.send_digest(requester)
+            self._requesters.clear()
         return fresh
 
     def on_hosts(self, answer: HostsAnswer) -> bool:
@@ -210,8 +243,25 @@
         return fresh
 
     def on_failure(self, stream: Stream) -> None:
-        """Register a failed call; the backoff grows exponentially, with jitter."""
+        """Register a failed call; the backoff grows exponentially, with jitter.
+
+        A reader then asks another host to read, and a substitute stops to read.
+        """
         self._update_backoff(stream, False)
+        if stream is not Stream.RECORDS:
+            return
+        self._requesters.clear()
+        self._substitute_until_ms = -math.inf
+        if self._reason is ReadReason.READER:
+            self._request_substitute()
+
+    @system.handles(messages.ReadRequest)
+    def on_read_request(self, sender: ids.HostId, message: messages.ReadRequest) -> None:
+        """Read the platform for a while, on behalf of a reader whose calls fail."""
+        now_ms = self._context.now_ms()
+        if now_ms >= self._substitute_until_ms:
+            self._requesters.add(sender)
+        self._substitute_until_ms = now_ms + _SUBSTITUTE_TERM_MS
 
     def _choose_reason(self) -> ReadReason:
         if not self._membership.revision:
@@ -231,8 +281,43 @@
             > self._policy.isolated_after_ms
         ):
             return ReadReason.ISOLATED
+        if self._context.now_ms() < self._substitute_until_ms:
+            return ReadReason.SUBSTITUTE
         return ReadReason.NONE
 
+    def _request_substitute(self) -> None:
+        """Ask another host to read, or the last one again if it can."""
+        search = self._search
+        now_ms = self._context.now_ms()
+        elapsed_ms = now_ms - search.asked_ms
+        if self._record_spread.confirmed_age_ms < elapsed_ms < math.inf:
+            # The platform has confirmed the records since the last request.
+            if elapsed_ms < _SUBSTITUTE_RENEWAL_MS:
+                return
+            search.interval_ms = _MIN_SUBSTITUTE_INTERVAL_MS
+        elif elapsed_ms < search.interval_ms:
+            return
+        else:
+            others = [
+                row.host
+                for row in self._membership.hosts()
+                if row.host not in (self._context.host, search.host)
+                and self._membership.reachable(row.host)
+            ]
+            if not others:
+                return
+            search.host = self._context.rng.choice(others)
+            search.interval_ms = min(_MAX_SUBSTITUTE_INTERVAL_MS, 2.0 * search.interval_ms)
+        search.asked_ms = now_ms
+        self._context.record_decision(
+            ring.DecisionKind.MEMBERSHIP,
+            "read-request",
+            "platform-unreadable",
+            subject=search.host,
+            detail={"failures": self._backoffs[Stream.RECORDS].failures},
+        )
+        self._context.send(search.host, messages.ReadRequest())
+
     def _is_reader(self) -> bool:
         """Return whether this host is a selected reader; cached until the membership changes."""
         if self._ranked_at_change != self._membership.change_count:
@@ -249,7 +334,10 @@
 
     def _poll_order(self, stream: Stream, after: int) -> PollOrder:
         delay_ms = max(0.0, self._backoffs[stream].next_ms - self._context.now_ms())
-        return PollOrder(after=after, wait_ms=self._policy.poll_wait_ms, delay_ms=delay_ms)
+        # A reader that waits for the result is told at once what the platform holds.
+        waited_for = stream is Stream.RECORDS and self._requesters
+        wait_ms = 0.0 if waited_for else self._policy.poll_wait_ms
+        return PollOrder(after=after, wait_ms=wait_ms, delay_ms=delay_ms)
 
     def _update_backoff(self, stream: Stream, succeeded: bool) -> None:
         """Set the time of the next poll: exponential backoff with jitter after failures."""
--- a/verbenadrum/dissemination/messages.py
+++ b/verbenadrum/dissemination/messages.py
@@ -14,6 +14,7 @@
     "HostsPull",
     "LastAccepted",
     "ListedHost",
+    "ReadRequest",
     "RecordChanges",
     "RecordPull",
     "Wanted",
@@ -98,6 +99,14 @@
     confirmed_age_ms: float = -1.0
 
 
+@base.register
+class ReadRequest(base.Message, tag="rr"):
+    """Asks the receiver to read the platform for a while, since the sender's calls fail.
+
+    The receiver sends its digest as soon as its own call has succeeded.
+    """
+
+
 @base.register
 class LastAccepted(base.Message, tag="ra"):
     """Accepted envelopes of records whose newer revision the receiver has rejected."""
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -173,6 +173,10 @@
             self._next_digest_ms = now_ms + self._digest_interval_ms(now_ms)
             self._send_digests()
 
+    def send_digest(self, peer: ids.HostId) -> None:
+        """Send a peer a digest, out of turn."""
+        self._context.send(peer, self._digest())
+
     @system.handles(messages.RecordChanges)
     def on_changes(self, sender: ids.HostId, message: messages.RecordChanges) -> None:
         """Apply changes that a peer pushed or that were pulled from it."""
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -364,6 +364,16 @@
         assert fleet.run_until(lambda to=revision: fleet.all_have(to), 2_500) < 2_500
 
 
+def test_substitutes_stop_reading_once_the_readers_can():
+    fleet = ready_fleet(15)
+    fleet.platform.unreachable = selected_readers(fleet)
+    fleet.run(10_000)
+    fleet.platform.unreachable.clear()
+    fleet.run(12_000)
+    reasons = [host.engine.platform_read_plan().reason for host in fleet.hosts.values()]
+    assert duty.ReadReason.SUBSTITUTE not in reasons
+
+
 def test_servers_whose_records_have_lapsed_leave_their_pool():
     fleet = ready_fleet(14, data_centres=1, hosts=2)
     fleet.platform.publish("pool", "svc", {"servers": []})
