Servers whose records have lapsed leave their pool after two seconds

What callers saw: requests reached servers that had left (DRAIN). Cause: a live server whose record is withdrawn is kept as lapsed and gets requests while the lapsed ones outnumber the live ones of its part. Nothing removed a lapsed server: `drop_lapsed` had no caller. Over releases and crashes without a word of leaving they added up, until servers long gone were back in use. Evidence: test_servers_whose_records_have_lapsed_leave_their_pool failed before (both still in the pool after 4 s, and for good).

The record store drops a lapsed server 2 s after it lapsed, the time in which the platform has back what it lost by its own fault. After: the test passes (python -m pytest verbenadrum/dissemination verbenadrum/records).

--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -165,8 +165,9 @@
         return to >= after if final else to > after
 
     def on_tick(self) -> None:
-        """Send a digest when it is due, and time out the pending pull."""
+        """Send a digest when it is due, time out the pending pull, and drop lapsed servers."""
         now_ms = self._context.now_ms()
+        self._store.drop_lapsed_servers()
         self._check_pull(now_ms)
         self._load_initial(now_ms)
         if now_ms >= self._next_digest_ms:
--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from verbenadrum import ids
 from verbenadrum.core import context
 from verbenadrum.decisions import ring
 from verbenadrum.records import envelope, table, types
@@ -15,6 +16,9 @@
 __all__ = ["RecordStore", "Rejection", "Verdict"]
 
 _MAX_REJECTIONS = 500
+# A server whose record was withdrawn by a fault of the platform is published again within this
+# time. Any other has left.
+_LAPSED_TTL_MS = 2_000.0
 # Outdated entries of the revision columns, besides one for each record, before a compaction.
 _MAX_OUTDATED_ENTRIES = 1_024
 
@@ -86,6 +90,8 @@
         self._outdated_count = 0
         self._rejections: dict[tuple[str, str], Rejection] = {}
         self._newest_revision = 0
+        # Monotonic time at which each server in the table was first seen as lapsed.
+        self._lapsed_since_ms: dict[ids.ServerId, float] = {}
 
     @property
     def newest_revision(self) -> int:
@@ -186,6 +192,16 @@
                 withdrawn.append(envelope.render(record))
         return tuple(withdrawn)
 
+    def drop_lapsed_servers(self) -> None:
+        """Remove the servers whose records lapsed `_LAPSED_TTL_MS` ago from their pools."""
+        now_ms = self._context.now_ms()
+        self._lapsed_since_ms = {
+            server: self._lapsed_since_ms.get(server, now_ms) for server in self._records.lapsed()
+        }
+        for server, since_ms in self._lapsed_since_ms.items():
+            if now_ms - since_ms >= _LAPSED_TTL_MS:
+                self._records.drop_lapsed(server)
+
     def rejections(self) -> tuple[Rejection, ...]:
         """Return the rejected revisions that no newer valid one has replaced, newest last."""
         return tuple(sorted(self._rejections.values(), key=lambda entry: entry.revision))
