--- a/verbenadrum/dissemination/duty.py
+++ b/verbenadrum/dissemination/duty.py
@@ -276,14 +276,10 @@
             return ReadReason.STARTING
         if self._record_spread.withdrawals_missing:
             return ReadReason.WITHDRAWALS_UNKNOWN
-        if (
-            self._context.now_ms() - self._record_spread.last_heard_ms
-            > self._policy.isolated_after_ms
-        ):
+        now_ms = self._context.now_ms()
+        if now_ms - self._record_spread.last_heard_ms > self._policy.isolated_after_ms:
             return ReadReason.ISOLATED
-        if self._context.now_ms() < self._substitute_until_ms:
-            return ReadReason.SUBSTITUTE
-        return ReadReason.NONE
+        return ReadReason.SUBSTITUTE if now_ms < self._substitute_until_ms else ReadReason.NONE
 
     def _request_substitute(self) -> None:
         """Ask another host to read, or the last one again if it can."""
