A host keeps a server's word that it is leaving until another process replaces it

What servers saw: requests after they had said that they leave (DRAIN). Cause: the word had a lifetime of its own in each place that kept it. The home forgot it with a probe that passed without it, with a listing that lacked the server and with each change of home; the entry host kept it for 30 s, and used it only where it placed a request alone: a slot that a home granted was taken whatever the host had heard.

One type, ServerSignals, now holds it on each host, for the entry side and the homes. It ends when the record names a later start of the process, and by nothing else; a server whose start is not published returns by a probe, or after 30 s, as before. An entry host returns a granted slot of such a server with the word, so that the home learns it in one message, and asks again. The word counts from the head of an answer, also of one that is streamed; that of a 421 comes from another server and is ignored. Ruled out: telling all hosts, which costs messages for a rule that binds the host that heard.

--- a/verbenadrum/cli/explain.py
+++ b/verbenadrum/cli/explain.py
@@ -31,6 +31,7 @@
     ring.DecisionKind.RECORD: "record {subject}: {choice}",
     ring.DecisionKind.MEMBERSHIP: "membership: {subject} {choice}",
     ring.DecisionKind.HOME: "home of a part of {subject}: {choice}",
+    ring.DecisionKind.SIGNAL: "server {subject} said: {choice}",
 }
 
 
--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -233,13 +233,13 @@
         """Start a request; ``sink`` receives its dispatch orders and its refusal or replay."""
         self.pipeline.begin(head, sink)
 
-    def commit(self, request: ids.RequestId, lease: ids.LeaseId) -> bool:
+    def commit(self, request: ids.RequestId, lease: ids.LeaseId, *, draining: bool = False) -> bool:
         """Choose this attempt's answer, whose head has arrived, for the caller.
 
         The other attempts are cancelled. Returns False if another answer was chosen or the request
-        has ended.
+        has ended. ``draining`` says whether the server wants no new requests.
         """
-        return self.pipeline.commit(request, lease)
+        return self.pipeline.commit(request, lease, draining=draining)
 
     def complete_attempt(
         self,
--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -480,8 +480,11 @@
     def may_retry(self, request: PlacementRequest, *, hedge: bool = False) -> bool:
         """Take one retry or hedge from the service's retry budget; return False if it is spent."""
 
-    def response_started(self, lease: ids.LeaseId) -> None:
-        """Record that the head of an attempt's answer has arrived."""
+    def response_started(self, lease: ids.LeaseId, *, draining: bool = False) -> None:
+        """Record that the head of an attempt's answer has arrived.
+
+        ``draining`` says whether it tells that the server wants no new requests.
+        """
 
     def pop_due_probes(self) -> list[ProbeOrder]:
         """Remove and return the health probes that are due."""
--- a/verbenadrum/daemon/exchange.py
+++ b/verbenadrum/daemon/exchange.py
@@ -139,7 +139,7 @@
             if isinstance(error.__cause__, http_server.CallerBodyError):
                 self._result.set_exception(error.__cause__)
             return
-        if not self._engine.commit(order.request, order.lease):
+        if not self._engine.commit(order.request, order.lease, draining=answer.draining):
             answer.discard()
             self._finish(order, answer.outcome(ports.OutcomeKind.CANCELLED))
             return
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -251,7 +251,8 @@
             latency_ms=self.latency_ms,
             bytes_sent=True,
             status=self.status,
-            draining=self.draining,
+            # An answer of another server at the address says nothing about the intended one.
+            draining=self.draining and kind is not ports.OutcomeKind.MISDIRECTED,
             refuses_connections=kind in _CONNECTION_LOSSES and has_crashed(self._address),
         )
 
--- a/verbenadrum/decisions/ring.py
+++ b/verbenadrum/decisions/ring.py
@@ -28,6 +28,7 @@
     RECORD = "record"
     MEMBERSHIP = "membership"
     HOME = "home"
+    SIGNAL = "signal"
 
 
 class Decision(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -134,16 +134,18 @@
         """
         self._refuses_past_shutdown = True
 
-    def commit(self, request: ids.RequestId, lease: ids.LeaseId) -> bool:
+    def commit(self, request: ids.RequestId, lease: ids.LeaseId, *, draining: bool = False) -> bool:
         """Choose an attempt's answer as the one passed to the caller.
 
+        ``draining`` says whether its server wants no new requests.
+
         Returns
         -------
         bool
             True for the first call of a request in flight, whose other attempts are cancelled;
             False if another answer was committed or the request has ended.
         """
-        self._placer.response_started(lease)
+        self._placer.response_started(lease, draining=draining)
         row = self._rows.get(request)
         if row is None or row.stage is not table.RequestStage.DISPATCHED:
             return False
--- a/verbenadrum/entry/tests/test_pipeline.py
+++ b/verbenadrum/entry/tests/test_pipeline.py
@@ -68,7 +68,7 @@
     def complete(self, lease, outcome):
         self.completed.append(lease)
 
-    def response_started(self, lease):
+    def response_started(self, lease, *, draining=False):
         pass
 
     def may_retry(self, request, *, hedge=False):
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -10,7 +10,7 @@
 from verbenadrum.core import context, ports
 from verbenadrum.decisions import ring
 from verbenadrum.messages import base
-from verbenadrum.placement import budget, messages, parts, poison
+from verbenadrum.placement import budget, messages, parts, poison, signals
 from verbenadrum.records import types
 
 __all__ = ["EntrySide"]
@@ -27,7 +27,8 @@
 # Avoidance of a server that refused a connection, and retry delay of requests refused because no
 # home answers.
 _SHORT_AVOIDANCE_MS = 1_000.0
-_DRAINING_AVOIDANCE_MS = 30_000.0
+# A grant on a leaving server is returned and the request sent again at most this often.
+_MAX_RETURNED_GRANTS = 3
 
 PlacementCallback = Callable[[ports.Placement], None]
 
@@ -54,6 +55,8 @@
     already_charged: bool = False
     # Whether this row was added while the request waits in the queue of another home.
     in_second_region: bool = False
+    # Number of granted slots that were returned.
+    returned_grants: int = 0
 
 
 class _HeldLeaseRow(msgspec.Struct, kw_only=True):
@@ -74,6 +77,8 @@
     heartbeat_ms: float
     trusted: bool
     response_started: bool = False
+    # Published start time of the server's process; 0 if it is not known.
+    server_started_wall_ms: float = 0.0
 
 
 class EntrySide:
@@ -89,6 +94,8 @@
         Listed hosts.
     ledger : PoisonLedger
         Crashes and successes by request fingerprint, as this host has recorded them.
+    signals : ServerSignals
+        What servers have said of themselves, as this host knows it.
     send : callable
         Sends a message to a host, this one included.
     retries : RetryLimits
@@ -102,6 +109,7 @@
         table: parts.PartTable,
         membership: ports.MembershipPort,
         ledger: poison.PoisonLedger,
+        signals: signals.ServerSignals,
         send: Callable[[ids.HostId, base.Message], None],
         retries: budget.RetryLimits,
     ) -> None:
@@ -109,6 +117,7 @@
         self._table = table
         self._membership = membership
         self._ledger = ledger
+        self._signals = signals
         self._send = send
         self._pending: dict[int, _PendingRequest] = {}
         self._held: dict[ids.LeaseId, _HeldLeaseRow] = {}
@@ -153,9 +162,14 @@
         """Return True: the home charges the retry budget when the slot is requested."""
         return True
 
-    def response_started(self, lease: ids.LeaseId) -> None:
-        """Record that the response to an attempt has begun, so that the attempt waits no longer."""
+    def response_started(self, lease: ids.LeaseId, *, draining: bool = False) -> None:
+        """Record that the response to an attempt has begun, so that the attempt waits no longer.
+
+        ``draining`` says whether its head tells that the server is leaving.
+        """
         row = self._held.get(lease)
+        if row is not None and draining:
+            self._record_leaving(row)
         if row is not None and not row.response_started:
             row.response_started = True
             if row.homes and self._context.now_ms() - row.started_ms >= _FIRST_HEARTBEAT_MS:
@@ -168,8 +182,8 @@
             return
         now_ms = self._context.now_ms()
         if outcome.draining:
-            self._avoided_until_ms[row.server] = now_ms + _DRAINING_AVOIDANCE_MS
-        elif outcome.kind is ports.OutcomeKind.CONNECT_FAILED:
+            self._record_leaving(row)
+        if outcome.kind is ports.OutcomeKind.CONNECT_FAILED:
             self._avoided_until_ms[row.server] = now_ms + _SHORT_AVOIDANCE_MS
         if not row.homes:
             self._local_in_use[row.server] -= 1
@@ -184,6 +198,7 @@
             bytes_sent=outcome.bytes_sent,
             draining=outcome.draining,
             refuses_connections=outcome.refuses_connections,
+            started_wall_ms=row.server_started_wall_ms,
         )
         for home in row.homes:
             self._send(home, release)
@@ -392,12 +407,19 @@
                 self._return_slot(sender, lease)
             return
         part = row.regions[0]
-        if self._is_leaving(row.request.service, answer.server):
+        entry = self._table.server(row.request.service, answer.server)
+        if entry is not None and entry.state is types.ServerState.LEAVING:
             # The home has an older server list, or this host was paused before it read the grant.
             self._return_slot(sender, lease)
             row.sent_ms = -math.inf
             row.queued = False
             return
+        if entry is not None and entry.started_wall_ms and self._signals.is_leaving(entry):
+            # The server has told this host that it is leaving, and not yet the home.
+            self._return_slot(sender, lease, leaving=entry)
+            if sender == row.home:
+                self._ask_for_another_server(row, answer.server)
+            return
         self._add_lease(
             row,
             lease=lease,
@@ -418,15 +440,33 @@
             ),
         )
 
-    def _is_leaving(self, service: ids.ServiceId, server: str) -> bool:
-        leaving = types.ServerState.LEAVING
-        return any(
-            entry.server == server and entry.state is leaving
-            for part in self._table.parts(service)
-            for entry in part.servers
+    def _ask_for_another_server(self, row: _PendingRequest, server: str) -> None:
+        """Request a slot again after a grant was returned, up to `_MAX_RETURNED_GRANTS` times."""
+        row.returned_grants += 1
+        if row.returned_grants > _MAX_RETURNED_GRANTS:
+            self._finish(row, _refusal("no-eligible-server", _SHORT_AVOIDANCE_MS))
+            return
+        row.request = msgspec.structs.replace(
+            row.request, excluded=(*row.request.excluded, ids.ServerId(server))
         )
+        row.already_charged = True
+        self._try_first_home(row)
 
-    def _return_slot(self, home: ids.HostId, lease: ids.LeaseId) -> None:
+    def _record_leaving(self, row: _HeldLeaseRow) -> None:
+        """Record that the server of a lease has said that it is leaving."""
+        if self._signals.record_leaving(row.server, row.server_started_wall_ms):
+            self._context.record_decision(
+                ring.DecisionKind.SIGNAL,
+                "leaving",
+                "said-so",
+                subject=row.server,
+                detail={"started_wall_ms": row.server_started_wall_ms},
+            )
+
+    def _return_slot(
+        self, home: ids.HostId, lease: ids.LeaseId, leaving: types.ServerEntry | None = None
+    ) -> None:
+        """Release a slot unused, and tell the home if its server ``leaving`` has said so."""
         _, _, service, region, _ = lease.rsplit(":", 4)
         self._send(
             home,
@@ -437,6 +477,8 @@
                 kind=ports.OutcomeKind.CANCELLED.value,
                 latency_ms=0.0,
                 bytes_sent=False,
+                draining=leaving is not None,
+                started_wall_ms=0.0 if leaving is None else leaving.started_wall_ms,
             ),
         )
 
@@ -463,6 +505,7 @@
             if entry.state is types.ServerState.LIVE
             and entry.server not in row.request.excluded
             and self._avoided_until_ms.get(entry.server, 0.0) <= now_ms
+            and not self._signals.is_leaving(entry)
             and self._local_in_use[entry.server] < slot_limit
         ]
         if not free:
@@ -509,6 +552,7 @@
         trusted: bool,
     ) -> None:
         now_ms = self._context.now_ms()
+        entry = self._table.server(row.request.service, server)
         self._held[lease] = _HeldLeaseRow(
             lease=lease,
             homes=homes,
@@ -521,6 +565,7 @@
             # Makes the first heartbeat due after `_FIRST_HEARTBEAT_MS`.
             heartbeat_ms=now_ms + _FIRST_HEARTBEAT_MS - _HEARTBEAT_INTERVAL_MS,
             trusted=trusted,
+            server_started_wall_ms=0.0 if entry is None else entry.started_wall_ms,
         )
 
     def _finish(self, row: _PendingRequest, placement: ports.Placement) -> None:
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -15,7 +15,16 @@
 from verbenadrum.decisions import ring
 from verbenadrum.health import ejection, evidence, latency
 from verbenadrum.messages import base
-from verbenadrum.placement import budget, fair_queue, gate, messages, parts, poison, servers
+from verbenadrum.placement import (
+    budget,
+    fair_queue,
+    gate,
+    messages,
+    parts,
+    poison,
+    servers,
+    signals,
+)
 
 __all__ = ["PartHome"]
 
@@ -97,6 +106,8 @@
         Evaluates the evidence of server faults.
     ledger : PoisonLedger
         Crashes and successes by request fingerprint, shared by all parts on this host.
+    signals : ServerSignals
+        What servers have said of themselves, as this host knows it.
     permits : callable
         Given the number of ejections that the pool's floor allows, returns how many the other
         hosts permit this home to hold now.
@@ -124,6 +135,7 @@
         part: parts.Part,
         judge: evidence.Judge,
         ledger: poison.PoisonLedger,
+        signals: signals.ServerSignals,
         permits: Callable[[int], int],
         weight: Callable[[str], float],
         part_count: Callable[[], int],
@@ -137,6 +149,7 @@
         self._part = part
         self._judge = judge
         self._ledger = ledger
+        self._signals = signals
         self._part_count = part_count
         self._send = send
         self._request_allowance = request_allowance
@@ -145,6 +158,7 @@
         self._servers = servers.ServerTable(
             ejector=self._ejector,
             rng=context.rng,
+            signals=signals,
             fault_probability=lambda server: judge.fault_probability(server, context.now_ms()),
         )
         self._servers.sync(part)
@@ -255,7 +269,7 @@
         self._close_lease(lease)
         kind = ports.OutcomeKind(message.kind)
         if message.draining:
-            self._mark_draining(lease.server)
+            self._mark_leaving(lease.server, message.started_wall_ms)
         unused = kind is ports.OutcomeKind.CANCELLED and not message.bytes_sent
         if not unused:
             self._record_evidence(lease, kind, message.latency_ms)
@@ -361,6 +375,7 @@
         if now_ms - self._cleaned_up_ms >= _CLEANUP_INTERVAL_MS:
             self._cleaned_up_ms = now_ms
             self._servers.forget_idle(now_ms)
+            self._servers.apply_signals()
             self._queue.forget_idle()
             self._hedge_ms = self._hedge_delay_ms()
         self._grant_free_slots()
@@ -369,9 +384,9 @@
         """Yield the probes to send now; each occupies a slot of its server."""
         now_ms = self._context.now_ms()
         due = self._ejector.pop_due_probes()
-        if self._servers.draining() and now_ms - self._drain_probed_ms >= _DRAIN_PROBE_INTERVAL_MS:
+        if now_ms - self._drain_probed_ms >= _DRAIN_PROBE_INTERVAL_MS:
             self._drain_probed_ms = now_ms
-            due += sorted(self._servers.draining())
+            due += self._servers.leaving_without_start()
         addresses = {entry.server: entry.address for entry in self._part.servers}
         for server in due:
             if server not in addresses:
@@ -402,8 +417,11 @@
             subject=order.server,
             detail={"latency_ms": round(outcome.latency_ms, 3)},
         )
-        if passed and not outcome.draining and order.server in self._servers.draining():
-            self._servers.undrain(order.server)
+        if outcome.draining:
+            self._mark_leaving(order.server, self._started_wall_ms(order.server))
+        elif passed:
+            self._signals.record_staying(order.server)
+            self._servers.apply_signals()
         self._ejector.probed(order.server, passed)
         self._grant_free_slots()
 
@@ -769,12 +787,17 @@
             )
         )
 
-    def _mark_draining(self, server: ids.ServerId) -> None:
-        if self._servers.drain(server):
+    def _mark_leaving(self, server: ids.ServerId, started_wall_ms: float) -> None:
+        if self._signals.record_leaving(server, started_wall_ms):
             self._drain_probed_ms = self._context.now_ms()
             self._context.record_decision(
                 ring.DecisionKind.EJECT, "no-new-work", "server-draining", subject=server
             )
+        self._servers.apply_signals()
+
+    def _started_wall_ms(self, server: ids.ServerId) -> float:
+        starts = (entry.started_wall_ms for entry in self._part.servers if entry.server == server)
+        return next(starts, 0.0)
 
     def _review(self, now_ms: float) -> None:
         flights = [
--- a/verbenadrum/placement/messages.py
+++ b/verbenadrum/placement/messages.py
@@ -123,7 +123,11 @@
 
 @base.register
 class Release(base.Message, frozen=True, array_like=True, gc=False, tag="pC"):
-    """Ends a lease and reports the outcome of its attempt."""
+    """Ends a lease and reports the outcome of its attempt.
+
+    ``started_wall_ms`` is the published start time of the server's process, which tells whose word
+    ``draining`` is; 0 if it is not known.
+    """
 
     service: str
     region: str
@@ -133,6 +137,7 @@
     bytes_sent: bool
     draining: bool = False
     refuses_connections: bool = False
+    started_wall_ms: float = 0.0
 
 
 @base.register
--- a/verbenadrum/placement/parts.py
+++ b/verbenadrum/placement/parts.py
@@ -77,6 +77,14 @@
                 return part
         return None
 
+    def server(self, service: ids.ServiceId, server: str) -> types.ServerEntry | None:
+        """Return a service's entry of a server, or None if it has none."""
+        for part in self.parts(service):
+            for entry in part.servers:
+                if entry.server == server:
+                    return entry
+        return None
+
     def hosts(self, region: ids.RegionId) -> tuple[ports.HostRow, ...]:
         """Return the hosts that may be home in a region; all hosts if it has none or is unknown."""
         if region == EVERYWHERE:
--- a/verbenadrum/placement/pool_home.py
+++ b/verbenadrum/placement/pool_home.py
@@ -23,6 +23,7 @@
     parts,
     poison,
     registry,
+    signals,
 )
 
 __all__ = ["PoolHomePlacer"]
@@ -72,6 +73,7 @@
         self._judge_type = health_registry.judges.get(judge)
         self._table = parts.PartTable(records=records, membership=membership)
         self._ledger = poison.PoisonLedger()
+        self._signals = signals.ServerSignals(now_ms=context.now_ms)
         self._voucher = permits.Voucher(started_ms=context.now_ms())
         self._homes: dict[PartKey, home_side.PartHome] = {}
         self._permits: dict[PartKey, permits.PermitHolder] = {}
@@ -86,6 +88,7 @@
             table=self._table,
             membership=membership,
             ledger=self._ledger,
+            signals=self._signals,
             send=self._send,
             retries=retries,
         )
@@ -115,9 +118,9 @@
         """Return True: the home charges the retry budget when the slot is requested."""
         return self._entry.may_retry(request, hedge=hedge)
 
-    def response_started(self, lease: ids.LeaseId) -> None:
-        """Record that the head of an attempt's response has arrived."""
-        self._entry.response_started(lease)
+    def response_started(self, lease: ids.LeaseId, *, draining: bool = False) -> None:
+        """Record that the head of an attempt's response has arrived, with the server's word."""
+        self._entry.response_started(lease, draining=draining)
 
     def pop_due_probes(self) -> list[ports.ProbeOrder]:
         """Return the probes to send now; each is returned once."""
@@ -326,6 +329,7 @@
             part=part,
             judge=self._judge_type(),
             ledger=self._ledger,
+            signals=self._signals,
             permits=permitted_ejections,
             weight=self._weight,
             part_count=lambda: len(self._table.parts(part.service)),
--- a/verbenadrum/placement/power_of_two.py
+++ b/verbenadrum/placement/power_of_two.py
@@ -114,7 +114,7 @@
         """Return whether this is at most the first retry or hedge of the request."""
         return request.attempt <= 1
 
-    def response_started(self, lease: ids.LeaseId) -> None:
+    def response_started(self, lease: ids.LeaseId, *, draining: bool = False) -> None:
         """Do nothing: this placer does not track whether a response has begun."""
 
     def pop_due_probes(self) -> list[ports.ProbeOrder]:
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -14,7 +14,7 @@
 
 from verbenadrum import ids
 from verbenadrum.health import ejection
-from verbenadrum.placement import parts
+from verbenadrum.placement import parts, signals
 from verbenadrum.records import types
 
 __all__ = ["LeaseRow", "ServerTable"]
@@ -114,6 +114,8 @@
         Health states of the servers.
     rng : Random
         Varies the choice between about equally loaded servers.
+    signals : ServerSignals
+        What the servers have said of themselves.
     fault_probability : callable
         Returns the probability, 0 to 1, that a server is faulty.
     """
@@ -123,10 +125,12 @@
         *,
         ejector: ejection.Ejector,
         rng: random.Random,
+        signals: signals.ServerSignals,
         fault_probability: Callable[[ids.ServerId], float] = lambda server: 0.0,
     ) -> None:
         self._ejector = ejector
         self._rng = rng
+        self._signals = signals
         self._fault_probability = fault_probability
         self._part: parts.Part | None = None
         self._live: tuple[types.ServerEntry, ...] = ()
@@ -142,7 +146,6 @@
         self._avoided_pairs: dict[tuple[ids.HostId, ids.ServerId], tuple[float, float]] = {}
         # Until when each server is avoided by some entry host.
         self._avoided_by_some_until_ms: dict[ids.ServerId, float] = {}
-        self._draining: set[ids.ServerId] = set()
         # Suspected requests in flight; a server with one gets no other request.
         self._isolated: collections.Counter[ids.ServerId] = collections.Counter()
         self._last_used_ms: dict[ids.ServerId, float] = {}
@@ -164,7 +167,7 @@
 
     @property
     def live(self) -> tuple[types.ServerEntry, ...]:
-        """Servers that may get requests: neither leaving nor draining.
+        """Servers that may get requests: those that are not leaving.
 
         Servers with a lapsed record are left out, unless most of the records have lapsed.
         """
@@ -176,7 +179,6 @@
             return
         self._part = part
         listed = {entry.server for entry in part.servers}
-        self._draining &= listed
         self._last_used_ms = {name: at for name, at in self._last_used_ms.items() if name in listed}
         self._select_live()
 
@@ -184,22 +186,17 @@
         """Return how many of a server's slots are in use."""
         return self._in_use[server]
 
-    def drain(self, server: ids.ServerId) -> bool:
-        """Stop sending requests to a server; return False if it was draining already."""
-        if server in self._draining:
-            return False
-        self._draining.add(server)
+    def apply_signals(self) -> None:
+        """Leave out the servers that have said that they are leaving, and no others."""
         self._select_live()
-        return True
-
-    def draining(self) -> set[ids.ServerId]:
-        """Return the servers that have reported that they are draining."""
-        return self._draining
 
-    def undrain(self, server: ids.ServerId) -> None:
-        """Send requests to a server again that was draining."""
-        self._draining.discard(server)
-        self._select_live()
+    def leaving_without_start(self) -> list[ids.ServerId]:
+        """Return the leaving servers whose return only a probe can tell, as no start is known."""
+        return [
+            ids.ServerId(entry.server)
+            for entry in self._part.servers
+            if not entry.started_wall_ms and self._signals.is_leaving(entry)
+        ]
 
     def avoid_pair(self, entry_host: ids.HostId, server: ids.ServerId, now_ms: float) -> bool:
         """Keep one entry host's requests from one server for a while.
@@ -469,7 +466,7 @@
         return self.connections(server) >= cap
 
     def _select_live(self) -> None:
-        usable = [entry for entry in self._part.servers if entry.server not in self._draining]
+        usable = [entry for entry in self._part.servers if not self._signals.is_leaving(entry)]
         live = [entry for entry in usable if entry.state is types.ServerState.LIVE]
         lapsed = [entry for entry in usable if entry.state is types.ServerState.LAPSED]
         # Records that lapse together point to a fault of the platform and not of the servers.
--- a/verbenadrum/placement/tests/test_servers.py
+++ b/verbenadrum/placement/tests/test_servers.py
@@ -6,7 +6,7 @@
 from verbenadrum.core import context
 from verbenadrum.decisions import ring
 from verbenadrum.health import belief, ejection
-from verbenadrum.placement import parts, servers
+from verbenadrum.placement import parts, servers, signals
 from verbenadrum.records import types
 from verbenadrum.utils import clock
 
@@ -32,7 +32,10 @@
         context=ctx, judge=belief.BeliefJudge(), permits=lambda max_ejections: max_ejections
     )
     table = servers.ServerTable(
-        ejector=ejector, rng=random.Random(2), fault_probability=fault_probabilities.__getitem__
+        ejector=ejector,
+        rng=random.Random(2),
+        signals=signals.ServerSignals(now_ms=time.now_ms),
+        fault_probability=fault_probabilities.__getitem__,
     )
     entries = tuple(
         types.ServerEntry(server=name, address="127.0.0.1:1", data_centre="d1")
