A returned grant no longer turns its host away from the home

Cause: an entry host that returned a slot on a server that its own list calls leaving made the request look overdue, so that the next tick put the home, which had answered, last for 10 s. Two homes then count the same slots, and servers shed.

--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -408,15 +408,11 @@
             return
         part = row.regions[0]
         entry = self._table.server(row.request.service, answer.server)
-        if entry is not None and entry.state is types.ServerState.LEAVING:
-            # The home has an older server list, or this host was paused before it read the grant.
-            self._return_slot(sender, lease)
-            row.sent_ms = -math.inf
-            row.queued = False
-            return
-        if entry is not None and entry.started_wall_ms and self._signals.is_leaving(entry):
-            # The server has told this host that it is leaving, and not yet the home.
-            self._return_slot(sender, lease, leaving=entry)
+        if entry is not None and self._must_not_use(entry):
+            # The home has an older server list or has not heard the server's word, or this host was
+            # paused before it read the grant.
+            said_so = self._signals.is_leaving(entry)
+            self._return_slot(sender, lease, leaving=entry if said_so else None)
             if sender == row.home:
                 self._ask_for_another_server(row, answer.server)
             return
@@ -440,6 +436,15 @@
             ),
         )
 
+    def _must_not_use(self, entry: types.ServerEntry) -> bool:
+        """Return whether a server is leaving, by its record or by its word to this host.
+
+        The word of a server without a start time is left to the home, which probes the server.
+        """
+        if entry.state is types.ServerState.LEAVING:
+            return True
+        return bool(entry.started_wall_ms) and self._signals.is_leaving(entry)
+
     def _ask_for_another_server(self, row: _PendingRequest, server: str) -> None:
         """Request a slot again after a grant was returned, up to `_MAX_RETURNED_GRANTS` times."""
         row.returned_grants += 1
--- a/verbenadrum/placement/tests/test_leaving.py
+++ b/verbenadrum/placement/tests/test_leaving.py
@@ -5,6 +5,7 @@
 
 from standins import stepped_fleet
 from verbenadrum.core import behaviours, ports
+from verbenadrum.records import types
 
 assert behaviours
 
@@ -121,3 +122,32 @@
     before = server.received
     leaving.fleet.run(15_000.0)
     assert server.received > before
+
+
+def test_grant_on_a_server_that_only_the_entry_host_knows_to_leave_keeps_the_home():
+    rows = stepped_fleet.two_regions(4)[:8]
+    fleet = stepped_fleet.Fleet(hosts=rows, servers={f"s{index}": "r1a" for index in range(6)})
+    passed_over = []
+    fleet.decision_listeners.append(
+        lambda decision: decision.choice == "passed-over" and passed_over.append(decision)
+    )
+    fleet.load(workspace="w", per_s=100.0, path=lambda: f"/{fleet.rng.random()}")
+    fleet.run(2_000.0)
+    acting = {name for name, host in fleet.hosts.items() if host.placer.homes}
+    pool = fleet.hosts["r1a-h0"].records.pool(stepped_fleet.SERVICE)
+    leaving = types.ServerState.LEAVING
+    entries = tuple(
+        msgspec.structs.replace(entry, state=leaving if entry.server == LEAVING else entry.state)
+        for entry in pool.servers
+    )
+    spec = msgspec.structs.replace(pool, servers=entries)
+    for name, host in fleet.hosts.items():
+        if name not in acting:
+            host.records.put(
+                types.Record(
+                    kind=types.RecordKind.POOL, name=stepped_fleet.SERVICE, revision=99, spec=spec
+                )
+            )
+    fleet.run(3_000.0)
+    assert passed_over == []
+    assert all(log.ok for log in fleet.logs if log.ended_ms < float("inf"))
