The limit that a backend server names is read and logged

The word counts from the head of an answer, that of a 421 not at all, and it ends with an answer that names none or with another process.

--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -79,6 +79,8 @@
         Whether its answers tell the hosts to send it no new requests.
     hides_draining_from_probes : bool
         Whether its answers to health probes do not tell so.
+    limit_per_s : float
+        Limit that its answers name; infinite for none.
     crash_path : str
         Path of the requests that crash it; it restarts after ``restart_ms``.
     up_since_ms : float
@@ -99,6 +101,7 @@
         self.behind_proxy = False
         self.draining = False
         self.hides_draining_from_probes = False
+        self.limit_per_s = math.inf
         self.crash_path = ""
         self.restart_ms = 2_000.0
         self.up_since_ms = -math.inf
@@ -575,6 +578,7 @@
             latency_ms=elapsed_ms,
             bytes_sent=kind is not ports.OutcomeKind.CONNECT_FAILED,
             draining=server.draining,
+            limit_per_s=server.limit_per_s if kind in _ANSWER_KINDS else None,
             refuses_connections=kind is ports.OutcomeKind.RESET and server.down,
         )
         sink.host.pipeline.complete_attempt(request, lease, outcome)
--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -233,13 +233,21 @@
         """Start a request; ``sink`` receives its dispatch orders and its refusal or replay."""
         self.pipeline.begin(head, sink)
 
-    def commit(self, request: ids.RequestId, lease: ids.LeaseId, *, draining: bool = False) -> bool:
+    def commit(
+        self,
+        request: ids.RequestId,
+        lease: ids.LeaseId,
+        *,
+        draining: bool = False,
+        limit_per_s: float | None = None,
+    ) -> bool:
         """Choose this attempt's answer, whose head has arrived, for the caller.
 
         The other attempts are cancelled. Returns False if another answer was chosen or the request
-        has ended. ``draining`` says whether the server wants no new requests.
+        has ended. ``draining`` and ``limit_per_s`` are what its head tells of the server, as in
+        `ports.Outcome`.
         """
-        return self.pipeline.commit(request, lease, draining=draining)
+        return self.pipeline.commit(request, lease, draining=draining, limit_per_s=limit_per_s)
 
     def complete_attempt(
         self,
--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -436,6 +436,9 @@
         HTTP status, or 0 if there was none.
     draining : bool
         Whether the answer declares that the server is draining and wants no new requests.
+    limit_per_s : float or None
+        Requests per second that the server declares to take from all hosts together; infinite if
+        its answer names no limit, None if there was no answer or it is unclear.
     refuses_connections : bool
         Whether the server refused a new connection, or closed it at once, right after this one
         broke. It then counts as crashed.
@@ -447,6 +450,7 @@
     status: int = 0
     draining: bool = False
     refuses_connections: bool = False
+    limit_per_s: float | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -480,10 +484,12 @@
     def may_retry(self, request: PlacementRequest, *, hedge: bool = False) -> bool:
         """Take one retry or hedge from the service's retry budget; return False if it is spent."""
 
-    def response_started(self, lease: ids.LeaseId, *, draining: bool = False) -> None:
+    def response_started(
+        self, lease: ids.LeaseId, *, draining: bool = False, limit_per_s: float | None = None
+    ) -> None:
         """Record that the head of an attempt's answer has arrived.
 
-        ``draining`` says whether it tells that the server wants no new requests.
+        ``draining`` and ``limit_per_s`` are what it tells, as in `Outcome`.
         """
 
     def pop_due_probes(self) -> list[ProbeOrder]:
--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -72,6 +72,7 @@
             workspace=headers.workspace,
             not_run=headers.not_run,
             draining=headers.draining,
+            limit=headers.limit,
             expected_server=headers.expected_server,
             allow_close_delimited=headers.unframed_answers,
         )
--- a/verbenadrum/daemon/exchange.py
+++ b/verbenadrum/daemon/exchange.py
@@ -139,7 +139,9 @@
             if isinstance(error.__cause__, http_server.CallerBodyError):
                 self._result.set_exception(error.__cause__)
             return
-        if not self._engine.commit(order.request, order.lease, draining=answer.draining):
+        if not self._engine.commit(
+            order.request, order.lease, draining=answer.draining, limit_per_s=answer.limit_per_s
+        ):
             answer.discard()
             self._finish(order, answer.outcome(ports.OutcomeKind.CANCELLED))
             return
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -18,7 +18,7 @@
 from urllib3 import exceptions
 
 from verbenadrum.core import ports
-from verbenadrum.daemon import answers, sockets
+from verbenadrum.daemon import answers, signal_headers, sockets
 from verbenadrum.utils import errors
 
 __all__ = [
@@ -99,6 +99,8 @@
         Response header of a server that refused the request without running it.
     draining : str
         Response header of a server that accepts no new work.
+    limit : str
+        Response header with the requests per second that the server takes from all hosts together.
     expected_server : str
         Request header with the identifier of the intended server; any other server responds with
         421. Empty if this header is not sent.
@@ -113,6 +115,7 @@
     workspace: str = "X-Workspace"
     not_run: str = "X-Not-Run"
     draining: str = "X-Draining"
+    limit: str = "X-Server-Limit"
     expected_server: str = ""
     allow_close_delimited: bool = False
 
@@ -206,6 +209,11 @@
         """Whether the server announced that it accepts no new work."""
         return is_draining(self._response.headers, self._names)
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """Limit that the server named, as in `ports.Outcome`."""
+        return signal_headers.read_limit(self._response.headers, self._names.limit, self._address)
+
     def forwarded_headers(self) -> list[tuple[str, str]]:
         """Return names and values of the headers to forward, without hop-by-hop headers."""
         return [
@@ -246,13 +254,15 @@
         If the kind is a lost connection, `has_crashed` first tries a new connection, which takes up
         to 0.11 s.
         """
+        # An answer of another server at the address says nothing about the intended one.
+        misdirected = kind is ports.OutcomeKind.MISDIRECTED
         return ports.Outcome(
             kind=kind,
             latency_ms=self.latency_ms,
             bytes_sent=True,
             status=self.status,
-            # An answer of another server at the address says nothing about the intended one.
-            draining=self.draining and kind is not ports.OutcomeKind.MISDIRECTED,
+            draining=self.draining and not misdirected,
+            limit_per_s=None if misdirected else self.limit_per_s,
             refuses_connections=kind in _CONNECTION_LOSSES and has_crashed(self._address),
         )
 
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -134,10 +134,17 @@
         """
         self._refuses_past_shutdown = True
 
-    def commit(self, request: ids.RequestId, lease: ids.LeaseId, *, draining: bool = False) -> bool:
+    def commit(
+        self,
+        request: ids.RequestId,
+        lease: ids.LeaseId,
+        *,
+        draining: bool = False,
+        limit_per_s: float | None = None,
+    ) -> bool:
         """Choose an attempt's answer as the one passed to the caller.
 
-        ``draining`` says whether its server wants no new requests.
+        ``draining`` and ``limit_per_s`` are what its head tells of the server.
 
         Returns
         -------
@@ -145,7 +152,7 @@
             True for the first call of a request in flight, whose other attempts are cancelled;
             False if another answer was committed or the request has ended.
         """
-        self._placer.response_started(lease, draining=draining)
+        self._placer.response_started(lease, draining=draining, limit_per_s=limit_per_s)
         row = self._rows.get(request)
         if row is None or row.stage is not table.RequestStage.DISPATCHED:
             return False
--- a/verbenadrum/entry/tests/test_pipeline.py
+++ b/verbenadrum/entry/tests/test_pipeline.py
@@ -68,7 +68,7 @@
     def complete(self, lease, outcome):
         self.completed.append(lease)
 
-    def response_started(self, lease, *, draining=False):
+    def response_started(self, lease, *, draining=False, limit_per_s=None):
         pass
 
     def may_retry(self, request, *, hedge=False):
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -162,14 +162,16 @@
         """Return True: the home charges the retry budget when the slot is requested."""
         return True
 
-    def response_started(self, lease: ids.LeaseId, *, draining: bool = False) -> None:
+    def response_started(
+        self, lease: ids.LeaseId, *, draining: bool = False, limit_per_s: float | None = None
+    ) -> None:
         """Record that the response to an attempt has begun, so that the attempt waits no longer.
 
-        ``draining`` says whether its head tells that the server is leaving.
+        ``draining`` and ``limit_per_s`` are what its head tells of the server.
         """
         row = self._held.get(lease)
-        if row is not None and draining:
-            self._record_leaving(row)
+        if row is not None:
+            self._record_signals(row, draining, limit_per_s)
         if row is not None and not row.response_started:
             row.response_started = True
             if row.homes and self._context.now_ms() - row.started_ms >= _FIRST_HEARTBEAT_MS:
@@ -181,8 +183,7 @@
         if row is None:
             return
         now_ms = self._context.now_ms()
-        if outcome.draining:
-            self._record_leaving(row)
+        self._record_signals(row, outcome.draining, outcome.limit_per_s)
         if outcome.kind is ports.OutcomeKind.CONNECT_FAILED:
             self._avoided_until_ms[row.server] = now_ms + _SHORT_AVOIDANCE_MS
         if not row.homes:
@@ -457,16 +458,27 @@
         row.already_charged = True
         self._try_first_home(row)
 
-    def _record_leaving(self, row: _HeldLeaseRow) -> None:
-        """Record that the server of a lease has said that it is leaving."""
-        if self._signals.record_leaving(row.server, row.server_started_wall_ms):
-            self._context.record_decision(
-                ring.DecisionKind.SIGNAL,
-                "leaving",
-                "said-so",
-                subject=row.server,
-                detail={"started_wall_ms": row.server_started_wall_ms},
-            )
+    def _record_signals(self, row: _HeldLeaseRow, leaving: bool, limit_per_s: float | None) -> None:
+        """Record what the server of a lease has said about itself."""
+        started_wall_ms = row.server_started_wall_ms
+        if leaving and self._signals.record_leaving(row.server, started_wall_ms):
+            self._log_signal(row, "leaving", {})
+        if limit_per_s is not None and self._signals.record_limit(
+            row.server, started_wall_ms, limit_per_s
+        ):
+            if math.isinf(limit_per_s):
+                self._log_signal(row, "no-limit", {})
+            else:
+                self._log_signal(row, "limit", {"limit_per_s": limit_per_s})
+
+    def _log_signal(self, row: _HeldLeaseRow, choice: str, detail: dict[str, float]) -> None:
+        self._context.record_decision(
+            ring.DecisionKind.SIGNAL,
+            choice,
+            "said-so",
+            subject=row.server,
+            detail={"started_wall_ms": row.server_started_wall_ms, **detail},
+        )
 
     def _return_slot(
         self, home: ids.HostId, lease: ids.LeaseId, leaving: types.ServerEntry | None = None
--- a/verbenadrum/placement/pool_home.py
+++ b/verbenadrum/placement/pool_home.py
@@ -118,9 +118,11 @@
         """Return True: the home charges the retry budget when the slot is requested."""
         return self._entry.may_retry(request, hedge=hedge)
 
-    def response_started(self, lease: ids.LeaseId, *, draining: bool = False) -> None:
-        """Record that the head of an attempt's response has arrived, with the server's word."""
-        self._entry.response_started(lease, draining=draining)
+    def response_started(
+        self, lease: ids.LeaseId, *, draining: bool = False, limit_per_s: float | None = None
+    ) -> None:
+        """Record that the head of an attempt's response has arrived, with the server's signals."""
+        self._entry.response_started(lease, draining=draining, limit_per_s=limit_per_s)
 
     def pop_due_probes(self) -> list[ports.ProbeOrder]:
         """Return the probes to send now; each is returned once."""
--- a/verbenadrum/placement/power_of_two.py
+++ b/verbenadrum/placement/power_of_two.py
@@ -114,7 +114,9 @@
         """Return whether this is at most the first retry or hedge of the request."""
         return request.attempt <= 1
 
-    def response_started(self, lease: ids.LeaseId, *, draining: bool = False) -> None:
+    def response_started(
+        self, lease: ids.LeaseId, *, draining: bool = False, limit_per_s: float | None = None
+    ) -> None:
         """Do nothing: this placer does not track whether a response has begun."""
 
     def pop_due_probes(self) -> list[ports.ProbeOrder]:
--- a/verbenadrum/placement/signals.py
+++ b/verbenadrum/placement/signals.py
@@ -1,5 +1,6 @@
 """What backend servers say about themselves in their answers, as one host knows it."""
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -13,7 +14,7 @@
 # may be used again this long after its last word, unless a probe ends or renews that.
 _UNKNOWN_START_TTL_MS = 30_000.0
 # Bounds the memory; a fleet of 8,000 servers has few that leave at the same time.
-_MAX_LEAVING_ROWS = 4_096
+_MAX_ROWS = 4_096
 
 
 class _LeavingRow(msgspec.Struct, kw_only=True):
@@ -23,12 +24,20 @@
     heard_ms: float
 
 
+class _LimitRow(msgspec.Struct, kw_only=True):
+    """A server's last word on its limit; ``limit_per_s`` is infinite once an answer named none."""
+
+    started_wall_ms: float
+    heard_ms: float
+    limit_per_s: float
+
+
 class ServerSignals:
     """Signals that backend servers have sent in their answers, to this host or to others.
 
     A server that is leaving gets no requests until another process stands in its place, which its
     published start time tells. Neither time, a probe, a missing record nor a change of home ends
-    that.
+    that. A limit is in force for as long as the server's answers name it.
 
     Parameters
     ----------
@@ -40,6 +49,8 @@
         self._now_ms = now_ms
         # The row that was heard last is the last one.
         self._leaving: dict[ids.ServerId, _LeavingRow] = {}
+        # Likewise; only servers that have named a limit have a row.
+        self._limits: dict[ids.ServerId, _LimitRow] = {}
 
     def record_leaving(self, server: ids.ServerId, started_wall_ms: float) -> bool:
         """Record that a server said that it is leaving.
@@ -62,8 +73,7 @@
             started_wall_ms=previous.started_wall_ms if known else started_wall_ms,
             heard_ms=self._now_ms(),
         )
-        if len(self._leaving) > _MAX_LEAVING_ROWS:
-            del self._leaving[next(iter(self._leaving))]
+        _bound(self._leaving)
         return not known
 
     def is_leaving(self, entry: types.ServerEntry) -> bool:
@@ -80,3 +90,44 @@
         row = self._leaving.get(server)
         if row is not None and not row.started_wall_ms:
             del self._leaving[server]
+
+    def record_limit(
+        self, server: ids.ServerId, started_wall_ms: float, limit_per_s: float
+    ) -> bool:
+        """Record the limit that an answer of a server names, infinite for none.
+
+        Returns
+        -------
+        bool
+            Whether this is news.
+        """
+        previous = self._limits.get(server)
+        if previous is None and math.isinf(limit_per_s):
+            return False
+        if previous is not None and previous.started_wall_ms > started_wall_ms:
+            # A late answer of the process before.
+            return False
+        self._limits.pop(server, None)
+        self._limits[server] = _LimitRow(
+            started_wall_ms=started_wall_ms, heard_ms=self._now_ms(), limit_per_s=limit_per_s
+        )
+        _bound(self._limits)
+        return previous is None or previous.limit_per_s != limit_per_s
+
+    def limit_per_s(self, entry: types.ServerEntry) -> float:
+        """Return the limit that the process of a record has named; infinite for none."""
+        row = self._limits.get(ids.ServerId(entry.server))
+        if row is None or entry.started_wall_ms > row.started_wall_ms:
+            return math.inf
+        return row.limit_per_s
+
+    def limit_age_ms(self, server: ids.ServerId) -> float:
+        """Return the age of a server's last word on its limit; infinite if it never named one."""
+        row = self._limits.get(server)
+        return math.inf if row is None else self._now_ms() - row.heard_ms
+
+
+def _bound(rows: dict) -> None:
+    """Drop the row that was heard first if there are too many."""
+    if len(rows) > _MAX_ROWS:
+        del rows[next(iter(rows))]
--- a/verbenadrum/platform/tests/test_template.py
+++ b/verbenadrum/platform/tests/test_template.py
@@ -37,6 +37,10 @@
     assert settings.headers.draining == "Server-Leaving"
 
 
+def test_limit_of_a_server_is_read(settings):
+    assert settings.headers.limit == "Server-Limit"
+
+
 def test_silent_watch_is_replaced_in_time_for_a_change(settings):
     platform = settings.platform
     replaced_ms = platform.poll_wait_ms + platform.read_timeout_ms + FIRST_BACKOFF_MS
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -108,6 +108,9 @@
         milliseconds.
     not_run, draining : str
         Set by a backend server that did not run the request, or that accepts no new work.
+    limit : str
+        Set by a backend server to the requests per second, a decimal number, that it takes from
+        all hosts together. It holds for as long as its answers name it.
     expected_server : str
         Carries the name of the intended backend server, so that a different server at the same
         address can refuse the request; empty to send no such header.
@@ -126,6 +129,7 @@
     workspace: HeaderName = "X-Workspace"
     not_run: HeaderName = "X-Not-Run"
     draining: HeaderName = "X-Draining"
+    limit: HeaderName = "X-Server-Limit"
     expected_server: str = ""
     key_scheme: HeaderName = "Bearer"
     keep_request_id: bool = False
