Homes keep to the limits that backend servers name, for all hosts together

Cause: no code knew of the limit, so a server got what its slots take.

The home of a part now has tokens for each limited server, which accrue at the limit times its fraction of the votes of the region's hosts (the votes that bound ejections; each host votes for one home at a time, so the fractions sum to 1 at most). A new home starts without tokens, one with less than a fifth of the votes sends limited servers nothing. So the homes together grant at most 5 x limit + 5 requests in 4 s, of 6 x limit + 5 allowed, whatever the number of hosts and homes. A grant says which limit it was charged to; a host that knows of a limit returns one that was not, with the limit, and does not place on limited servers alone. The estimate of waits counts a limited server by its rate, so that what does not fit is refused at once with the wait.

--- a/verbenadrum/health/permits.py
+++ b/verbenadrum/health/permits.py
@@ -117,6 +117,14 @@
             max_ejections=max_ejections, votes=len(self._until_ms), hosts=max(hosts, self._hosts)
         )
 
+    def share(self, *, hosts: int, now_ms: float) -> float:
+        """Return the home's fraction of the votes, 0 to 1, out of all hosts that may vote.
+
+        The fractions of all homes of a part sum to 1 at most, as each host votes for one of them.
+        """
+        self._drop_expired(now_ms)
+        return len(self._until_ms) / max(1, hosts, self._hosts, len(self._until_ms))
+
     def _drop_expired(self, now_ms: float) -> None:
         expired = [host for host, until_ms in self._until_ms.items() if until_ms <= now_ms]
         for host in expired:
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -200,6 +200,7 @@
             draining=outcome.draining,
             refuses_connections=outcome.refuses_connections,
             started_wall_ms=row.server_started_wall_ms,
+            limit_per_s=-1.0 if outcome.limit_per_s is None else outcome.limit_per_s,
         )
         for home in row.homes:
             self._send(home, release)
@@ -417,6 +418,12 @@
             if sender == row.home:
                 self._ask_for_another_server(row, answer.server)
             return
+        if entry is not None and self._exceeds_limit(entry, answer):
+            # The home does not know of the limit that the server has named to this host.
+            self._return_slot(sender, lease, limited=entry)
+            if sender == row.home:
+                self._ask_for_another_server(row, "")
+            return
         self._add_lease(
             row,
             lease=lease,
@@ -446,15 +453,34 @@
             return True
         return bool(entry.started_wall_ms) and self._signals.is_leaving(entry)
 
+    def _exceeds_limit(self, entry: types.ServerEntry, answer: messages.PlaceAnswer) -> bool:
+        """Return whether a grant was not charged to a limit that this host knows of.
+
+        What the home knows counts if it is newer, and this host learns it.
+        """
+        if math.isinf(self._signals.limit_per_s(entry)):
+            return False
+        server = ids.ServerId(entry.server)
+        if answer.limit_per_s < 0.0:
+            return True
+        if answer.limit_age_ms < self._signals.limit_age_ms(server):
+            self._signals.record_limit(server, entry.started_wall_ms, answer.limit_per_s)
+            return False
+        return math.isinf(answer.limit_per_s)
+
     def _ask_for_another_server(self, row: _PendingRequest, server: str) -> None:
-        """Request a slot again after a grant was returned, up to `_MAX_RETURNED_GRANTS` times."""
+        """Request a slot again after a grant was returned, up to `_MAX_RETURNED_GRANTS` times.
+
+        The new request excludes ``server``, unless that is empty.
+        """
         row.returned_grants += 1
         if row.returned_grants > _MAX_RETURNED_GRANTS:
             self._finish(row, _refusal("no-eligible-server", _SHORT_AVOIDANCE_MS))
             return
-        row.request = msgspec.structs.replace(
-            row.request, excluded=(*row.request.excluded, ids.ServerId(server))
-        )
+        if server:
+            row.request = msgspec.structs.replace(
+                row.request, excluded=(*row.request.excluded, ids.ServerId(server))
+            )
         row.already_charged = True
         self._try_first_home(row)
 
@@ -481,9 +507,18 @@
         )
 
     def _return_slot(
-        self, home: ids.HostId, lease: ids.LeaseId, leaving: types.ServerEntry | None = None
+        self,
+        home: ids.HostId,
+        lease: ids.LeaseId,
+        *,
+        leaving: types.ServerEntry | None = None,
+        limited: types.ServerEntry | None = None,
     ) -> None:
-        """Release a slot unused, and tell the home if its server ``leaving`` has said so."""
+        """Release a slot unused, and tell the home what its server has said.
+
+        Either ``leaving`` or ``limited`` may be that server.
+        """
+        server = leaving or limited
         _, _, service, region, _ = lease.rsplit(":", 4)
         self._send(
             home,
@@ -495,7 +530,8 @@
                 latency_ms=0.0,
                 bytes_sent=False,
                 draining=leaving is not None,
-                started_wall_ms=0.0 if leaving is None else leaving.started_wall_ms,
+                started_wall_ms=0.0 if server is None else server.started_wall_ms,
+                limit_per_s=-1.0 if limited is None else self._signals.limit_per_s(limited),
             ),
         )
 
@@ -523,6 +559,8 @@
             and entry.server not in row.request.excluded
             and self._avoided_until_ms.get(entry.server, 0.0) <= now_ms
             and not self._signals.is_leaving(entry)
+            # Only homes can keep to a limit that all hosts share.
+            and math.isinf(self._signals.limit_per_s(entry))
             and self._local_in_use[entry.server] < slot_limit
         ]
         if not free:
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -22,6 +22,7 @@
     messages,
     parts,
     poison,
+    server_rates,
     servers,
     signals,
 )
@@ -31,6 +32,8 @@
 _LEASE_TIMEOUT_MS = 3_000.0
 _MAX_QUEUED_PER_SLOT = 8
 _MIN_QUEUE_LIMIT = 8
+# Bounds the estimated wait while no slot can be used.
+_MIN_USABLE_SLOTS = 0.05
 # A request is tried in another region once its expected wait here exceeds this.
 _OTHER_REGION_WAIT_MS = 250.0
 # A request with a target latency waits for a slot for at most this fraction of the time left. Its
@@ -111,6 +114,8 @@
     permits : callable
         Given the number of ejections that the pool's floor allows, returns how many the other
         hosts permit this home to hold now.
+    vote_share : callable
+        Returns this home's fraction, 0 to 1, of the votes of the part's hosts.
     weight : callable
         Returns the fair-queueing weight of a workspace.
     part_count : callable
@@ -137,6 +142,7 @@
         ledger: poison.PoisonLedger,
         signals: signals.ServerSignals,
         permits: Callable[[int], int],
+        vote_share: Callable[[], float],
         weight: Callable[[str], float],
         part_count: Callable[[], int],
         send: Callable[[ids.HostId, base.Message], None],
@@ -155,10 +161,14 @@
         self._request_allowance = request_allowance
         self._broadcast_notice = broadcast_notice
         self._ejector = ejection.Ejector(context=context, judge=judge, permits=permits)
+        self._rates = server_rates.ServerRates(
+            now_ms=context.now_ms, signals=signals, share=vote_share
+        )
         self._servers = servers.ServerTable(
             ejector=self._ejector,
             rng=context.rng,
             signals=signals,
+            rates=self._rates,
             fault_probability=lambda server: judge.fault_probability(server, context.now_ms()),
         )
         self._servers.sync(part)
@@ -202,6 +212,13 @@
         """Leases on the slots in use; the caller must not change the mapping."""
         return self._leases
 
+    @property
+    def needs_votes(self) -> bool:
+        """Whether ejections or the limits of servers depend on the votes of the other hosts."""
+        if self._ejector.needs_permits or not self._signals.any_limited:
+            return self._ejector.needs_permits
+        return any(math.isfinite(self._signals.limit_per_s(each)) for each in self._servers.live)
+
     @property
     def budget(self) -> budget.RetryPool:
         """Retry tokens out of which this home grants retries and hedges."""
@@ -270,8 +287,12 @@
         kind = ports.OutcomeKind(message.kind)
         if message.draining:
             self._mark_leaving(lease.server, message.started_wall_ms)
+        if message.limit_per_s >= 0.0:
+            self._signals.record_limit(lease.server, message.started_wall_ms, message.limit_per_s)
         unused = kind is ports.OutcomeKind.CANCELLED and not message.bytes_sent
-        if not unused:
+        if unused:
+            self._rates.refund(lease.server)
+        else:
             self._record_evidence(lease, kind, message.latency_ms)
         self._record_poison_evidence(lease, kind, message.refuses_connections)
         self._grant_free_slots()
@@ -369,6 +390,7 @@
         Free slots then go to the requests that wait.
         """
         now_ms = self._context.now_ms()
+        self._rates.refill(self._servers.live)
         self._expire_leases(now_ms)
         self._review(now_ms)
         self._refuse_overdue(now_ms)
@@ -477,7 +499,7 @@
 
     def _enqueue(self, waiter: _Waiter) -> None:
         workspace = waiter.ask.workspace
-        slots = max(1, self._servers.total_slots)
+        slots = max(_MIN_USABLE_SLOTS, self._servers.usable_slots(self._service_ms))
         rank = waiter.ask.priority
         ahead = self._queue.count_ahead(workspace, rank)
         wait_ms = self._expected_wait_ms(workspace, rank, slots)
@@ -505,7 +527,7 @@
             try_elsewhere = not waiter.ask.is_last_region and wait_ms > elsewhere_ms
             self._mark_queued(waiter, "queued", try_elsewhere=try_elsewhere)
 
-    def _expected_wait_ms(self, workspace: str, rank: int, slots: int) -> float:
+    def _expected_wait_ms(self, workspace: str, rank: int, slots: float) -> float:
         # The workspace gets slots in proportion to its weight among those that wait.
         ahead = self._queue.count_ahead(workspace, rank)
         own = self._weight(workspace)
@@ -542,6 +564,9 @@
         if ask.retry_possible:
             lease.retry_until_ms = lease.deadline_ms
         self._open_lease(lease)
+        self._rates.spend(entry)
+        limit_age_ms = self._signals.limit_age_ms(server)
+        limited = math.isfinite(limit_age_ms)
         answer = _answer(
             ask,
             messages.PlaceState.GRANTED,
@@ -551,6 +576,8 @@
             lease=lease.lease,
             hedge_after_ms=self._hedge_ms if ask.idempotent else 0.0,
             trusted=lease.trusted,
+            limit_per_s=self._signals.limit_per_s(entry) if limited else -1.0,
+            limit_age_ms=round(limit_age_ms, 1) if limited else -1.0,
         )
         self._answers[waiter.entry_host, ask.number] = answer
         self._send(waiter.entry_host, answer)
--- a/verbenadrum/placement/messages.py
+++ b/verbenadrum/placement/messages.py
@@ -107,7 +107,9 @@
     ``state`` is a value of `PlaceState`, and ``number`` that of the request. ``server`` to
     ``hedge_after_ms`` are set for a grant; an idempotent request may be hedged after that delay,
     unless it is 0. ``retry_after_ms`` is set for a refusal. ``trusted`` says whether the request's
-    fingerprint has succeeded lately.
+    fingerprint has succeeded lately. ``limit_per_s`` is the limit of the server's requests that the
+    home has charged the grant to, infinite if the server has ended its limit, and ``limit_age_ms``
+    the age of that knowledge; they are -1 if the home knows of none.
     """
 
     number: int
@@ -119,6 +121,8 @@
     hedge_after_ms: float = 0.0
     retry_after_ms: float = 0.0
     trusted: bool = False
+    limit_per_s: float = -1.0
+    limit_age_ms: float = -1.0
 
 
 @base.register
@@ -126,7 +130,8 @@
     """Ends a lease and reports the outcome of its attempt.
 
     ``started_wall_ms`` is the published start time of the server's process, which tells whose word
-    ``draining`` is; 0 if it is not known.
+    ``draining`` is; 0 if it is not known. ``limit_per_s`` is the limit that the answer named,
+    infinite for none, and -1 if there was no answer.
     """
 
     service: str
@@ -138,6 +143,7 @@
     draining: bool = False
     refuses_connections: bool = False
     started_wall_ms: float = 0.0
+    limit_per_s: float = -1.0
 
 
 @base.register
--- a/verbenadrum/placement/pool_home.py
+++ b/verbenadrum/placement/pool_home.py
@@ -152,10 +152,7 @@
                 continue
             home.sync(part)
             home.on_tick()
-            if (
-                home.ejector.needs_permits
-                and now_ms - home.last_request_ms <= _PERMIT_REQUEST_MAX_IDLE_MS
-            ):
+            if home.needs_votes and now_ms - home.last_request_ms <= _PERMIT_REQUEST_MAX_IDLE_MS:
                 self._request_permits(key)
 
     @system.handles(messages.PlaceAsk)
@@ -326,6 +323,10 @@
                 max_ejections=max_ejections, hosts=hosts, now_ms=now_ms
             )
 
+        def vote_share() -> float:
+            hosts = len(self._table.hosts(part.region))
+            return holder.share(hosts=hosts, now_ms=self._context.now_ms())
+
         return home_side.PartHome(
             context=self._context,
             part=part,
@@ -333,6 +334,7 @@
             ledger=self._ledger,
             signals=self._signals,
             permits=permitted_ejections,
+            vote_share=vote_share,
             weight=self._weight,
             part_count=lambda: len(self._table.parts(part.service)),
             send=self._send,
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -14,7 +14,7 @@
 
 from verbenadrum import ids
 from verbenadrum.health import ejection
-from verbenadrum.placement import parts, signals
+from verbenadrum.placement import parts, server_rates, signals
 from verbenadrum.records import types
 
 __all__ = ["LeaseRow", "ServerTable"]
@@ -116,6 +116,8 @@
         Varies the choice between about equally loaded servers.
     signals : ServerSignals
         What the servers have said of themselves.
+    rates : ServerRates
+        Requests that may be sent to servers which have named a limit.
     fault_probability : callable
         Returns the probability, 0 to 1, that a server is faulty.
     """
@@ -126,11 +128,13 @@
         ejector: ejection.Ejector,
         rng: random.Random,
         signals: signals.ServerSignals,
+        rates: server_rates.ServerRates,
         fault_probability: Callable[[ids.ServerId], float] = lambda server: 0.0,
     ) -> None:
         self._ejector = ejector
         self._rng = rng
         self._signals = signals
+        self._rates = rates
         self._fault_probability = fault_probability
         self._part: parts.Part | None = None
         self._live: tuple[types.ServerEntry, ...] = ()
@@ -160,6 +164,24 @@
             for entry, fault_probability in zip(self._live, fault_probabilities, strict=True)
         )
 
+    def usable_slots(self, service_ms: float) -> float:
+        """Return how many slots can be kept busy, given the servers' health and limits.
+
+        Parameters
+        ----------
+        service_ms : float
+            Mean time for which a request holds its slot.
+        """
+        fault_probabilities = self._fault_probabilities()
+        max_fault_probability = self._max_fault_probability(fault_probabilities)
+        return sum(
+            min(
+                self._slots(entry, fault_probability, max_fault_probability),
+                self._rates.rate_per_s(entry) * service_ms / 1000.0,
+            )
+            for entry, fault_probability in zip(self._live, fault_probabilities, strict=True)
+        )
+
     @property
     def in_use(self) -> int:
         """Number of slots in use, over all servers."""
@@ -328,6 +350,7 @@
         """Return whether any server has a free slot, whatever its fault probability."""
         return any(
             self._in_use.get(ids.ServerId(entry.server), 0) < self._slots(entry, 0.0, 1.0)
+            and self._rates.may_send(entry)
             for entry in self._live
         )
 
@@ -364,7 +387,7 @@
     ) -> float:
         server = ids.ServerId(entry.server)
         used = self._in_use.get(server, 0)
-        if used >= slots or server in self._isolated:
+        if used >= slots or server in self._isolated or not self._rates.may_send(entry):
             return math.inf
         cost = used / (entry.slots or self._part.spec.slots) + self._rng.random() * 0.1
         cost += (
--- a/verbenadrum/placement/signals.py
+++ b/verbenadrum/placement/signals.py
@@ -52,6 +52,11 @@
         # Likewise; only servers that have named a limit have a row.
         self._limits: dict[ids.ServerId, _LimitRow] = {}
 
+    @property
+    def any_limited(self) -> bool:
+        """Whether any server has named a limit, which it may have ended since."""
+        return bool(self._limits)
+
     def record_leaving(self, server: ids.ServerId, started_wall_ms: float) -> bool:
         """Record that a server said that it is leaving.
 
--- a/verbenadrum/placement/tests/test_server_limit.py
+++ b/verbenadrum/placement/tests/test_server_limit.py
@@ -121,8 +121,10 @@
 }
 
 
-@pytest.mark.parametrize("script", SCRIPTS)
-@pytest.mark.parametrize("hosts", [44, 110])
+@pytest.mark.parametrize(
+    ("hosts", "script"),
+    [*((hosts, script) for hosts in (44, 110) for script in SCRIPTS), (890, "steady")],
+)
 def test_limited_servers_get_no_more_than_they_take(script, hosts):
     limited = LimitedFleet(hosts)
     SCRIPTS[script](limited)
--- a/verbenadrum/placement/tests/test_servers.py
+++ b/verbenadrum/placement/tests/test_servers.py
@@ -6,7 +6,7 @@
 from verbenadrum.core import context
 from verbenadrum.decisions import ring
 from verbenadrum.health import belief, ejection
-from verbenadrum.placement import parts, servers, signals
+from verbenadrum.placement import parts, server_rates, servers, signals
 from verbenadrum.records import types
 from verbenadrum.utils import clock
 
@@ -31,10 +31,12 @@
     ejector = ejection.Ejector(
         context=ctx, judge=belief.BeliefJudge(), permits=lambda max_ejections: max_ejections
     )
+    said = signals.ServerSignals(now_ms=time.now_ms)
     table = servers.ServerTable(
         ejector=ejector,
         rng=random.Random(2),
-        signals=signals.ServerSignals(now_ms=time.now_ms),
+        signals=said,
+        rates=server_rates.ServerRates(now_ms=time.now_ms, signals=said, share=lambda: 1.0),
         fault_probability=fault_probabilities.__getitem__,
     )
     entries = tuple(
