An odd entry among the servers costs at most itself

Report of another operator, reproduced: a number of 400 digits as a server's start ended the decoding of the whole answer with OverflowError, so that this host followed the list no longer; one of 4,300 digits or more likewise.

Every value is now checked whole where it is decoded, its record included, and whatever goes wrong there makes the entry malformed: it is logged once and names no server. Whole numbers are bounded.

--- a/verbenadrum/platform/wire.py
+++ b/verbenadrum/platform/wire.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import hashlib
+import re
 from typing import Annotated
 
 import msgspec
@@ -32,7 +33,14 @@
 _ALL_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE")
 _SERVER_STATES = {"ready": types.ServerState.LIVE, "draining": types.ServerState.LEAVING}
 
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+# The name goes into a request header, so it must not contain spaces or control characters.
+_SERVER_NAME_PATTERN = re.compile(r"[!-~]{1,200}")
+
+# Longest message about a malformed value, which may repeat parts of it.
+_MAX_FAULT_LENGTH = 500
+
+# Every whole number up to this limit has an exact value as a float.
+NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 ShortText = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 
@@ -73,7 +81,7 @@
     # ``config_version`` is the version of the server's software, unlike in `_Configuration`.
     service: ShortText
     zone: ShortText
-    capacity: Annotated[int, msgspec.Meta(ge=1)]
+    capacity: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     config_version: str = ""
 
 
@@ -185,8 +193,21 @@
     Raises
     ------
     MalformedValueError
-        If the value is malformed, or the configuration was deleted.
+        If the value is malformed, its record would not be accepted, or the configuration was
+        deleted. No other error leaves this function: other writers may store anything.
     """
+    try:
+        raw = _decode_record(item, data_centres, floor)
+        if raw is not None:
+            envelope.parse(raw)
+    except MalformedValueError:
+        raise
+    except Exception as error:
+        raise MalformedValueError(f"{type(error).__name__}: {error}"[:_MAX_FAULT_LENGTH]) from error
+    return raw
+
+
+def _decode_record(item: Item, data_centres: frozenset[str], floor: float) -> bytes | None:
     if item.key == CONFIGURATION_KEY:
         if item.deleted:
             raise MalformedValueError("the configuration was deleted; the last one remains in use")
@@ -194,18 +215,22 @@
         return _envelope(types.RecordKind.CONFIGURATION, _CONFIGURATION_NAME, item, spec)
     if not item.key.startswith(SERVERS_PREFIX):
         return None
-    name = item.key.removeprefix(SERVERS_PREFIX)
     if item.deleted:
         return withdrawal(item)
+    name = item.key.removeprefix(SERVERS_PREFIX)
+    if not _SERVER_NAME_PATTERN.fullmatch(name):
+        raise MalformedValueError(f"server name {name!r} is not printable ASCII without spaces")
     server = _decode(item.value, _Server)
     return _envelope(types.RecordKind.SERVER, name, item, _server(server, data_centres))
 
 
 def withdrawal(item: Item) -> bytes | None:
-    """Return the envelope that withdraws the server of a key; None if it is not a server's."""
+    """Return the envelope that withdraws the server of a key; None if no server has that key."""
     if not item.key.startswith(SERVERS_PREFIX):
         return None
     name = item.key.removeprefix(SERVERS_PREFIX)
+    if not _SERVER_NAME_PATTERN.fullmatch(name):
+        return None
     return _envelope(types.RecordKind.SERVER, name, item, None)
 
 
