A head that is cut is no answer

Report of another operator, reproduced: a server that stopped in the middle of its answer's head and closed gave an answer all the same, as the standard parser takes the end of the stream for the empty line that ends a head, and a status line without its line end for a whole one. With answers without a length allowed, callers got a 200 with an empty body, and a cut 503 counted as "not run"; with a length of 0 in what had arrived, in every setting. A chunked body without its last line passed for whole likewise.

Reading a line now fails if the connection ends inside it, or where a head or the trailers need another one.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -105,6 +105,8 @@
         self._raw_reader = raw
         self._consumed_bytes = 0
         self._line_bytes = 0
+        # Whether the lines read so far need another one, until the empty line of a head or trailer.
+        self._expects_line = False
 
     @property
     def has_unread_bytes(self) -> bool:
@@ -119,8 +121,15 @@
         http.client.LineTooLong
             If the lines since the start of the response, or since the last read of the body, exceed
             `MAX_LINE_BYTES` in total.
+        http.client.IncompleteRead
+            If the connection ends inside a line, or before the empty line that ends a head or the
+            trailers. `http.client` itself takes such an end for the empty line.
         """
         line = super().readline(size)
+        cut = not line.endswith(b"\n") and len(line) != size
+        if cut and (line or self._expects_line):
+            raise http.client.IncompleteRead(line)
+        self._expects_line = line not in (b"\r\n", b"\n")
         self._consumed_bytes += len(line)
         self._line_bytes += len(line)
         if self._line_bytes > MAX_LINE_BYTES:
--- a/verbenadrum/daemon/tests/test_upstream.py
+++ b/verbenadrum/daemon/tests/test_upstream.py
@@ -241,3 +241,30 @@
     assert outcome.kind is Kind.SHED
     assert len(sent_parts) < 400
     assert pools.idle_count == 0
+
+
+WHOLE_HEADS = [
+    HEAD + b"Content-Length: 0\r\n\r\n",
+    HEAD + b"Connection: close\r\n\r\n",
+    HEAD.replace(b"200 OK", b"503 Busy") + b"X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    HEAD.replace(b"\r\n", b"\n") + b"Content-Length: 0\n\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"Content-Length: 0\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("unframed", [False, True])
+@pytest.mark.parametrize("head", WHOLE_HEADS)
+def test_head_that_is_cut_anywhere_is_no_answer(pools, head, unframed):
+    names = upstream.HeaderNames(allow_close_delimited=unframed)
+    for length in range(1, len(head)):
+        backend = Backend(head[:length], after="close")
+        kind = outcome_of(pools, backend, names=names, pass_errors=True).kind
+        backend.server.stop()
+        assert kind in (Kind.RESET, Kind.TRUNCATED), head[:length]
+
+
+def test_chunked_body_without_its_last_line_is_truncated(pools):
+    whole = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+    assert attempt(pools, Backend(whole, after="close").address).run().prefetched == b"ok"
+    cut = Backend(whole[:-2], after="close")
+    assert outcome_of(pools, cut).kind is Kind.TRUNCATED
