A refusal written again is not taken for the answer of another try

Report of another operator, reproduced: a response belongs to its request by the identifier that it repeats, and that is the caller's attempt. A second try of the same attempt on the same kept connection has the same one, so that a faulty server which wrote its earlier refusal once more, after the second try had been sent, made it look refused: the caller was told "not run" of a request at work, or it was sent to another server.

A connection now remembers the last 64 identifiers that it has carried, and a request is not sent on one that has carried it before; another idle connection or a new one is taken. Other requests go on using it. Before: test_refusal_written_again_is_not_the_answer_of_another_try failed (the second try was refused as well); after: python -m pytest verbenadrum/daemon/tests/test_upstream.py passes.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -4,6 +4,7 @@
 always available.
 """
 
+import collections
 import http.client
 import io
 import socket
@@ -30,6 +31,8 @@
 # After this many reads from a socket other greenlets run, even if more data is available.
 _MAX_READS_WITHOUT_YIELD = 4
 _READ_BYTES = 65_536
+# A request is tried again within seconds, and a connection carries a few requests a second.
+_MAX_REQUEST_IDS = 64
 
 
 class BodyTooLongError(exceptions.HTTPError):
@@ -161,10 +164,20 @@
 
 
 class BoundedConnection(connection.HTTPConnection):
-    """HTTP connection whose responses are read through a `_BoundedReader`."""
+    """HTTP connection whose responses are read through a `_BoundedReader`.
+
+    Attributes
+    ----------
+    request_ids : collections.deque of str
+        Identifiers of the last requests that were sent on it.
+    """
 
     _reader: _BoundedReader | None = None
 
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self.request_ids: collections.deque[str] = collections.deque(maxlen=_MAX_REQUEST_IDS)
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether data follows the last response that was read. It belongs to no request."""
--- a/verbenadrum/daemon/tests/test_upstream.py
+++ b/verbenadrum/daemon/tests/test_upstream.py
@@ -243,6 +243,31 @@
     assert pools.idle_count == 0
 
 
+class RepeatingBackend(Backend):
+    """Backend server that refuses the first request and later writes that refusal once more."""
+
+    REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Request-Id: q1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+    def __init__(self):
+        super().__init__(HEAD + b"Content-Length: 2\r\n\r\nok")
+        self.refused = []
+
+    def handle(self, sock, address):
+        while sock.recv(65_536):
+            if not self.refused or sock in self.refused:
+                self.refused.append(sock)
+                sock.sendall(self.REFUSAL)
+            else:
+                sock.sendall(self.answer)
+
+
+def test_refusal_written_again_is_not_the_answer_of_another_try(pools):
+    backend = RepeatingBackend()
+    assert outcome_of(pools, backend).kind is Kind.SHED
+    assert attempt(pools, backend.address).run().prefetched == b"ok"
+    assert pools.connect_count == 2
+
+
 WHOLE_HEADS = [
     HEAD + b"Content-Length: 0\r\n\r\n",
     HEAD + b"Connection: close\r\n\r\n",
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -316,16 +316,26 @@
         return self._connect_count
 
     def acquire(
-        self, address: str, *, timeout_s: float, max_idle_s: float = math.inf
+        self,
+        address: str,
+        *,
+        timeout_s: float,
+        request_id: str = "",
+        max_idle_s: float = math.inf,
     ) -> answers.BoundedConnection:
         """Return an idle connection to a server, or a new one if none is usable.
 
+        A connection that has carried the same request before is not used: the identifier could not
+        tell an answer to that try, which a faulty server may write once more, from the new one's.
+
         Parameters
         ----------
         address : str
             ``ip:port`` of the server.
         timeout_s : float
             Timeout of each socket operation of the request.
+        request_id : str
+            Identifier that the response must repeat; empty for none.
         max_idle_s : float
             Connections that have been idle for longer are closed instead of reused.
 
@@ -334,23 +344,39 @@
         OSError, urllib3.exceptions.HTTPError
             If the server cannot be reached. No byte of the request has been sent then.
         """
+        connection = self._pop_idle(address, request_id, max_idle_s)
+        if connection is None:
+            ip, port = sockets.split_address(address)
+            connect_timeout_s = min(_CONNECT_TIMEOUT_S, timeout_s)
+            connection = answers.BoundedConnection(ip, port, timeout=connect_timeout_s)
+            connection.connect()
+            self._connect_count += 1
+            connection.timeout = timeout_s
+        connection.sock.settimeout(timeout_s)
+        connection.request_ids.append(request_id)
+        return connection
+
+    def _pop_idle(
+        self, address: str, request_id: str, max_idle_s: float
+    ) -> answers.BoundedConnection | None:
+        """Remove and return the usable idle connection that was used last, or None."""
         idle = self._idle.get(address)
         min_idle_since_s = time.monotonic() - max_idle_s
-        while idle:
+        set_aside = []
+        found = None
+        while idle and found is None:
             entry = idle.pop()
-            reused = entry.connection
+            connection = entry.connection
             usable = min_idle_since_s <= entry.idle_since_s and time.monotonic() < entry.expires_s
-            if usable and not sockets.is_unusable(reused.sock):
-                reused.sock.settimeout(timeout_s)
-                return reused
-            reused.close()
-        ip, port = sockets.split_address(address)
-        fresh = answers.BoundedConnection(ip, port, timeout=min(_CONNECT_TIMEOUT_S, timeout_s))
-        fresh.connect()
-        self._connect_count += 1
-        fresh.timeout = timeout_s
-        fresh.sock.settimeout(timeout_s)
-        return fresh
+            if not usable or sockets.is_unusable(connection.sock):
+                connection.close()
+            elif request_id and request_id in connection.request_ids:
+                set_aside.append(entry)
+            else:
+                found = connection
+        if set_aside:
+            idle.extend(reversed(set_aside))
+        return found
 
     def release(
         self, address: str, used: answers.BoundedConnection, *, keep_alive_s: float = math.inf
@@ -484,6 +510,7 @@
                 self._connection = self._pools.acquire(
                     self._order.address,
                     timeout_s=self._timeout_s,
+                    request_id=self._outgoing.caller_request_id or self._order.request,
                     max_idle_s=self._max_idle_s,
                 )
                 self._sock = self._connection.sock
