A host sends nothing to a backend server that has told it to come back later

Cause: the header of a server's refusal was not read.

The entry host keeps the time, returns grants on that server with what is left of it, and does not place there alone; the home leaves the pair out, so that other hosts use the slots. Where all servers rest from a host its callers are refused at once with the shortest rest. Seconds with fractions and dates are read; malformed and repeated values are ignored and logged; an hour is the most. A later process of the server ends the rest.

--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -81,6 +81,9 @@
         Whether its answers to health probes do not tell so.
     limit_per_s : float
         Limit that its answers name; infinite for none.
+    rest_ms : float
+        If greater than 0, it refuses every request at once, and wants no other one from the same
+        host for so long.
     crash_path : str
         Path of the requests that crash it; it restarts after ``restart_ms``.
     up_since_ms : float
@@ -102,6 +105,7 @@
         self.draining = False
         self.hides_draining_from_probes = False
         self.limit_per_s = math.inf
+        self.rest_ms = 0.0
         self.crash_path = ""
         self.restart_ms = 2_000.0
         self.up_since_ms = -math.inf
@@ -533,6 +537,10 @@
             refused = kinds.RESET if server.behind_proxy else kinds.CONNECT_FAILED
             self.run_after(attempt.distance_ms, lambda: self.end_attempt(attempt, refused))
             return
+        if server.rest_ms:
+            shed = ports.OutcomeKind.SHED
+            self.run_after(2 * attempt.distance_ms, lambda: self.end_attempt(attempt, shed))
+            return
         server.backlog.append(attempt)
         server.max_open_attempts = max(server.max_open_attempts, len(server.open_attempts))
         self._start_next(server)
@@ -579,6 +587,7 @@
             bytes_sent=kind is not ports.OutcomeKind.CONNECT_FAILED,
             draining=server.draining,
             limit_per_s=server.limit_per_s if kind in _ANSWER_KINDS else None,
+            rest_ms=server.rest_ms if kind is ports.OutcomeKind.SHED else 0.0,
             refuses_connections=kind is ports.OutcomeKind.RESET and server.down,
         )
         sink.host.pipeline.complete_attempt(request, lease, outcome)
--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -439,6 +439,8 @@
     limit_per_s : float or None
         Requests per second that the server declares to take from all hosts together; infinite if
         its answer names no limit, None if there was no answer or it is unclear.
+    rest_ms : float
+        Time for which the server, which refused the request, wants nothing more from this host.
     refuses_connections : bool
         Whether the server refused a new connection, or closed it at once, right after this one
         broke. It then counts as crashed.
@@ -451,6 +453,7 @@
     draining: bool = False
     refuses_connections: bool = False
     limit_per_s: float | None = None
+    rest_ms: float = 0.0
 
     @property
     def may_have_run(self) -> bool:
--- a/verbenadrum/daemon/signal_headers.py
+++ b/verbenadrum/daemon/signal_headers.py
@@ -1,5 +1,7 @@
 """Reads what a backend server says about itself in the headers of its answers."""
 
+import datetime
+import email.utils
 import logging
 import math
 import re
@@ -7,10 +9,15 @@
 
 import urllib3
 
-__all__ = ["read_limit"]
+__all__ = ["read_limit", "read_retry_after_ms"]
 
 # A plain decimal number; more digits than these have no meaning here.
 _DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_RETRY_AFTER = "Retry-After"
+# An absurd value must not keep a host from a sound server for longer than an operator needs to
+# find out.
+_MAX_RETRY_AFTER_MS = 3_600_000.0
+_MS_PER_S = 1000.0
 _LOG_INTERVAL_S = 60.0
 _MAX_LOGGED_ADDRESSES = 4_096
 _MAX_LOGGED_LENGTH = 64
@@ -54,6 +61,52 @@
     return None
 
 
+def read_retry_after_ms(headers: urllib3.HTTPHeaderDict, address: str) -> float:
+    """Return for how long a server that refused a request wants no other one, in milliseconds.
+
+    The header holds seconds, which may have a fraction, or an HTTP date.
+
+    Parameters
+    ----------
+    headers : HTTPHeaderDict
+        Headers of an answer with status 503.
+    address : str
+        ``ip:port`` of the server, for the log.
+
+    Returns
+    -------
+    float
+        0 without the header, or if it is repeated or malformed, which is logged; at most an hour.
+
+    Examples
+    --------
+    >>> read_retry_after_ms(urllib3.HTTPHeaderDict({"Retry-After": "1.5"}), "10.0.0.1:80")
+    1500.0
+    """
+    values = headers.getlist(_RETRY_AFTER)
+    if not values:
+        return 0.0
+    text = values[0].strip()
+    if len(values) == 1 and _DECIMAL_PATTERN.fullmatch(text):
+        return min(_MAX_RETRY_AFTER_MS, float(text) * _MS_PER_S)
+    until = _parse_date(text) if len(values) == 1 else None
+    if until is None:
+        _log_malformed(_RETRY_AFTER, address, ", ".join(values))
+        return 0.0
+    remaining = until - datetime.datetime.now(datetime.UTC)
+    return min(_MAX_RETRY_AFTER_MS, max(0.0, remaining.total_seconds() * _MS_PER_S))
+
+
+def _parse_date(text: str) -> datetime.datetime | None:
+    if len(text) > _MAX_LOGGED_LENGTH:
+        return None
+    try:
+        parsed = email.utils.parsedate_to_datetime(text)
+    except (ValueError, OverflowError):
+        return None
+    return parsed if parsed.tzinfo else parsed.replace(tzinfo=datetime.UTC)
+
+
 def _log_malformed(name: str, address: str, value: str) -> None:
     """Log a malformed value, once a minute for each server and header."""
     now_s = time.monotonic()
--- a/verbenadrum/daemon/tests/test_signal_headers.py
+++ b/verbenadrum/daemon/tests/test_signal_headers.py
@@ -1,7 +1,9 @@
 """Tests of reading what backend servers say about themselves."""
 
+import email.utils
 import logging
 import math
+import time
 
 import pytest
 import urllib3
@@ -39,3 +41,33 @@
 def test_repeated_limit_says_nothing():
     headers = urllib3.HTTPHeaderDict([(NAME, "1"), (NAME, "2")])
     assert signal_headers.read_limit(headers, NAME, "s") is None
+
+
+def retry_after_ms(*values):
+    headers = urllib3.HTTPHeaderDict([("Retry-After", value) for value in values])
+    return signal_headers.read_retry_after_ms(headers, "s")
+
+
+@pytest.mark.parametrize(
+    ("text", "rest_ms"), [("0", 0.0), ("2", 2_000.0), ("0.25", 250.0), ("999999999", 3_600_000.0)]
+)
+def test_retry_after_is_in_seconds_and_bounded(text, rest_ms):
+    assert retry_after_ms(text) == rest_ms
+
+
+def test_retry_after_may_be_a_date():
+    in_a_minute = time.time() + 60.0
+    rest_ms = retry_after_ms(email.utils.formatdate(in_a_minute, usegmt=True))
+    assert 50_000.0 < rest_ms <= 60_000.0
+    assert retry_after_ms("Sun, 06 Nov 1994 08:49:37 GMT") == 0.0
+
+
+@pytest.mark.parametrize("text", [*MALFORMED, "soon", "Sun, 99 Nov 1994 08:49:37 GMT"])
+def test_malformed_retry_after_is_ignored_and_logged_once(text, caplog):
+    with caplog.at_level(logging.WARNING):
+        assert [retry_after_ms(text) for _ in range(3)] == [0.0] * 3
+    assert [record.message for record in caplog.records] == ["malformed signal"]
+
+
+def test_repeated_retry_after_is_ignored():
+    assert retry_after_ms("1", "2") == 0.0
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -48,6 +48,7 @@
 # Every number of up to 18 digits fits into a signed 64-bit integer.
 _CONTENT_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
 # Values of the not-run and draining headers that mean the same as a missing header.
 _FALSE_VALUES = ("", "0", "false")
 _MS_PER_S = 1000.0
@@ -214,6 +215,13 @@
         """Limit that the server named, as in `ports.Outcome`."""
         return signal_headers.read_limit(self._response.headers, self._names.limit, self._address)
 
+    @property
+    def rest_ms(self) -> float:
+        """Time for which the server wants nothing more from this host, as in `ports.Outcome`."""
+        if self.status != _UNAVAILABLE_STATUS:
+            return 0.0
+        return signal_headers.read_retry_after_ms(self._response.headers, self._address)
+
     def forwarded_headers(self) -> list[tuple[str, str]]:
         """Return names and values of the headers to forward, without hop-by-hop headers."""
         return [
@@ -263,6 +271,7 @@
             status=self.status,
             draining=self.draining and not misdirected,
             limit_per_s=None if misdirected else self.limit_per_s,
+            rest_ms=self.rest_ms,
             refuses_connections=kind in _CONNECTION_LOSSES and has_crashed(self._address),
         )
 
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -184,6 +184,10 @@
             return
         now_ms = self._context.now_ms()
         self._record_signals(row, outcome.draining, outcome.limit_per_s)
+        if outcome.rest_ms > 0.0 and self._signals.record_rest(
+            row.server, row.server_started_wall_ms, outcome.rest_ms
+        ):
+            self._log_signal(row, "rest", {"rest_ms": round(outcome.rest_ms, 1)})
         if outcome.kind is ports.OutcomeKind.CONNECT_FAILED:
             self._avoided_until_ms[row.server] = now_ms + _SHORT_AVOIDANCE_MS
         if not row.homes:
@@ -201,6 +205,7 @@
             refuses_connections=outcome.refuses_connections,
             started_wall_ms=row.server_started_wall_ms,
             limit_per_s=-1.0 if outcome.limit_per_s is None else outcome.limit_per_s,
+            rest_ms=round(outcome.rest_ms, 1),
         )
         for home in row.homes:
             self._send(home, release)
@@ -413,14 +418,13 @@
         if entry is not None and self._must_not_use(entry):
             # The home has an older server list or has not heard the server's word, or this host was
             # paused before it read the grant.
-            said_so = self._signals.is_leaving(entry)
-            self._return_slot(sender, lease, leaving=entry if said_so else None)
+            self._return_slot(sender, lease, entry)
             if sender == row.home:
                 self._ask_for_another_server(row, answer.server)
             return
         if entry is not None and self._exceeds_limit(entry, answer):
             # The home does not know of the limit that the server has named to this host.
-            self._return_slot(sender, lease, limited=entry)
+            self._return_slot(sender, lease, entry)
             if sender == row.home:
                 self._ask_for_another_server(row, "")
             return
@@ -445,11 +449,11 @@
         )
 
     def _must_not_use(self, entry: types.ServerEntry) -> bool:
-        """Return whether a server is leaving, by its record or by its word to this host.
+        """Return whether a server is leaving, by its record or its word, or rests from this host.
 
         The word of a server without a start time is left to the home, which probes the server.
         """
-        if entry.state is types.ServerState.LEAVING:
+        if entry.state is types.ServerState.LEAVING or self._signals.rest_ms(entry):
             return True
         return bool(entry.started_wall_ms) and self._signals.is_leaving(entry)
 
@@ -507,18 +511,12 @@
         )
 
     def _return_slot(
-        self,
-        home: ids.HostId,
-        lease: ids.LeaseId,
-        *,
-        leaving: types.ServerEntry | None = None,
-        limited: types.ServerEntry | None = None,
+        self, home: ids.HostId, lease: ids.LeaseId, server: types.ServerEntry | None = None
     ) -> None:
-        """Release a slot unused, and tell the home what its server has said.
-
-        Either ``leaving`` or ``limited`` may be that server.
-        """
-        server = leaving or limited
+        """Release a slot unused, and tell the home what its ``server`` has said to this host."""
+        limit_per_s = -1.0
+        if server is not None and math.isfinite(self._signals.limit_per_s(server)):
+            limit_per_s = self._signals.limit_per_s(server)
         _, _, service, region, _ = lease.rsplit(":", 4)
         self._send(
             home,
@@ -529,9 +527,10 @@
                 kind=ports.OutcomeKind.CANCELLED.value,
                 latency_ms=0.0,
                 bytes_sent=False,
-                draining=leaving is not None,
+                draining=server is not None and self._signals.is_leaving(server),
                 started_wall_ms=0.0 if server is None else server.started_wall_ms,
-                limit_per_s=-1.0 if limited is None else self._signals.limit_per_s(limited),
+                limit_per_s=limit_per_s,
+                rest_ms=0.0 if server is None else round(self._signals.rest_ms(server), 1),
             ),
         )
 
@@ -559,6 +558,7 @@
             and entry.server not in row.request.excluded
             and self._avoided_until_ms.get(entry.server, 0.0) <= now_ms
             and not self._signals.is_leaving(entry)
+            and not self._signals.rest_ms(entry)
             # Only homes can keep to a limit that all hosts share.
             and math.isinf(self._signals.limit_per_s(entry))
             and self._local_in_use[entry.server] < slot_limit
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -287,6 +287,9 @@
         kind = ports.OutcomeKind(message.kind)
         if message.draining:
             self._mark_leaving(lease.server, message.started_wall_ms)
+        if message.rest_ms > 0.0:
+            until_ms = self._context.now_ms() + message.rest_ms
+            self._servers.record_rest(entry_host, lease.server, until_ms)
         if message.limit_per_s >= 0.0:
             self._signals.record_limit(lease.server, message.started_wall_ms, message.limit_per_s)
         unused = kind is ports.OutcomeKind.CANCELLED and not message.bytes_sent
@@ -510,8 +513,13 @@
         )
         max_wait_ms = waiter.max_wait_ms
         retry_delay_ms = self._retry_delay_ms(max(0.0, wait_ms - max_wait_ms))
+        rest_ms = self._servers.shortest_rest_ms(waiter.entry_host, self._context.now_ms())
         if not self._servers.live:
             self._refuse(waiter, "no-eligible-server", self._retry_delay_ms(0.0))
+        elif rest_ms and not waiter.ask.is_last_region:
+            self._reply(waiter, messages.PlaceState.ELSEWHERE, "servers-resting")
+        elif rest_ms:
+            self._refuse(waiter, "servers-resting", rest_ms)
         elif not waiter.ask.is_last_region and wait_ms > max(elsewhere_ms, max_wait_ms):
             self._reply(waiter, messages.PlaceState.ELSEWHERE, "other-region-sooner")
         elif waiter.ask.from_other_region and waiter.ask.remaining_target_ms:
--- a/verbenadrum/placement/messages.py
+++ b/verbenadrum/placement/messages.py
@@ -131,7 +131,8 @@
 
     ``started_wall_ms`` is the published start time of the server's process, which tells whose word
     ``draining`` is; 0 if it is not known. ``limit_per_s`` is the limit that the answer named,
-    infinite for none, and -1 if there was no answer.
+    infinite for none, and -1 if there was no answer. ``rest_ms`` is the time for which the server
+    wants nothing more from the entry host.
     """
 
     service: str
@@ -144,6 +145,7 @@
     refuses_connections: bool = False
     started_wall_ms: float = 0.0
     limit_per_s: float = -1.0
+    rest_ms: float = 0.0
 
 
 @base.register
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -148,6 +148,8 @@
         self._peak_connections: dict[ids.ServerId, dict[ids.HostId, tuple[int, float]]] = {}
         # Until when each pair is avoided, and the length of its last avoidance.
         self._avoided_pairs: dict[tuple[ids.HostId, ids.ServerId], tuple[float, float]] = {}
+        # Until when each server wants nothing from an entry host.
+        self._rests: dict[tuple[ids.HostId, ids.ServerId], float] = {}
         # Until when each server is avoided by some entry host.
         self._avoided_by_some_until_ms: dict[ids.ServerId, float] = {}
         # Suspected requests in flight; a server with one gets no other request.
@@ -238,6 +240,21 @@
         )
         return True
 
+    def record_rest(self, entry_host: ids.HostId, server: ids.ServerId, until_ms: float) -> None:
+        """Send nothing from an entry host to a server until a monotonic time."""
+        pair = (entry_host, server)
+        self._rests[pair] = max(until_ms, self._rests.get(pair, 0.0))
+
+    def shortest_rest_ms(self, entry_host: ids.HostId, now_ms: float) -> float:
+        """Return when the first server takes requests of an entry host again; 0 if one does now."""
+        if not self._rests:
+            return 0.0
+        rests_ms = (
+            self._rests.get((entry_host, ids.ServerId(entry.server)), 0.0) - now_ms
+            for entry in self._live
+        )
+        return max(0.0, min(rests_ms, default=0.0))
+
     def take_slot(self, lease: LeaseRow, now_ms: float) -> None:
         """Count a lease's slot and connection as in use."""
         server, entry_host = lease.server, lease.entry_host
@@ -305,6 +322,8 @@
         reaches_any = self._reaches_any(entry_host, now_ms)
         for entry, fault_probability in zip(self._live, fault_probabilities, strict=True):
             server = ids.ServerId(entry.server)
+            if self._rests.get((entry_host, server), 0.0) > now_ms:
+                continue
             if reaches_any and self._is_avoided_pair(entry_host, server, now_ms):
                 continue
             slots = self._slots(entry, fault_probability, max_fault_probability)
@@ -369,6 +388,7 @@
         ]
         for pair in ended:
             del self._avoided_pairs[pair]
+        self._rests = {pair: until for pair, until in self._rests.items() if until > now_ms}
         self._avoided_by_some_until_ms = {
             server: until_ms
             for server, until_ms in self._avoided_by_some_until_ms.items()
--- a/verbenadrum/placement/signals.py
+++ b/verbenadrum/placement/signals.py
@@ -32,12 +32,21 @@
     limit_per_s: float
 
 
+class _RestRow(msgspec.Struct, kw_only=True):
+    """Until when a server wants nothing from this host, in monotonic milliseconds."""
+
+    started_wall_ms: float
+    until_ms: float
+
+
 class ServerSignals:
     """Signals that backend servers have sent in their answers, to this host or to others.
 
     A server that is leaving gets no requests until another process stands in its place, which its
     published start time tells. Neither time, a probe, a missing record nor a change of home ends
-    that. A limit is in force for as long as the server's answers name it.
+    that. A limit is in force for as long as the server's answers name it. A server that has refused
+    a request of this host for a time gets nothing from this host until then; other hosts are not
+    concerned.
 
     Parameters
     ----------
@@ -51,6 +60,7 @@
         self._leaving: dict[ids.ServerId, _LeavingRow] = {}
         # Likewise; only servers that have named a limit have a row.
         self._limits: dict[ids.ServerId, _LimitRow] = {}
+        self._rests: dict[ids.ServerId, _RestRow] = {}
 
     @property
     def any_limited(self) -> bool:
@@ -119,6 +129,29 @@
         _bound(self._limits)
         return previous is None or previous.limit_per_s != limit_per_s
 
+    def record_rest(self, server: ids.ServerId, started_wall_ms: float, rest_ms: float) -> bool:
+        """Record that a server wants nothing from this host for ``rest_ms``.
+
+        Returns
+        -------
+        bool
+            Whether the server was not resting before.
+        """
+        now_ms = self._now_ms()
+        previous = self._rests.pop(server, None)
+        resting = previous is not None and previous.until_ms > now_ms
+        until_ms = max(now_ms + rest_ms, previous.until_ms if resting else 0.0)
+        self._rests[server] = _RestRow(started_wall_ms=started_wall_ms, until_ms=until_ms)
+        _bound(self._rests)
+        return not resting
+
+    def rest_ms(self, entry: types.ServerEntry) -> float:
+        """Return for how much longer the process of a record wants nothing from this host."""
+        row = self._rests.get(ids.ServerId(entry.server))
+        if row is None or entry.started_wall_ms > row.started_wall_ms:
+            return 0.0
+        return max(0.0, row.until_ms - self._now_ms())
+
     def limit_per_s(self, entry: types.ServerEntry) -> float:
         """Return the limit that the process of a record has named; infinite for none."""
         row = self._limits.get(ids.ServerId(entry.server))
