--- a/scenarios/checks.py
+++ b/scenarios/checks.py
@@ -18,6 +18,7 @@
 
 _PERCENT = 100.0
 _WINDOW_STEP_MS = 1_000.0
+_BUSIEST_WINDOW_MS = 4_000.0
 _MS_PER_S = 1_000.0
 _EJECTED = "ejected"
 
@@ -110,6 +111,20 @@
     return sum(run.server == server and run.at_ms >= after_ms for run in scenario_run.fleet.runs())
 
 
+@measures.register("busiest")
+def _busiest(scenario_run: stage.ScenarioRun, server: str, _: str, after_ms: float) -> float:
+    """Return the most requests that a server ran in any `_BUSIEST_WINDOW_MS`."""
+    times = [
+        run.at_ms
+        for run in scenario_run.fleet.runs()
+        if run.server == server and run.at_ms >= after_ms
+    ]
+    return max(
+        (sum(start <= at < start + _BUSIEST_WINDOW_MS for at in times) for start in times),
+        default=0,
+    )
+
+
 @measures.register("decided")
 def _decided(scenario_run: stage.ScenarioRun, name: str, kind: str, after_ms: float) -> float:
     """Count the decisions of a kind about a server, host or workspace, or all for ``fleet``."""
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -270,9 +270,13 @@
         return lark.Tree("load", [load])
 
     def misbehave(self, children: list) -> lark.Tree:
-        server, name, share, mode, lasting_ms = children
-        share = 1.0 if share is None else share
-        fault = behaviours.Fault(name=name, share=share, mode=mode or "")
+        server, name, share, mode, rate_per_s, lasting_ms = children
+        fault = behaviours.Fault(
+            name=name,
+            share=1.0 if share is None else share,
+            mode=mode or "",
+            rate_per_s=rate_per_s or 0.0,
+        )
         return lark.Tree("misbehave", [server, fault, lasting_ms])
 
     def keys(self, children: list) -> tuple:
--- a/scenarios/tests/test_run.py
+++ b/scenarios/tests/test_run.py
@@ -8,7 +8,7 @@
 from standins import child
 
 KNOWN_RED = child.REPOSITORY_ROOT / "KNOWN-RED.txt"
-NAMES = ("end_to_end", "withdrawn_key", "broken_answers")
+NAMES = ("end_to_end", "withdrawn_key", "broken_answers", "limited_server")
 TIMEOUT_S = 180.0
 
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -239,7 +239,7 @@
         deadline_s = time.monotonic() + float(self.headers.get("X-Deadline-Ms", 60_000)) / 1000.0
         queue_s = max(0.0, deadline_s - time.monotonic())
         if not plan.run or not self.server.slots.acquire(timeout=queue_s):
-            self._send_status(503, not_run=True)
+            self._send_status(503, not_run=True, rest_ms=plan.rest_ms)
             return
         try:
             self._handle_run(plan, query, deadline_s, body_checksum)
@@ -322,6 +322,8 @@
         self.send_header("X-Server", self.server.name)
         if plan.draining:
             self.send_header("X-Draining", "true")
+        if plan.limit_per_s is not None:
+            self.send_header("X-Server-Limit", f"{plan.limit_per_s:g}")
         if chunked:
             self.send_header("Transfer-Encoding", "chunked")
         else:
@@ -337,12 +339,14 @@
                 break
         self.close_connection = self.close_connection or cut
 
-    def _send_status(self, status: int, *, not_run: bool) -> None:
+    def _send_status(self, status: int, *, not_run: bool, rest_ms: float = 0.0) -> None:
         self.send_response(status)
         self.send_header("X-Request-Id", self.headers.get("X-Request-Id", ""))
         self.send_header("Content-Length", "0")
         if not_run:
             self.send_header("X-Not-Run", "true")
+        if rest_ms:
+            self.send_header("Retry-After", f"{rest_ms / 1000.0:g}")
         self.end_headers()
 
     def _read_blocks(self) -> Iterator[bytes]:
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -44,12 +44,15 @@
         phase without. 0 for its default.
     mode : str
         Variant of the behaviour, such as ``chunked``; empty for its default.
+    rate_per_s : float
+        Requests per second, for ``limit``.
     """
 
     name: str
     share: float = 1.0
     ms: float = 0.0
     mode: str = ""
+    rate_per_s: float = 0.0
 
 
 class Call(msgspec.Struct, frozen=True, kw_only=True):
@@ -85,6 +88,10 @@
         Whether the request runs; otherwise it is refused with 503 as not run.
     draining : bool
         Whether the answer announces that the server is draining.
+    limit_per_s : float or None
+        Limit that the answer names; None for none.
+    rest_ms : float
+        Time in milliseconds for which a refusal asks for no further requests; 0 for none.
     crossed : bool
         Whether the answer of the previous request is sent instead of the request's own.
     crash : bool
@@ -97,6 +104,8 @@
     status: int = 200
     run: bool = True
     draining: bool = False
+    limit_per_s: float | None = None
+    rest_ms: float = 0.0
     crossed: bool = False
     crash: bool = False
     truncation: Truncation = Truncation.NONE
@@ -109,6 +118,7 @@
 _DEFAULT_FLAP_INTERVAL_MS = 2_000.0
 _DEFAULT_COLD_MS = 5_000.0
 _COLD_SLOWDOWN_FACTOR = 10.0
+_DEFAULT_REST_MS = 3_000.0
 
 
 def make_plan(
@@ -180,6 +190,19 @@
     plan.draining = True
 
 
+@behaviours.register("limit")
+def _limit(plan: Plan, call: Call, fault: Fault) -> None:
+    plan.limit_per_s = fault.rate_per_s
+
+
+@behaviours.register("rest")
+def _rest(plan: Plan, call: Call, fault: Fault) -> None:
+    """Refuse the request, and ask its host for no further ones for a while."""
+    plan.run = False
+    plan.status = 503
+    plan.rest_ms = fault.ms or _DEFAULT_REST_MS
+
+
 @behaviours.register("cold")
 def _cold(plan: Plan, call: Call, fault: Fault) -> None:
     if call.age_ms < (fault.ms or _DEFAULT_COLD_MS):
