The soak's servers send signals, and what they get is checked

Two checks count what the servers receive, as the users' rules do: (h) nothing from a host process later than 2.5 s after it has passed the word of a leaving server on; (i) no more than one and a half times the limit and five requests in 4 s from the processes that know of it. The servers' records carry a start time now. test_soak_signals.py holds the checks on constructed observations, both ways.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -32,6 +32,7 @@
     soak_callers,
     soak_checks,
     soak_configuration,
+    soak_signals,
 )
 
 __all__ = ["Options", "StallMonitor", "run"]
@@ -74,6 +75,8 @@
         Shutdown settings of the hosts.
     keep_logs : str
         Folder to which the logs are copied if there are violations, or empty.
+    signals : bool
+        Whether servers name limits, ask for rests and leave meanwhile.
     """
 
     seed: int
@@ -83,6 +86,7 @@
     rate_per_s: float
     shutdown: planned_work.Shutdown
     keep_logs: str
+    signals: bool
 
 
 class StallMonitor:
@@ -107,8 +111,23 @@
             self.max_delay_ms = max(self.max_delay_ms, (time.monotonic() - due_s) * 1000.0)
 
 
-def run(work: planned_work.PlannedWork, options: Options) -> soak_checks.Checks:
-    """Run the planned work of a seed with concurrent callers, and return the checks."""
+def run(
+    work: planned_work.PlannedWork, options: Options
+) -> tuple[soak_checks.Checks, list[soak_checks.Violation]]:
+    """Run the planned work of a seed with concurrent callers.
+
+    Returns
+    -------
+    checks : Checks
+        The checks, with their violations not yet determined.
+    violations : list of Violation
+        Violations of what the servers signalled.
+    """
+    signals = soak_signals.Signals(
+        running=work.fleet,
+        rng=random.Random(f"{options.seed}/signals"),
+        seconds=options.seconds,
+    )
     callers = soak_callers.Callers(
         work=work,
         seed=options.seed,
@@ -116,12 +135,16 @@
         rate_per_s=options.rate_per_s,
     )
     callers.start()
+    if options.signals:
+        signals.start()
     rng = random.Random(f"{options.seed}/steps")
     work.run(planned_work.draw_steps(rng, work.fleet.hosts, options.seconds))
     gevent.sleep(_FINAL_TRAFFIC_S)
     callers.stop()
+    signals.stop()
     _wait_until_answering(work, options.seed)
-    return soak_checks.Checks(work=work, results=callers.results, strays=callers.strays)
+    checks = soak_checks.Checks(work=work, results=callers.results, strays=callers.strays)
+    return checks, signals.violations(checks, callers.results)
 
 
 def _start_fleet(running: fleet.Fleet, options: Options) -> planned_work.PlannedWork:
@@ -200,9 +223,9 @@
         work = _start_fleet(running, options)
         stall_monitor = StallMonitor()
         monitor_greenlet = gevent.spawn(stall_monitor.run)
-        checks = run(work, options)
+        checks, violations = run(work, options)
         monitor_greenlet.kill()
-        violations = checks.violations()
+        violations += checks.violations()
         for violation in violations:
             print(f"({violation.check}) {violation.text}")
         print(checks.summary())
@@ -223,6 +246,7 @@
     flags.DEFINE_float("linger_ms", 600.0, "Setting linger_ms of the hosts.")
     flags.DEFINE_float("limit_ms", 2_000.0, "Setting limit_ms of the hosts.")
     flags.DEFINE_float("margin_ms", 500.0, "Setting margin_ms of the hosts.")
+    flags.DEFINE_bool("signals", False, "Whether servers send signals about themselves.")
     flags.DEFINE_string("keep_logs", "", "Folder to which the logs of a failed seed are copied.")
 
 
@@ -242,6 +266,7 @@
             linger_ms=values.linger_ms, limit_ms=values.limit_ms, margin_ms=values.margin_ms
         ),
         keep_logs=values.keep_logs,
+        signals=values.signals,
     )
     try:
         return _run_seed(options)
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -136,7 +136,7 @@
 
     def _check_result(self, result: raw_caller.RequestResult) -> Iterator[Violation]:
         server_runs = self._server_runs[result.request]
-        process = self._find_process(result)
+        process = self.find_process(result)
         if result.fault:
             yield self._violation("d", result.fault, result, process)
         if result.once and len(server_runs.runs) > 1:
@@ -224,12 +224,12 @@
     def _served_requests(self, process: planned_work.HostProcess) -> bool:
         """Return whether the process answered or forwarded a request."""
         return any(
-            self._find_process(result) is process
+            self.find_process(result) is process
             and (result.status or self._server_runs[result.request].runs)
             for result in self._results
         )
 
-    def _find_process(self, result: raw_caller.RequestResult) -> planned_work.HostProcess | None:
+    def find_process(self, result: raw_caller.RequestResult) -> planned_work.HostProcess | None:
         """Return the host process that accepted the connection of a request, or None."""
         for process in self._processes_by_host[result.host]:
             if process.started_ms <= result.opened_ms and (
--- a/standins/soak_configuration.py
+++ b/standins/soak_configuration.py
@@ -54,6 +54,7 @@
 
     def __init__(self, *, running: fleet.Fleet) -> None:
         self._fleet = running
+        self._started_wall_ms = time.time() * 1000.0
         self.published: list[Publication] = []
 
     def publish_change(self, **fields: object) -> None:
@@ -116,5 +117,9 @@
         servers = msgspec.convert(
             self._fleet.server_entries(service), tuple[types.ServerEntry, ...], strict=False
         )
+        servers = tuple(
+            msgspec.structs.replace(entry, started_wall_ms=self._started_wall_ms)
+            for entry in servers
+        )
         spec = types.PoolSpec(servers=servers, slots=SLOTS, probe_path=_PROBE_PATH)
         return types.NamedPool(name=service, spec=spec)
