--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -16,12 +16,14 @@
     limits,
     placement,
     retry_budget,
+    signals,
 )
 
 __all__ = ["table"]
 
 # Importing the modules registers their experiments.
-assert claims and dissemination and end_to_end and health and limits and placement and retry_budget
+assert claims and dissemination and end_to_end and health and limits and placement
+assert retry_budget and signals
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of every experiment.")
 _ONLY = flags.DEFINE_list("only", [], "Names of the experiments to run; all if empty.")
