Lines of the endless stand-in are written whole

Traced: the stand-in has a thread for each connection, and print writes a line and its end in two steps, so that two events of connections that close at the same moment stand on one line, which the test cannot read. Nothing of the product is concerned.

The lines are written under a lock.

--- a/standins/endless.py
+++ b/standins/endless.py
@@ -5,6 +5,7 @@
 """
 
 import socketserver
+import threading
 import time
 
 import msgspec
@@ -20,6 +21,7 @@
 _PAUSE_S = flags.DEFINE_float("pause_s", 0.0, "Pause between two sends in seconds.")
 
 _BLOCK_BYTES = 65_536
+_output_lock = threading.Lock()
 
 
 class Event(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,7 +60,9 @@
 
 
 def _print(event: Event) -> None:
-    print(msgspec.json.encode(event).decode(), flush=True)
+    # Each connection has its own thread, and `print` writes the line and its end separately.
+    with _output_lock:
+        print(msgspec.json.encode(event).decode(), flush=True)
 
 
 def main(argv: list[str]) -> None:
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -3,12 +3,13 @@
 import http.client
 import signal
 import socket
+import time
 from concurrent import futures
 
 import msgspec
 import pytest
 
-from standins import behaviours, child, fault_proxy, fleet, platform, serving
+from standins import behaviours, child, endless, fault_proxy, fleet, platform, serving
 
 
 @pytest.fixture(scope="module")
@@ -201,3 +202,30 @@
         if page.complete:
             break
     assert (after, answers) == (first + 12, 2)
+
+
+def test_events_of_connections_that_close_at_once_stay_on_lines_of_their_own(tmp_path):
+    process = child.Child(
+        name="endless",
+        arguments=("-m", "standins.endless", "--first=x", "--piece=x", "--pause_s=0.1"),
+        directory=tmp_path,
+    )
+    try:
+        port = process.read_port()
+        count = 100
+        for _ in range(3):
+            sockets = [
+                socket.create_connection((serving.LOOPBACK, port), 5.0) for _ in range(count)
+            ]
+            for sock in sockets:
+                sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            for sock in sockets:
+                sock.recv(1)
+            for sock in sockets:
+                sock.close()
+            time.sleep(0.5)
+        lines = process.stdout.read_bytes().splitlines()[1:]
+    finally:
+        process.kill()
+    events = [msgspec.json.decode(line, type=endless.Event) for line in lines]
+    assert sum(event.name == "closed" for event in events) == 3 * count
