--- a/standins/backend.py
+++ b/standins/backend.py
@@ -323,7 +323,7 @@
         if plan.draining:
             self.send_header("X-Draining", "true")
         if plan.limit_per_s is not None:
-            self.send_header("X-Server-Limit", f"{plan.limit_per_s:g}")
+            self.send_header("X-Rate-Limit", f"{plan.limit_per_s:g}")
         if chunked:
             self.send_header("Transfer-Encoding", "chunked")
         else:
--- a/verbenadrum/daemon/tests/test_signal_headers.py
+++ b/verbenadrum/daemon/tests/test_signal_headers.py
@@ -10,7 +10,7 @@
 
 from verbenadrum.daemon import signal_headers
 
-NAME = "X-Server-Limit"
+NAME = "X-Rate-Limit"
 MALFORMED = ["", "-1", "nan", "inf", "1e999", "9" * 5_000, "1,5", "1 2", "0x10", "+1", "1.", "١"]
 
 
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -116,7 +116,7 @@
     workspace: str = "X-Workspace"
     not_run: str = "X-Not-Run"
     draining: str = "X-Draining"
-    limit: str = "X-Server-Limit"
+    limit: str = "X-Rate-Limit"
     expected_server: str = ""
     allow_close_delimited: bool = False
 
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -129,7 +129,7 @@
     workspace: HeaderName = "X-Workspace"
     not_run: HeaderName = "X-Not-Run"
     draining: HeaderName = "X-Draining"
-    limit: HeaderName = "X-Server-Limit"
+    limit: HeaderName = "X-Rate-Limit"
     expected_server: str = ""
     key_scheme: HeaderName = "Bearer"
     keep_request_id: bool = False
