--- a/verbenadrum/placement/tests/test_retry_budget.py
+++ b/verbenadrum/placement/tests/test_retry_budget.py
@@ -14,7 +14,7 @@
     return fleet
 
 
-@pytest.mark.parametrize("hosts", [44, 90, 110])
+@pytest.mark.parametrize("hosts", [44, 90, 110, 890])
 def test_successive_homes_share_one_retry_budget(hosts):
     assert retry_budget.max_excess_retries(run_script("homes end in turn", hosts)) <= 0.0
 
