--- a/standins/demo.py
+++ b/standins/demo.py
@@ -12,6 +12,7 @@
     monkey.patch_all()
 
 import collections
+import functools
 import pathlib
 import signal
 import sys
@@ -21,7 +22,7 @@
 from absl import app
 
 from scenarios import checks, language, run, stage
-from standins import child, fleet, serving
+from standins import behaviours, caller, child, fleet, serving
 from verbenadrum.decisions import ring
 
 __all__ = ["decision_table", "event_table"]
@@ -88,14 +89,31 @@
         yield f"{counts[row]:6d} x  first at {first_s:5.1f} s  {kind:8} {name:15} because {reason}"
 
 
+@functools.singledispatch
 def _describe_argument(argument: object) -> str:
-    if hasattr(argument, "rate_per_s"):
-        return f"{argument.name}: {argument.rate_per_s:g}/s {argument.method} {argument.path}"
-    if hasattr(argument, "share"):
-        return f"{argument.name} {argument.share:.0%}"
     return str(argument)
 
 
+@_describe_argument.register
+def _describe_load(load: caller.Load) -> str:
+    return f"{load.name}: {load.rate_per_s:g}/s {load.method} {load.path}"
+
+
+@_describe_argument.register
+def _describe_fault(fault: behaviours.Fault) -> str:
+    words = [fault.name, f"{fault.share:.0%}"]
+    if fault.mode:
+        words.append(f"mode {fault.mode}")
+    if fault.rate_per_s:
+        words.append(f"rate {fault.rate_per_s:g}/s")
+    return " ".join(words)
+
+
+@_describe_argument.register
+def _describe_names(names: tuple) -> str:
+    return ", ".join(map(str, names))
+
+
 def main(argv: list[str]) -> int:
     """Run the demo, and return its exit code."""
     del argv
