A stopping host takes no request that may run only once and may outlive it

Cause: until the end of the linger a host took every request and capped its deadline at its own end. A request that is not idempotent and whose route allows it longer was passed on, and at the end its caller got 504 with its server still at work: nobody may send it again. One that waited for a server when SIGTERM came was passed on as well.

Change: from SIGTERM on such a request is passed on only if its deadline (the caller's, or the route's timeout) comes before the host answers what is left. Idempotent requests are served until the end of the linger as before, since they may be sent again.

--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -190,6 +190,42 @@
     assert not quick.server.heads
 
 
+def test_request_that_must_not_run_twice_is_refused_at_once_if_it_may_outlive_its_host(stalled):
+    """Its server could still be at work when the host ends, and nobody may send it again then."""
+    stalled.host.begin_shutdown()
+    gevent.sleep(0.02)
+    started_s = time.monotonic()
+    data, clean = read_to_end(stalled.send_request(b"POST"))
+    assert time.monotonic() - started_s < 0.2
+    assert data.startswith(b"HTTP/1.1 503 ") and clean
+    assert b"\r\nConnection: close\r\n" in data
+    refusal = json.loads(data.split(b"\r\n\r\n", 1)[1])
+    assert (refusal["code"], refusal["not_run"]) == ("host-ended", ports.NotRun.TRUE.value)
+    assert not stalled.server.heads
+
+
+def test_idempotent_request_is_served_during_the_linger(quick):
+    quick.host.begin_shutdown()
+    gevent.sleep(0.02)
+    data, _ = read_to_end(quick.send_request(b"GET"))
+    assert data.startswith(b"HTTP/1.1 200 ")
+    assert len(quick.server.heads) == 1
+
+
+def test_request_that_waits_for_a_server_is_refused_at_once_if_it_may_outlive_its_host(stalled):
+    first = stalled.send_request()
+    wait_until(lambda: stalled.server.heads)
+    waiting = stalled.send_request()
+    gevent.sleep(0.05)
+    started_s = time.monotonic()
+    stalled.host.begin_shutdown()
+    data, _ = read_to_end(waiting)
+    assert time.monotonic() - started_s < 0.2
+    assert data.startswith(b"HTTP/1.1 503 ")
+    assert len(stalled.server.heads) == 1
+    first.close()
+
+
 def test_request_that_ends_in_time_is_served_after_the_linger(quick):
     with quick.connect() as late:
         late.sendall(b"POST /x HTTP/1.1\r\nX-Deadline-Ms: 300\r\n")
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -94,7 +94,8 @@
         )
         now_ms = self._context.now_ms()
         deadline_ms = min(head.deadline_ms, now_ms + route.timeout_ms)
-        if self._refuses_past_shutdown and deadline_ms > self._shutdown_at_ms:
+        idempotent = head.method in route.idempotent_methods
+        if deadline_ms > self._shutdown_at_ms and (self._refuses_past_shutdown or not idempotent):
             self._refuse_head(head, sink, refusals.host_shutting_down(head, may_have_run=False))
             return
         spec = self._records.workspace(workspace) if workspace else None
@@ -105,7 +106,7 @@
             route=route,
             service=service,
             workspace=workspace or ids.WorkspaceId(""),
-            idempotent=head.method in route.idempotent_methods,
+            idempotent=idempotent,
             fingerprint=_fingerprint(head, workspace),
             deadline_ms=min(deadline_ms, self._shutdown_at_ms),
             priority=route.priority if spec is None or spec.priority is None else spec.priority,
@@ -117,17 +118,25 @@
     def cap_deadlines(self, at_ms: float) -> None:
         """Cap the deadline of every request, present or future.
 
+        A request that is not idempotent, has no attempt in flight and may take longer is refused at
+        once, now or when it begins: its server could still be at work when this host ends.
+
         Parameters
         ----------
         at_ms : float
             Monotonic time until which this host waits for answers before it shuts down.
         """
         self._shutdown_at_ms = at_ms
-        for row in self._rows.values():
-            row.deadline_ms = min(row.deadline_ms, at_ms)
+        for row in list(self._rows.values()):
+            if row.deadline_ms <= at_ms:
+                continue
+            row.deadline_ms = at_ms
+            row.may_outlive_host = True
+            if not (row.idempotent or row.attempts or row.stage in _UNTIMED_STAGES):
+                self._refuse(row, refusals.host_shutting_down(row.head, row.may_have_run))
 
     def refuse_past_shutdown(self) -> None:
-        """Refuse new requests whose deadline is later than the cap set by `cap_deadlines`.
+        """Refuse idempotent requests too if their deadline exceeds the cap of `cap_deadlines`.
 
         Their connections have been announced as closing, so a refused caller retries on another
         host at once.
@@ -411,6 +420,8 @@
         resendable = row.head.body_buffered or not row.byte_sent
         if not (safe and resendable) or outcome.kind is ports.OutcomeKind.CANCELLED:
             return False
+        if row.may_outlive_host and not row.idempotent:
+            return False
         if not self._attempt_left(row):
             return False
         if self._context.now_ms() >= row.deadline_ms:
--- a/verbenadrum/entry/table.py
+++ b/verbenadrum/entry/table.py
@@ -52,6 +52,8 @@
         Hash of workspace, method, host, path, query and body length.
     deadline_ms : float
         Monotonic time by which an answer must have begun.
+    may_outlive_host : bool
+        Whether the deadline was capped by the shutdown of this host.
     priority : int
         Rank under load; 0 is the most urgent.
     target_ms : float
@@ -87,6 +89,7 @@
     idempotent: bool
     fingerprint: str
     deadline_ms: float
+    may_outlive_host: bool = False
     priority: int = 0
     target_ms: float = 0.0
     stage: RequestStage = RequestStage.ADMITTING
