A server that left before a restart does not come back by a peer that lags

Cause: a host that starts reads all records of the platform, which lists what exists and not what was withdrawn. A peer that lagged then sent it the record of a server that had left, by a push, a digest or as its last accepted envelope. The host held nothing newer of that server and put it in force; as its revision was ahead, nothing told it of the withdrawal later.

Change: a host knows the revision of the listing that it, or the peer it loaded from, started with. A record up to that revision that it does not hold has been withdrawn, so an envelope of it from a peer counts as old.

--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -229,7 +229,7 @@
     def on_last_accepted(self, sender: ids.HostId, message: messages.LastAccepted) -> None:
         """Offer older envelopes to the store for records whose newest revision was rejected."""
         for raw in message.envelopes:
-            self._store.offer(raw)
+            self._store.offer(raw, listed_to=self._listed_to())
 
     def _check_withdrawals(self, message: messages.RecordChanges) -> None:
         """Detect whether withdrawals are missing here that the sender does not have either."""
@@ -249,8 +249,11 @@
         previous = self.complete_revision
         cursor = self._progress.cursor(source)
         quiet = not previous
+        listed_to = 0 if source == PLATFORM else self._listed_to()
         new_envelopes = [
-            raw for raw in envelopes if _is_new_revision(self._store.offer(raw, quiet=quiet))
+            raw
+            for raw in envelopes
+            if _is_new_revision(self._store.offer(raw, quiet=quiet, listed_to=listed_to))
         ]
         contiguous = self._progress.advance(source, after=after, to=to, final=final)
         if self.complete_revision > previous > 0:
@@ -269,6 +272,14 @@
         elif to > self.complete_revision:
             self._on_peer_ahead(ids.HostId(source), to)
 
+    def _listed_to(self) -> int:
+        """Return the revision at which this host held every record that existed.
+
+        A peer that lags may still send records that were withdrawn by then, of which the listing of
+        the platform that this host, or the peer it loaded from, started with says nothing.
+        """
+        return self._known_from if self.complete_revision else 0
+
     def _record_load_decision(self, source: str) -> None:
         detail = {"records": len(self._store), "revision": self.complete_revision}
         self._context.record_decision(
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -200,7 +200,7 @@
         self._index(record, None if previous is None else previous.spec)
         return True
 
-    def offer(self, raw, quiet=False):
+    def offer(self, raw, **options):
         verdict = original_offer(self, raw)
         if verdict is store.Verdict.OLD and not is_bad(raw):
             self._records.put(envelope.parse(raw))
@@ -431,6 +431,48 @@
     assert not host.on_platform_records(stale)
 
 
+def restarted_host_with_a_listing_without(fleet, revision):
+    """Return a host that holds a complete listing of ``revision``, which lacks server ``s1``."""
+    host = fleet.start("h0000").engine
+    pool = spreading.envelope_of("pool", "svc", 1, {"servers": []})
+    other = spreading.envelope_of("server", "s2", 3, SERVER)
+    answer = duty.RecordsAnswer(
+        after=0, revision=revision, final=True, envelopes=(pool, other), full_listing=True
+    )
+    host.on_platform_records(answer)
+    return host
+
+
+SERVER = {"service": "svc", "address": "127.0.0.1:1", "data_centre": "dc00"}
+
+
+@pytest.mark.parametrize("kind", ["changes", "digest", "last-accepted"])
+def test_server_that_left_before_a_restart_does_not_return_by_a_peer_that_lags(kind):
+    """The listing that the host started with lacks the server, so its record is gone."""
+    fleet = ready_fleet(15, data_centres=1, hosts=2)
+    host = restarted_host_with_a_listing_without(fleet, 10)
+    gone = spreading.envelope_of("server", "s1", 4, SERVER)
+    host.on_message(
+        ids.HostId("h0001"),
+        {
+            "changes": messages.RecordChanges(3, 4, True, (gone,)),
+            "digest": messages.Digest(4, 1, 3, (gone,)),
+            "last-accepted": messages.LastAccepted((gone,)),
+        }[kind],
+    )
+    pool = host.records.pool(ids.ServiceId("svc"))
+    assert [entry.server for entry in pool.servers] == ["s2"]
+
+
+def test_server_that_joins_after_a_restart_is_learnt_from_a_peer():
+    fleet = ready_fleet(16, data_centres=1, hosts=2)
+    host = restarted_host_with_a_listing_without(fleet, 10)
+    joined = spreading.envelope_of("server", "s1", 12, SERVER)
+    host.on_message(ids.HostId("h0001"), messages.RecordChanges(10, 12, True, (joined,)))
+    pool = host.records.pool(ids.ServiceId("svc"))
+    assert [entry.server for entry in pool.servers] == ["s1", "s2"]
+
+
 def test_peers_of_a_large_region_come_from_a_small_rotating_view():
     fleet = ready_fleet(10, data_centres=1, hosts=40)
     engine = fleet.hosts["h0000"].engine
--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -101,13 +101,16 @@
     def __len__(self) -> int:
         return len(self._rows)
 
-    def offer(self, raw: bytes, *, quiet: bool = False) -> Verdict:
+    def offer(self, raw: bytes, *, quiet: bool = False, listed_to: int = 0) -> Verdict:
         """Validate one envelope and keep it; never raises, so that no record blocks the others.
 
         Parameters
         ----------
         raw : bytes
             The envelope.
+        listed_to : int
+            Every record that existed at this revision is held. Any other one up to it has been
+            withdrawn since, so its envelope counts as old.
         quiet : bool
             Whether to accept it without recording a decision, as in the first load of a complete
             set of records.
@@ -126,6 +129,8 @@
             return Verdict.UNREADABLE
         key = (sys.intern(header.kind), header.name)
         row = self._rows.get(key)
+        if row is None and header.revision <= listed_to:
+            return Verdict.OLD
         if row is not None and header.revision in (row.accepted_revision, row.rejected_revision):
             return Verdict.OLD
         if row is not None and header.revision < row.accepted_revision:
