An answer without a length that breaks off resets its connection

Cause: a response to a caller of HTTP/1.0 has neither a length nor chunks if its length is not known in advance; the end of the connection ends it. When the server broke off, or the host ended at its limit, the connection was closed cleanly, and the caller took half an answer for the whole.

Change: the HTTP server knows on which connections such a response is being written, and resets them when it breaks off, whether the application aborts it, fails, or the host ends.

--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -287,6 +287,7 @@
                 self.close_connection = True
         finally:
             self.server.in_flight -= 1
+            self.server.close_delimited.discard(self.socket)
 
     def finalize_headers(self) -> None:
         """Add ``Connection: close`` if the connection cannot serve another request."""
@@ -295,6 +296,10 @@
             self.close_connection = True
             self.response_headers.append((b"Connection", b"close"))
         super().finalize_headers()
+        if not self.response_use_chunked and not any(
+            name.lower() == b"content-length" for name, _ in self.response_headers
+        ):
+            self.server.close_delimited.add(self.socket)
 
     def _write_with_headers(self, data: bytes) -> None:
         # Head and first data are sent in one write, since two writes would cost a second packet.
@@ -311,12 +316,21 @@
             self._sendall(head + data)
 
     def handle_error(self, kind: type, error: BaseException, trace: object) -> None:
-        """Close the connection after `AbortResponse`; leave other errors to the base class."""
+        """Close the connection after `AbortResponse`; leave other errors to the base class.
+
+        The end of a connection would complete a response without a length, so it is reset instead.
+        """
+        if self.socket in self.server.close_delimited:
+            sockets.reset_on_close(self.socket)
         if isinstance(error, AbortResponse):
             self.close_connection = True
             return
         super().handle_error(kind, error, trace)
 
+    def _log_error(self, kind: type, error: BaseException, trace: object) -> None:
+        if not issubclass(kind, gevent.GreenletExit):
+            _log.error("request failed", exc_info=(kind, error, trace))
+
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         status = "400 Bad Request"
         for kind, answer in _STATUS_BY_ERROR:
@@ -357,6 +371,8 @@
         Whether every response carries ``Connection: close``.
     in_flight : int
         Number of requests whose response has not been written completely.
+    close_delimited : set of socket
+        Connections on which a response is being written whose end is the end of the connection.
     """
 
     handler_class = _Handler
@@ -373,6 +389,7 @@
         super().__init__(listener, application, log=None, error_log=_log, **options)
         self.stopping = False
         self.in_flight = 0
+        self.close_delimited: set[socket.socket] = set()
         self.limits = limits
         # From accept to close. The greenlet that serves a connection starts one event loop
         # iteration after the accept.
@@ -472,9 +489,16 @@
                 _shut_down(sock)
 
     def close_connections(self) -> None:
-        """Shut down every connection that is being served, at once."""
+        """Shut down every connection that is being served, at once.
+
+        One with an unfinished response that has no length is reset, so that the response does not
+        look complete.
+        """
         for sock in list(self._served_sockets):
-            _shut_down(sock)
+            if sock in self.close_delimited:
+                sockets.reset(sock)
+            else:
+                _shut_down(sock)
 
 
 def _shut_down(sock: socket.socket) -> None:
--- a/verbenadrum/daemon/sockets.py
+++ b/verbenadrum/daemon/sockets.py
@@ -19,6 +19,7 @@
     "peer_client_context",
     "peer_server_context",
     "refuses_connections",
+    "reset",
     "reset_on_close",
     "server_context",
     "split_address",
@@ -28,6 +29,8 @@
 # gevent's poll would let other greenlets run between the check of a socket and the action that
 # depends on it.
 _poll = monkey.get_original("select", "poll")
+# gevent's close waits until no greenlet waits for the descriptor.
+_close_descriptor = monkey.get_original("os", "close")
 # Value of SO_LINGER: enabled, with a linger time of 0 seconds.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 
@@ -62,6 +65,12 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER)
 
 
+def reset(sock: socket.socket) -> None:
+    """Reset a connection at once, although files or greenlets still refer to its socket."""
+    reset_on_close(sock)
+    _close_descriptor(sock.detach())
+
+
 def refuses_connections(address: str, *, connect_timeout_s: float, hold_s: float) -> bool:
     """Return whether a server refuses a new connection or closes it before any data is sent.
 
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -38,6 +38,9 @@
         if environ["PATH_INFO"] == "/abort":
             start_response("200 OK", [("Content-Length", "10")])
             return self.aborted()
+        if environ["PATH_INFO"] in ("/unframed-abort", "/unframed-error", "/unframed-wait"):
+            start_response("200 OK", [])
+            return self.unframed(environ["PATH_INFO"])
         start_response("200 OK", [("Content-Length", "2")])
         return [b"ok"]
 
@@ -45,6 +48,14 @@
         yield b"half"
         raise http_server.AbortResponse("the server left", "truncated")
 
+    def unframed(self, path):
+        yield b"half"
+        if path == "/unframed-abort":
+            raise http_server.AbortResponse("the server left", "truncated")
+        if path == "/unframed-error":
+            raise KeyError("unexpected")
+        gevent.sleep(TIMEOUT_S)
+
     def send(self, data):
         with socket.create_connection(("127.0.0.1", self.server.server_port), TIMEOUT_S) as sock:
             sock.sendall(data)
@@ -125,6 +136,37 @@
     assert received.endswith(b"half")
 
 
+@pytest.mark.parametrize("path", [b"/unframed-abort", b"/unframed-error"])
+def test_answer_that_ends_with_its_connection_is_reset_if_it_breaks_off(server, path):
+    """A caller of HTTP/1.0 would take a clean end for the end of the answer."""
+    with socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as sock:
+        sock.sendall(b"GET %s HTTP/1.0\r\n\r\n" % path)
+        with pytest.raises(ConnectionResetError):
+            while sock.recv(65_536):
+                pass
+
+
+def test_answer_that_ends_with_its_connection_is_reset_if_its_host_ends(draining):
+    with socket.create_connection(("127.0.0.1", draining.server.server_port), TIMEOUT_S) as sock:
+        sock.sendall(b"GET /unframed-wait HTTP/1.0\r\n\r\n")
+        received = b""
+        while not received.endswith(b"half"):
+            received += sock.recv(65_536)
+        draining.server.close_connections()
+        with pytest.raises(ConnectionResetError):
+            assert sock.recv(65_536)
+
+
+def test_error_of_the_application_is_logged_and_answered(server, caplog, monkeypatch, capfd):
+    def fail(environ, start_response):
+        raise KeyError("unexpected")
+
+    monkeypatch.setattr(server.server, "application", fail)
+    assert server.send(GOOD).startswith(b"HTTP/1.1 500 ")
+    assert [record.getMessage() for record in caplog.records] == ["request failed"]
+    assert "Traceback" not in capfd.readouterr().err
+
+
 def test_requests_are_counted_until_their_answers_are_written(server):
     server.in_flight.clear()
     server.send(GOOD)
