An unexpected error costs one message, tick part, attempt or probe, and is logged

Cause: an error of a message handler ended the stream of that peer with all messages behind it; an error of one system's tick kept every system after it from running, at each tick, so that deadlines of requests no longer passed; an error in the seed requests, the log of decisions, the closing of idle connections or the watch of the settings ended that task for good; an attempt that failed unexpectedly left its caller waiting for its deadline. A message of the limiters with a negative mask of partitions kept the process busy for ever. Most of these reached standard error only, as plain text.

Change: handlers and parts of a tick are run one by one, and background tasks start again. An attempt that fails unexpectedly counts as one that may have run, or as one that sent nothing where no byte had left. Masks of partitions are not negative. All errors are lines of the log, at most one a minute for each kind where they can repeat (`LogLimit`, which the malformed signals use as well); `status` counts messages that were not handled.

--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -164,6 +164,11 @@
         )
         self._handlers = _collect_handlers(self._systems)
 
+    @property
+    def systems(self) -> tuple[system.System, ...]:
+        """The systems of the core, in the order of their ticks."""
+        return self._systems
+
     def on_message(self, sender: ids.HostId, message: base.Message) -> None:
         """Pass a decoded message to its handler; ``sender`` may be this host itself."""
         handler = self._handlers.get(type(message))
--- a/verbenadrum/daemon/command.py
+++ b/verbenadrum/daemon/command.py
@@ -1,8 +1,10 @@
 """Command line and signal handling of the daemon ``verbenadrumd``."""
 
+import logging
 import pathlib
 import signal
 import sys
+import types
 
 import gevent
 from absl import flags
@@ -16,6 +18,8 @@
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_START = 3
 
+_log = logging.getLogger(__name__)
+
 _CONFIG = flags.DEFINE_string("config", None, "Path of the settings file (TOML).", required=True)
 
 
@@ -41,6 +45,7 @@
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     writer = logs.configure(settings.log.level)
+    gevent.get_hub().print_exception = _log_unhandled_error
     try:
         new_host = host.Host(settings=settings, writer=writer)
         new_host.start()
@@ -54,6 +59,15 @@
     return 0
 
 
+def _log_unhandled_error(
+    context: object, kind: type, error: BaseException, trace: types.TracebackType
+) -> None:
+    """Log an error that ended a greenlet, in place of gevent's output on standard error."""
+    _log.error(
+        "unhandled error", exc_info=(kind, error, trace), extra={"context": str(context)[:200]}
+    )
+
+
 class _SignalHandlers:
     """Handles SIGHUP, SIGTERM and SIGINT; defers signals that arrive before the host has started.
 
--- a/verbenadrum/daemon/exchange.py
+++ b/verbenadrum/daemon/exchange.py
@@ -1,5 +1,6 @@
 """Exchange of one caller's request with backend servers, as ordered by the decision core."""
 
+import logging
 import math
 
 import gevent
@@ -22,6 +23,8 @@
 # that was used this recently is rarely closed by its server while a request is being sent.
 _MAX_REUSE_IDLE_S = 2.0
 
+_log = logging.getLogger(__name__)
+
 
 class CommittedAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Response of the attempt that the core committed, which is passed on to the caller."""
@@ -139,6 +142,13 @@
             if isinstance(error.__cause__, http_server.CallerBodyError):
                 self._result.set_exception(error.__cause__)
             return
+        except Exception:
+            _log.exception(
+                "attempt failed unexpectedly",
+                extra={"request": order.request, "server": order.server},
+            )
+            self._finish(order, attempt.close_after_error())
+            return
         if not self._engine.commit(
             order.request, order.lease, draining=answer.draining, limit_per_s=answer.limit_per_s
         ):
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import secrets
+from collections.abc import Callable
 
 import gevent
 import msgspec
@@ -15,6 +16,7 @@
 from verbenadrum.daemon import (
     callers,
     http_server,
+    log_limits,
     log_writer,
     logs,
     metrics,
@@ -55,6 +57,7 @@
 # Pool homes count an idle connection for 60 s after its last use, so it must be closed by then.
 _IDLE_CONNECTION_TIMEOUT_S = 45.0
 _IDLE_CHECK_INTERVAL_S = 5.0
+_TASK_RESTART_DELAY_S = 1.0
 # The settings file may change without a signal; a check of its status takes a few microseconds.
 _SETTINGS_POLL_INTERVAL_S = 1.0
 # Tables of the settings that a reload puts into force (of ``log``, the level). The other tables
@@ -97,6 +100,7 @@
         self._stopped = event.Event()
         self._stopping = False
         self._greenlets: list[gevent.Greenlet] = []
+        self._tick_error_limit = log_limits.LogLimit()
         self._decision_log = logs.DecisionLog(
             host=settings.host.id, lines_per_s=settings.log.lines_per_s, writer=writer
         )
@@ -144,7 +148,7 @@
             self._send_seed_requests,
             self._close_idle_connections,
         ):
-            self._greenlets.append(gevent.spawn(task))
+            self._greenlets.append(gevent.spawn(_run_task, task))
         _log.info("started", extra={"host": self._settings.host.id})
 
     def wait(self) -> None:
@@ -168,13 +172,14 @@
 
     def follow_settings(self, settings_watch: watch.SettingsWatch) -> None:
         """Start to reload the settings whenever their file changes."""
-        self._greenlets.append(gevent.spawn(self._follow_settings, settings_watch))
 
-    def _follow_settings(self, settings_watch: watch.SettingsWatch) -> None:
-        while True:
-            gevent.sleep(_SETTINGS_POLL_INTERVAL_S)
-            if settings_watch.changed():
-                self.reload(settings_watch.path)
+        def follow_settings() -> None:
+            while True:
+                gevent.sleep(_SETTINGS_POLL_INTERVAL_S)
+                if settings_watch.changed():
+                    self.reload(settings_watch.path)
+
+        self._greenlets.append(gevent.spawn(_run_task, follow_settings))
 
     def reload(self, path: pathlib.Path) -> None:
         """Reload the settings file; most changes take effect only after a restart.
@@ -215,8 +220,10 @@
         """Announce the shutdown, close the listener after the linger time and drain the requests.
 
         A request without an answer at the deadline, which is the limit of the shutdown less its
-        margin (at least `_MIN_MARGIN_MS`), is refused. This method returns `_PEER_FLUSH_S` after
-        all connections are closed, or halfway through the margin at the latest.
+        margin (at least `_MIN_MARGIN_MS`), is refused. One that is not idempotent and may take
+        longer is refused from the start of the shutdown, before a server gets it. This method
+        returns `_PEER_FLUSH_S` after all connections are closed, or halfway through the margin at
+        the latest.
         """
         _log.info("shutting down", extra={"in_flight": self._caller_server.in_flight})
         table = self._settings.shutdown
@@ -387,12 +394,17 @@
             # more, so that an answer that arrived before its deadline is handled before the tick
             # that expires the request.
             gevent.sleep(0)
-            try:
-                self._engine.on_tick()
-                self._prober.start_due_probes()
-            except Exception:
-                # An error in one tick must not stop the later ones.
-                _log.exception("a tick failed")
+            for system in self._engine.systems:
+                self._run_guarded(type(system).__name__, system.on_tick)
+            self._run_guarded(type(self._prober).__name__, self._prober.start_due_probes)
+
+    def _run_guarded(self, name: str, tick: Callable[[], None]) -> None:
+        """Run one part of a tick; an error is logged and stops neither other parts nor ticks."""
+        try:
+            tick()
+        except Exception as error:
+            if self._tick_error_limit.is_due((name, type(error))):
+                _log.exception("a tick failed", extra={"system": name})
 
     def _close_idle_connections(self) -> None:
         while True:
@@ -472,6 +484,17 @@
             self._metrics.add_gauge(name, unit, description, read)
 
 
+def _run_task(task: Callable[[], None]) -> None:
+    """Run a background task to its end; one that fails is logged and started again."""
+    while True:
+        try:
+            task()
+            return
+        except Exception:
+            _log.exception("a background task failed", extra={"task": task.__name__})
+            gevent.sleep(_TASK_RESTART_DELAY_S)
+
+
 def _fleet_record(data_centres: dict[str, str]) -> record_types.Record:
     """Return the fleet record for the data centres of the settings, all of the same weight.
 
--- a/verbenadrum/daemon/peers.py
+++ b/verbenadrum/daemon/peers.py
@@ -16,7 +16,7 @@
 from gevent import event, server
 
 from verbenadrum import ids
-from verbenadrum.daemon import sockets
+from verbenadrum.daemon import log_limits, sockets
 from verbenadrum.messages import base, codec
 
 __all__ = ["PeerCounters", "PeerStreams"]
@@ -46,7 +46,8 @@
     """Counts of messages and bytes since the start of the host.
 
     ``malformed`` counts streams that were closed because of an invalid frame or sender, ``unknown``
-    the skipped messages of unregistered types. ``messages_dropped`` counts outgoing messages.
+    the skipped messages of unregistered types, ``unhandled`` the messages whose handling failed.
+    ``messages_dropped`` counts outgoing messages.
     """
 
     messages_sent: int = 0
@@ -56,6 +57,7 @@
     messages_dropped: int = 0
     malformed: int = 0
     unknown: int = 0
+    unhandled: int = 0
 
 
 class PeerStreams:
@@ -104,6 +106,7 @@
         self.counters = PeerCounters()
         # Error texts of unknown message types that have been logged.
         self._logged_unknown: set[str] = set()
+        self._unhandled_limit = log_limits.LogLimit()
         tls = {} if server_tls is None else {"ssl_context": server_tls}
         self._server = server.StreamServer(listener, self._receive, **tls)
 
@@ -127,7 +130,7 @@
         """
         if receiver == self._host:
             # In a new greenlet, so that the system that sends is not re-entered during its call.
-            gevent.spawn(self._deliver, codec.Envelope(self._host, message))
+            gevent.spawn(self._handle, codec.Envelope(self._host, message))
             return
         self._connection(receiver, receiver).send(codec.encode(self._host, message))
 
@@ -174,7 +177,7 @@
                         f"sender {envelope.sender!r} has the certificate of {certified_name!r}"
                     )
                 self.counters.messages_received += 1
-                self._deliver(envelope)
+                self._handle(envelope)
         except codec.MalformedMessageError as error:
             self.counters.malformed += 1
             _log.warning("peer stream closed", extra={"peer": address[0], "fault": str(error)})
@@ -183,6 +186,19 @@
         finally:
             sock.close()
 
+    def _handle(self, envelope: codec.Envelope) -> None:
+        """Deliver a message; an error of its handler is logged and stops no other message."""
+        try:
+            self._deliver(envelope)
+        except Exception as error:
+            self.counters.unhandled += 1
+            message_type = type(envelope.message).__name__
+            if self._unhandled_limit.is_due((message_type, type(error))):
+                _log.exception(
+                    "peer message not handled",
+                    extra={"peer": envelope.sender, "type": message_type},
+                )
+
     def _count_unknown(self, peer: str, error: codec.UnknownMessageError) -> None:
         """Count a message of an unknown type, and log the first of each type."""
         self.counters.unknown += 1
--- a/verbenadrum/daemon/prober.py
+++ b/verbenadrum/daemon/prober.py
@@ -1,5 +1,6 @@
 """Sends the health probes to backend servers that the core orders."""
 
+import logging
 import time
 
 import gevent
@@ -15,6 +16,8 @@
 _MAX_ANSWER_BYTES = 65_536
 _MS_PER_S = 1000.0
 
+_log = logging.getLogger(__name__)
+
 
 class Prober:
     """Sends each ordered probe once, on a new connection, and reports its outcome to the core.
@@ -51,6 +54,9 @@
             kind = ports.OutcomeKind.TIMEOUT
         except (exceptions.HTTPError, OSError):
             kind = ports.OutcomeKind.CONNECT_FAILED
+        except Exception:
+            _log.exception("probe failed unexpectedly", extra={"server": order.server})
+            kind = ports.OutcomeKind.CONNECT_FAILED
         latency_ms = (time.monotonic() - started_s) * _MS_PER_S
         outcome = ports.Outcome(
             kind=kind, latency_ms=latency_ms, bytes_sent=True, status=status, draining=draining
--- a/verbenadrum/daemon/signal_headers.py
+++ b/verbenadrum/daemon/signal_headers.py
@@ -5,10 +5,11 @@
 import logging
 import math
 import re
-import time
 
 import urllib3
 
+from verbenadrum.daemon import log_limits
+
 __all__ = ["read_limit", "read_retry_after_ms"]
 
 # A plain decimal number; more digits than these have no meaning here.
@@ -18,13 +19,11 @@
 # find out.
 _MAX_RETRY_AFTER_MS = 3_600_000.0
 _MS_PER_S = 1000.0
-_LOG_INTERVAL_S = 60.0
-_MAX_LOGGED_ADDRESSES = 4_096
 _MAX_LOGGED_LENGTH = 64
 
 _log = logging.getLogger(__name__)
-# When a malformed value of each server and header was logged last, in monotonic seconds.
-_logged_s: dict[tuple[str, str], float] = {}
+# By server and header.
+_malformed_limit = log_limits.LogLimit()
 
 
 def read_limit(headers: urllib3.HTTPHeaderDict, name: str, address: str) -> float | None:
@@ -109,14 +108,8 @@
 
 def _log_malformed(name: str, address: str, value: str) -> None:
     """Log a malformed value, once a minute for each server and header."""
-    now_s = time.monotonic()
-    key = (address, name)
-    if now_s - _logged_s.get(key, -math.inf) < _LOG_INTERVAL_S:
-        return
-    if len(_logged_s) >= _MAX_LOGGED_ADDRESSES:
-        _logged_s.clear()
-    _logged_s[key] = now_s
-    _log.warning(
-        "malformed signal",
-        extra={"server": address, "header": name, "value": value[:_MAX_LOGGED_LENGTH]},
-    )
+    if _malformed_limit.is_due((address, name)):
+        _log.warning(
+            "malformed signal",
+            extra={"server": address, "header": name, "value": value[:_MAX_LOGGED_LENGTH]},
+        )
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -11,7 +11,7 @@
 from gevent import monkey
 
 from verbenadrum.core import ports
-from verbenadrum.daemon import host, http_server
+from verbenadrum.daemon import host, http_server, upstream
 from verbenadrum.daemon.tests import test_command
 from verbenadrum.records import types
 from verbenadrum.settings import load
@@ -124,6 +124,12 @@
     return data, True
 
 
+def read_answer(sock):
+    """Return the bytes of a short answer, and close the connection."""
+    with sock:
+        return sock.recv(65_536)
+
+
 def wait_until(condition):
     deadline = time.monotonic() + TIMEOUT_S
     while not condition():
@@ -265,6 +271,67 @@
         assert sock.recv(65_536).startswith(b"HTTP/1.1 200 ")
 
 
+def test_error_in_any_system_stops_no_other_and_is_logged_once(quick, monkeypatch, caplog):
+    def fail():
+        raise KeyError("unexpected")
+
+    systems = quick.host._engine.systems
+    for each in systems:
+        monkeypatch.setattr(each, "on_tick", fail)
+    gevent.sleep(0.3)
+    data = read_answer(quick.send_request(b"GET"))
+    assert data.startswith(b"HTTP/1.1 200 ")
+    logged = [each for each in caplog.records if each.getMessage() == "a tick failed"]
+    assert sorted(each.system for each in logged) == sorted(type(each).__name__ for each in systems)
+
+
+def test_error_in_one_system_leaves_the_deadlines_of_requests_in_force(stalled, monkeypatch):
+    def fail():
+        raise KeyError("unexpected")
+
+    monkeypatch.setattr(stalled.host._engine.host_spread, "on_tick", fail)
+    with stalled.connect() as sock:
+        sock.sendall(b"GET /x HTTP/1.1\r\nHost: a\r\nX-Deadline-Ms: 300\r\n\r\n")
+        sock.settimeout(2.0)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 504 ")
+
+
+@pytest.mark.parametrize("task", ["run_ticks", "send_seed_requests", "close_idle_connections"])
+def test_background_task_that_fails_is_logged_and_starts_again(quick, monkeypatch, caplog, task):
+    monkeypatch.setattr(host, "_TASK_RESTART_DELAY_S", 0.02)
+    calls = []
+
+    def fail_once():
+        calls.append(task)
+        if len(calls) == 1:
+            raise KeyError("unexpected")
+
+    fail_once.__name__ = task
+    host._run_task(fail_once)
+    assert len(calls) == 2
+    logged = [each for each in caplog.records if each.getMessage() == "a background task failed"]
+    assert [each.task for each in logged] == [task]
+
+
+@pytest.mark.parametrize("after_bytes", [False, True])
+def test_unexpected_error_of_an_attempt_is_answered_at_once(
+    quick, monkeypatch, caplog, after_bytes
+):
+    def fail(*arguments, **options):
+        raise KeyError("unexpected")
+
+    target = "_check_identity" if after_bytes else "_exchange"
+    monkeypatch.setattr(upstream.Attempt, target, fail)
+    started_s = time.monotonic()
+    data = read_answer(quick.send_request(b"POST"))
+    assert time.monotonic() - started_s < 1.0
+    assert data.startswith(b"HTTP/1.1 502 " if after_bytes else b"HTTP/1.1 503 ")
+    refusal = json.loads(data.split(b"\r\n\r\n", 1)[1])
+    assert refusal["not_run"] == ("unknown" if after_bytes else "true")
+    assert len(quick.server.heads) == int(after_bytes)
+    assert "attempt failed unexpectedly" in [each.getMessage() for each in caplog.records]
+
+
 def test_metrics_are_served_on_a_further_address(quick):
     ports_open = [server.server_port for server in quick.host._operator_servers]
     assert len(set(ports_open)) == 2
--- a/verbenadrum/daemon/tests/test_peers.py
+++ b/verbenadrum/daemon/tests/test_peers.py
@@ -154,6 +154,29 @@
     assert (node.streams.counters.unknown, node.streams.counters.malformed) == (1, 0)
 
 
+def test_error_of_a_handler_is_logged_and_the_stream_goes_on(nodes, caplog):
+    addresses = {}
+    nodes += [Node(host=name, addresses=addresses) for name in ("h1", "h2")]
+    failing = messages.HostsPull(13)
+    deliver = nodes[1].deliver
+
+    def fail_once(envelope):
+        if envelope.message == failing:
+            raise KeyError("unexpected")
+        deliver(envelope)
+
+    nodes[1].streams._deliver = fail_once
+    for _ in range(3):
+        nodes[0].streams.send("h2", failing)
+    nodes[1].streams.send("h2", failing)
+    nodes[0].streams.send("h2", messages.HostsPull(14))
+    wait_until(lambda: nodes[1].received)
+    wait_until(lambda: nodes[1].streams.counters.unhandled == 4)
+    assert nodes[1].received == [codec.Envelope("h1", messages.HostsPull(14))]
+    logged = [each for each in caplog.records if each.getMessage() == "peer message not handled"]
+    assert [(each.peer, each.type) for each in logged] == [("h1", "HostsPull")]
+
+
 def test_stream_that_has_gone_silent_is_replaced(nodes):
     listener = sockets.listen("127.0.0.1:0")
     node = Node(host="h1", addresses={"h2": f"127.0.0.1:{listener.getsockname()[1]}"})
--- a/verbenadrum/daemon/tests/test_signal_headers.py
+++ b/verbenadrum/daemon/tests/test_signal_headers.py
@@ -8,15 +8,15 @@
 import pytest
 import urllib3
 
-from verbenadrum.daemon import signal_headers
+from verbenadrum.daemon import log_limits, signal_headers
 
 NAME = "X-Rate-Limit"
 MALFORMED = ["", "-1", "nan", "inf", "1e999", "9" * 5_000, "1,5", "1 2", "0x10", "+1", "1.", "١"]
 
 
 @pytest.fixture(autouse=True)
-def nothing_logged():
-    signal_headers._logged_s.clear()
+def nothing_logged(monkeypatch):
+    monkeypatch.setattr(signal_headers, "_malformed_limit", log_limits.LogLimit())
 
 
 @pytest.mark.parametrize(("text", "limit_per_s"), [("0", 0.0), ("0.5", 0.5), (" 40 ", 40.0)])
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -484,6 +484,15 @@
         self._release(False)
         return self._outcome(ports.OutcomeKind.CANCELLED)
 
+    def close_after_error(self) -> ports.Outcome:
+        """Close the connection after an unexpected error in `run`, and return the outcome.
+
+        The server may have begun to process the request if a byte may have been sent.
+        """
+        self._release(False)
+        sent = self._bytes_sent
+        return self._outcome(ports.OutcomeKind.RESET if sent else ports.OutcomeKind.CONNECT_FAILED)
+
     def run(self) -> Answer:
         """Send the request and return its checked response.
 
--- a/verbenadrum/limits/messages.py
+++ b/verbenadrum/limits/messages.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -27,6 +28,10 @@
 ]
 
 
+# A negative number would have infinitely many bits set.
+PartitionMask = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class GrantState(enum.IntEnum):
     """Outcome of a request for tokens.
 
@@ -50,7 +55,7 @@
 
     round: int
     incarnation: int
-    wanted: int
+    wanted: PartitionMask
 
 
 @base.register
@@ -63,7 +68,7 @@
     round: int
     share: float
     lifetime_ms: float
-    granted: int
+    granted: PartitionMask
 
 
 @base.register
@@ -72,7 +77,7 @@
 
     round: int
     incarnation: int
-    partitions: int
+    partitions: PartitionMask
 
 
 @base.register
