A host that hears its peers leaves reading the platform to the readers

Cause: a host reads the platform itself if it has received nothing from its peers for `isolated_after_ms`. Only digests and changes of records counted. Each host sends a digest to one random peer each 500 ms, so in a region of 62 hosts some get none for 2 s at any time, and began to poll: 317 of 525 calls in the first 12 s of a stepped fleet of 124 hosts, 3 of 118 with 32 hosts. It grows with the number of hosts.

Change: a message of any kind from a peer counts.

--- a/verbenadrum/core/engine.py
+++ b/verbenadrum/core/engine.py
@@ -171,6 +171,8 @@
 
     def on_message(self, sender: ids.HostId, message: base.Message) -> None:
         """Pass a decoded message to its handler; ``sender`` may be this host itself."""
+        if sender != self._context.host:
+            self.record_spread.on_peer_heard()
         handler = self._handlers.get(type(message))
         if handler is not None:
             handler(sender, message)
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -106,7 +106,7 @@
 
     @property
     def last_heard_ms(self) -> float:
-        """Monotonic time of the last digest or changes received from a peer, in milliseconds."""
+        """Monotonic time of the last message of any kind from a peer, in milliseconds."""
         return self._last_heard_ms
 
     @property
@@ -137,6 +137,10 @@
         """Return the revision after which to poll the platform; 0 to read all records."""
         return 0 if self._withdrawals_missing else self._progress.cursor(PLATFORM)
 
+    def on_peer_heard(self) -> None:
+        """Record that a message of any kind has come from a peer."""
+        self._last_heard_ms = self._context.now_ms()
+
     def on_platform(
         self,
         *,
@@ -181,7 +185,6 @@
     @system.handles(messages.RecordChanges)
     def on_changes(self, sender: ids.HostId, message: messages.RecordChanges) -> None:
         """Apply changes that a peer pushed or that were pulled from it."""
-        self._last_heard_ms = self._context.now_ms()
         envelopes = message.envelopes
         if message.packed:
             try:
@@ -213,7 +216,6 @@
 
         Records missing here are pulled, and those that the sender lacks are sent to it.
         """
-        self._last_heard_ms = self._context.now_ms()
         self._apply_changes(
             sender, message.tail_after, message.complete_revision, True, message.tail
         )
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -364,6 +364,25 @@
         assert fleet.run_until(lambda to=revision: fleet.all_have(to), 2_500) < 2_500
 
 
+@pytest.mark.parametrize("hosts", [11, 31])
+def test_hosts_of_a_large_fleet_leave_reading_to_the_readers(hosts):
+    """A host gets few digests, each from a random peer, but it hears its peers all the time."""
+    fleet = spreading.Fleet(seed=17, hosts=hosts, host_list="seeded", seeds=("h0000", "h1000"))
+    policy = duty.ReadPolicy(poll_wait_ms=800.0, isolated_after_ms=2_000.0)
+    for host in fleet.hosts.values():
+        host.engine.read_scheduler._policy = policy
+    fleet.platform.publish("workspace", "w", good_spec(1))
+    fleet.run(3_000)
+    calls = fleet.platform.calls
+    reasons = set()
+    for _ in range(100):
+        fleet.run(50)
+        reasons |= {each.engine.platform_read_plan().reason for each in fleet.hosts.values()}
+    assert reasons == {duty.ReadReason.READER, duty.ReadReason.NONE}
+    # Three readers in each region make a call each 0.85 s or longer.
+    assert fleet.platform.calls - calls <= 6 * 5_000 / 850 + 6
+
+
 def test_substitutes_stop_reading_once_the_readers_can():
     fleet = ready_fleet(15)
     fleet.platform.unreachable = selected_readers(fleet)
