--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -554,6 +554,7 @@
             waiter.entry_host,
             ask.excluded,
             now_ms,
+            data_centre=ask.data_centre,
             retryable=retryable,
             suspected=suspected,
             recovering=recovering,
--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -26,6 +26,9 @@
 # Costs and bonuses are in fractions of a server's slots; the server with the lowest cost is chosen.
 # An idle connection from the entry host lowers the cost by this much.
 _IDLE_CONNECTION_BONUS = 0.3
+# A server in another data centre than the entry host's costs this much more, as traffic between
+# them is billed by volume. It is less than one slot, so that load decides before distance.
+_OTHER_DATA_CENTRE_COST = 0.15
 # Servers above the first probability get no requests, those between the two get one at a time.
 _MAX_FAULT_PROBABILITY = 0.5
 _SINGLE_REQUEST_FAULT_PROBABILITY = 0.25
@@ -288,6 +291,7 @@
         excluded: tuple[str, ...],
         now_ms: float,
         *,
+        data_centre: str = "",
         retryable: bool = False,
         suspected: bool = False,
         recovering: bool = False,
@@ -295,7 +299,7 @@
         """Return the server with the lowest cost, or None if no suitable one has a free slot.
 
         The cost rises with load and fault probability. Servers to which the entry host has an idle
-        connection are preferred.
+        connection are preferred, and of equally loaded ones those in its data centre.
 
         Parameters
         ----------
@@ -305,6 +309,8 @@
             Servers that have failed the request already; chosen only if there is no alternative.
         now_ms : float
             Monotonic time, in milliseconds.
+        data_centre : str
+            Data centre of the entry host; empty if it is not known.
         retryable : bool
             Whether the request may be sent again, so that it can test a server that may be faulty.
         suspected : bool
@@ -340,6 +346,8 @@
                 now_ms=now_ms,
                 retryable=retryable,
             )
+            if entry.data_centre != data_centre and entry.data_centre and data_centre:
+                cost += _OTHER_DATA_CENTRE_COST
             if recheck:
                 cost -= _RECHECK_BONUS
             if server in excluded:
--- a/verbenadrum/placement/tests/test_pool_home.py
+++ b/verbenadrum/placement/tests/test_pool_home.py
@@ -1,10 +1,13 @@
 """Tests of placement in simulated fleets: slots, fairness, faults, poison requests and budgets."""
 
 import collections
+import itertools
 
+import msgspec
 import pytest
 
 from standins import stepped_fleet
+from verbenadrum import ids
 from verbenadrum.core import behaviours
 from verbenadrum.decisions import ring
 from verbenadrum.records import types
@@ -420,3 +423,36 @@
     assert entry.home_candidates(stepped_fleet.SERVICE, "r1")[0] != home
     fleet.run(200.0)
     assert entry.home_candidates(stepped_fleet.SERVICE, "r1")[0] == home
+
+
+@pytest.mark.parametrize(("load_factor", "least_share"), [(0.3, 0.8), (0.6, 0.7)])
+def test_requests_stay_in_their_data_centre_while_it_has_room(load_factor, least_share):
+    """Four data centres of a region would get a quarter each by load alone."""
+    hosts = tuple(
+        msgspec.structs.replace(row, region=ids.RegionId("r"))
+        for row in stepped_fleet.two_regions(11)
+    )
+    names = [f"s{number}" for number in range(24)]
+    data_centres = itertools.cycle(("r1a", "r1b", "r2a", "r2b"))
+    fleet = stepped_fleet.Fleet(
+        hosts=hosts,
+        servers=dict(zip(names, data_centres, strict=False)),
+        health="belief",
+        seed=3,
+        median_ms=250.0,
+        timeout_ms=1_500.0,
+        target_ms=1_200.0,
+    )
+    capacity_per_s = len(names) * stepped_fleet.SLOTS / 0.283
+    paths = (f"/{number}" for number in itertools.count())
+    fleet.load(workspace="w", per_s=load_factor * capacity_per_s, path=lambda: next(paths))
+    fleet.run(12_000.0)
+    data_centre_of = {entry.server: entry.data_centre for entry in fleet.entries}
+    own = [
+        data_centre_of[server] == fleet.hosts[log.host].row.data_centre
+        for log in fleet.logs
+        for server in log.attempts
+    ]
+    assert sum(own) >= least_share * len(own)
+    served = [log.ok and log.ended_ms - log.sent_ms <= 1_200.0 for log in fleet.logs]
+    assert sum(served) >= 0.95 * len(served)
--- a/verbenadrum/placement/tests/test_servers.py
+++ b/verbenadrum/placement/tests/test_servers.py
@@ -1,5 +1,6 @@
 """Tests of the choice of a server for a request."""
 
+import itertools
 import random
 
 from verbenadrum import ids
@@ -16,7 +17,7 @@
 HIGH_FAULT_PROBABILITY = 0.3
 
 
-def make_table(fault_probabilities):
+def make_table(fault_probabilities, data_centres=("d1",)):
     time = clock.SteppedClock()
     ctx = context.Context(
         host=HOST,
@@ -40,8 +41,10 @@
         fault_probability=fault_probabilities.__getitem__,
     )
     entries = tuple(
-        types.ServerEntry(server=name, address="127.0.0.1:1", data_centre="d1")
-        for name in fault_probabilities
+        types.ServerEntry(server=name, address="127.0.0.1:1", data_centre=data_centre)
+        for name, data_centre in zip(
+            fault_probabilities, itertools.cycle(data_centres), strict=False
+        )
     )
     table.sync(
         parts.Part(
@@ -83,3 +86,29 @@
     table = make_table({"trusted": LOW_FAULT_PROBABILITY, "unsure": HIGH_FAULT_PROBABILITY})
     take_slot(table, "trusted", 0)
     assert table.choose(HOST, (), 0.0, retryable=True).server == "unsure"
+
+
+def test_of_equally_loaded_servers_one_in_the_own_data_centre_is_chosen():
+    table = make_table(dict.fromkeys(("near", "far"), LOW_FAULT_PROBABILITY), ("d1", "d2"))
+    # Both have been used, so that neither is preferred as unused.
+    for number, server in enumerate(("near", "far")):
+        take_slot(table, server, number)
+    for _ in range(50):
+        assert table.choose(ids.HostId("h2"), (), 0.0, data_centre="d1").server == "near"
+        assert table.choose(ids.HostId("h2"), (), 0.0, data_centre="d2").server == "far"
+
+
+def test_load_decides_before_the_data_centre():
+    table = make_table(dict.fromkeys(("near", "far"), LOW_FAULT_PROBABILITY), ("d1", "d2"))
+    take_slot(table, "far", 0)
+    for number in range(1, 3):
+        take_slot(table, "near", number)
+    for _ in range(50):
+        assert table.choose(ids.HostId("h2"), (), 0.0, data_centre="d1").server == "far"
+
+
+def test_servers_and_hosts_without_a_data_centre_are_chosen_by_load():
+    table = make_table(dict.fromkeys(("a", "b"), LOW_FAULT_PROBABILITY), ("",))
+    take_slot(table, "a", 0)
+    assert table.choose(ids.HostId("h2"), (), 0.0, data_centre="d1").server == "b"
+    assert table.choose(ids.HostId("h2"), (), 0.0).server == "b"
