Tests run in four processes

`make test` takes its tests to `WORKERS` processes (pytest-xdist, four by default). The scenarios, which run at the same time, stay in one process.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
+# Processes that run tests at the same time.
+WORKERS ?= 4
 SOURCES := conftest.py verbenadrum standins scenarios benchmarks
 
 .PHONY: env test format demo scenarios bench measure capacity
@@ -16,7 +18,7 @@
 test: env
 	$(BIN)/python -m black --check --quiet $(SOURCES)
 	$(BIN)/python -m ruff check --quiet $(SOURCES)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(WORKERS) --dist loadgroup
 	@test ! -f KNOWN-RED.txt || cat KNOWN-RED.txt
 
 format: env
