Status, explain and metrics show what servers say that holds back requests

Cause: a server's word (leaving, limit, rest) was logged once, when it was news.

Change: the signals keep since when they hold and to which host the server said so, also where a home or an entry host learns it from another one. `/status` and `verbenadrum status` list what is in force, `explain` names the host in the line of a leaving server, three gauges count servers by signal.

Result: new tests of the table, the host and the command line.

--- a/verbenadrum/cli/operators.py
+++ b/verbenadrum/cli/operators.py
@@ -49,6 +49,17 @@
     reason: str = ""
 
 
+class ServerSignal(msgspec.Struct, kw_only=True):
+    """What a server said that holds back a host's requests; see `ports.ServerSignal`."""
+
+    server: str = ""
+    signal: str = ""
+    for_ms: float = 0.0
+    heard_from: str = ""
+    limit_per_s: float = 0.0
+    left_ms: float = 0.0
+
+
 class HostStatus(msgspec.Struct, kw_only=True):
     """Fields of ``/status`` that the tool prints; other fields are ignored."""
 
@@ -64,6 +75,7 @@
     platform_reader: str = ""
     rejected_records: tuple[RejectedRecord, ...] = ()
     suspected_hosts: tuple[SuspectedHost, ...] = ()
+    server_signals: tuple[ServerSignal, ...] = ()
 
     @property
     def held_revision(self) -> int:
--- a/verbenadrum/cli/status.py
+++ b/verbenadrum/cli/status.py
@@ -27,6 +27,7 @@
     else:
         print_status(replies, out)
         _print_rejected(replies, out)
+        _print_signals(replies, out)
     return exit_code_of(replies)
 
 
@@ -82,6 +83,32 @@
     return remarks
 
 
+def _print_signals(replies: Sequence[operators.Reply[operators.HostStatus]], out: TextIO) -> None:
+    """Print each signal of a server once, with the hosts whose requests it holds back."""
+    found: dict[tuple[str, str], list[tuple[str, operators.ServerSignal]]] = {}
+    for reply in replies:
+        for each in reply.value.server_signals if reply.value else ():
+            found.setdefault((each.server, each.signal), []).append((reply.value.host, each))
+    for (server, _), held_back in sorted(found.items()):
+        _, oldest = max(held_back, key=lambda entry: entry[1].for_ms)
+        hosts = [host for host, _ in held_back]
+        out.write(
+            f"server {server}: {_signal_text(held_back)} for {oldest.for_ms / 1000.0:.1f} s, "
+        )
+        out.write(f"in an answer to {oldest.heard_from or 'an unknown host'} ")
+        out.write(f"({len(hosts)} hosts: {', '.join(hosts[:5])})\n")
+
+
+def _signal_text(held_back: Sequence[tuple[str, operators.ServerSignal]]) -> str:
+    signals = [each for _, each in held_back]
+    if signals[0].signal == "limit":
+        return f"takes {min(each.limit_per_s for each in signals):g} requests a second"
+    if signals[0].signal == "rest":
+        left_s = max(each.left_ms for each in signals) / 1000.0
+        return f"wants nothing for another {left_s:.1f} s"
+    return "is leaving"
+
+
 def _print_rejected(replies: Sequence[operators.Reply[operators.HostStatus]], out: TextIO) -> None:
     """Print each rejected revision once, with the hosts that rejected it."""
     hosts: dict[tuple, list[str]] = {}
--- a/verbenadrum/cli/tests/test_cli.py
+++ b/verbenadrum/cli/tests/test_cli.py
@@ -84,6 +84,23 @@
     assert "refused: pool 'p' revision 8; revision 3 stays in force" in out
 
 
+def test_status_shows_what_holds_back_requests_from_servers():
+    told = {"server": "s1", "signal": "limit", "for_ms": 400.0, "heard_from": "h1"}
+    limited = {**told, "limit_per_s": 2.5}
+    newer = {**limited, "for_ms": 300.0, "limit_per_s": 2.0}
+    resting = {"server": "s2", "signal": "rest", "for_ms": 100.0, "heard_from": "h1"}
+    leaving = {"server": "s3", "signal": "leaving", "for_ms": 5_000.0, "heard_from": "h9"}
+    first_status = _STATUS | {"server_signals": [limited, {**resting, "left_ms": 900.0}]}
+    second_status = _STATUS | {"host": "h2", "server_signals": [newer, leaving]}
+    with operators_port(first_status) as first, operators_port(second_status) as second:
+        _, out, _ = run("status", first.address, second.address)
+    assert out.splitlines()[-3:] == [
+        "server s1: takes 2 requests a second for 0.4 s, in an answer to h1 (2 hosts: h1, h2)",
+        "server s2: wants nothing for another 0.9 s for 0.1 s, in an answer to h1 (1 hosts: h1)",
+        "server s3: is leaving for 5.0 s, in an answer to h9 (1 hosts: h2)",
+    ]
+
+
 def test_status_exit_codes():
     with operators_port(_STATUS | {"ready": False}) as not_ready:
         assert run("status", not_ready.address)[0] is options.ExitCode.FOUND
--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -45,6 +45,7 @@
     "Refusal",
     "RequestHead",
     "RequestSink",
+    "ServerSignal",
     "StoredAnswer",
 ]
 
@@ -475,6 +476,33 @@
     timeout_ms: float
 
 
+class ServerSignal(msgspec.Struct, frozen=True, kw_only=True):
+    """What a backend server has said about itself that holds back requests from it.
+
+    Attributes
+    ----------
+    server : ServerId
+        The server.
+    signal : str
+        ``leaving``, ``limit`` or ``rest``.
+    for_ms : float
+        Time in milliseconds since the server said so first.
+    heard_from : str
+        Host to which an answer said so; this host itself, or one that told it.
+    limit_per_s : float
+        Requests per second that the server takes from all hosts together; 0 for other signals.
+    left_ms : float
+        Time in milliseconds until the signal ends; 0 if that is not known.
+    """
+
+    server: ids.ServerId
+    signal: str
+    for_ms: float
+    heard_from: str
+    limit_per_s: float = 0.0
+    left_ms: float = 0.0
+
+
 class Placer(typing.Protocol):
     """Chooses backend servers, using the outcomes of earlier attempts and probes."""
 
@@ -501,6 +529,9 @@
     def record_probe(self, order: ProbeOrder, outcome: Outcome) -> None:
         """Record the outcome of a health probe."""
 
+    def server_signals(self) -> tuple[ServerSignal, ...]:
+        """Return the signals of servers that are in force on this host."""
+
 
 class NotRun(enum.Enum):
     """Whether it is certain that no backend server ran a refused request.
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -1,5 +1,6 @@
 """Assembles one host process: the decision core, its network ports and its background tasks."""
 
+import functools
 import logging
 import math
 import pathlib
@@ -443,6 +444,7 @@
             "confirmed_age_ms": self._confirmed_age_ms(),
             "rejected_records": self._engine.store.rejections(),
             "suspected_hosts": self._engine.detector.suspicions(),
+            "server_signals": self._engine.placer.server_signals(),
             "platform_reader": self._engine.platform_read_plan().reason,
             "platform_calls": self._platform_reader.calls,
             "peers": self._peers.counters,
@@ -453,6 +455,9 @@
         age_ms = self._engine.record_spread.confirmed_age_ms
         return round(age_ms, 1) if math.isfinite(age_ms) else -1.0
 
+    def _count_signals(self, signal: str) -> int:
+        return sum(each.signal == signal for each in self._engine.placer.server_signals())
+
     def _register_gauges(self) -> None:
         """Register the metrics that are read from this host's state at each collection."""
         counters = self._peers.counters
@@ -476,6 +481,16 @@
                 "Since the platform confirmed the records held here; -1 before the first time.",
                 self._confirmed_age_ms,
             ),
+            *(
+                (
+                    f"verbenadrum.servers.{signal}",
+                    "",
+                    f"Servers with the signal {signal!r} in force on this host.",
+                    functools.partial(self._count_signals, signal),
+                )
+                for signal in ("leaving", "limit", "rest")
+            ),
+            ("verbenadrum.peers.unhandled", "", "From peers.", lambda: counters.unhandled),
             ("verbenadrum.peers.bytes_sent", "By", "To peers.", lambda: counters.bytes_sent),
             ("verbenadrum.peers.messages_sent", "", "To peers.", lambda: counters.messages_sent),
             ("verbenadrum.peers.dropped", "", "To peers.", lambda: counters.messages_dropped),
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import socket
+import sys
 import time
 
 import gevent
@@ -36,6 +37,9 @@
 """
 
 
+test_host_module = sys.modules[__name__]
+
+
 class DelayedServer:
     """A backend server that answers each request after ``delay_s``."""
 
@@ -332,6 +336,22 @@
     assert "attempt failed unexpectedly" in [each.getMessage() for each in caplog.records]
 
 
+def test_status_and_metrics_tell_the_signals_of_servers(quick, monkeypatch):
+    answer = ANSWER.replace(b"\r\n", b"\r\nX-Rate-Limit: 50\r\n", 1)
+    monkeypatch.setattr(test_host_module, "ANSWER", answer)
+    read_answer(quick.send_request(b"GET"))
+    (found,) = quick.host._status()["server_signals"]
+    assert (found.server, found.signal, found.limit_per_s) == ("s1", "limit", 50.0)
+    assert found.heard_from == quick.host._settings.host.id
+    port = quick.host._operator_servers[0].server_port
+    pool = urllib3.HTTPConnectionPool("127.0.0.1", port, retries=False)
+    scraped = pool.request("GET", "/metrics").data.decode()
+    (line,) = [
+        each for each in scraped.splitlines() if each.startswith("verbenadrum_servers_limit{")
+    ]
+    assert line.endswith(" 1.0")
+
+
 def test_metrics_are_served_on_a_further_address(quick):
     ports_open = [server.server_port for server in quick.host._operator_servers]
     assert len(set(ports_open)) == 2
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -422,7 +422,7 @@
             if sender == row.home:
                 self._ask_for_another_server(row, answer.server)
             return
-        if entry is not None and self._exceeds_limit(entry, answer):
+        if entry is not None and self._exceeds_limit(sender, entry, answer):
             # The home does not know of the limit that the server has named to this host.
             self._return_slot(sender, lease, entry)
             if sender == row.home:
@@ -457,7 +457,9 @@
             return True
         return bool(entry.started_wall_ms) and self._signals.is_leaving(entry)
 
-    def _exceeds_limit(self, entry: types.ServerEntry, answer: messages.PlaceAnswer) -> bool:
+    def _exceeds_limit(
+        self, home: ids.HostId, entry: types.ServerEntry, answer: messages.PlaceAnswer
+    ) -> bool:
         """Return whether a grant was not charged to a limit that this host knows of.
 
         What the home knows counts if it is newer, and this host learns it.
@@ -468,7 +470,9 @@
         if answer.limit_per_s < 0.0:
             return True
         if answer.limit_age_ms < self._signals.limit_age_ms(server):
-            self._signals.record_limit(server, entry.started_wall_ms, answer.limit_per_s)
+            self._signals.record_limit(
+                server, entry.started_wall_ms, answer.limit_per_s, heard_from=home
+            )
             return False
         return math.isinf(answer.limit_per_s)
 
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -238,12 +238,17 @@
         self._close_lease(lease)
         kind = ports.OutcomeKind(message.kind)
         if message.draining:
-            self._mark_leaving(lease.server, message.started_wall_ms)
+            self._mark_leaving(lease.server, message.started_wall_ms, heard_from=entry_host)
         if message.rest_ms > 0.0:
             until_ms = self._context.now_ms() + message.rest_ms
             self._servers.record_rest(entry_host, lease.server, until_ms)
         if message.limit_per_s >= 0.0:
-            self._signals.record_limit(lease.server, message.started_wall_ms, message.limit_per_s)
+            self._signals.record_limit(
+                lease.server,
+                message.started_wall_ms,
+                message.limit_per_s,
+                heard_from=entry_host,
+            )
         unused = kind is ports.OutcomeKind.CANCELLED and not message.bytes_sent
         if unused:
             self._rates.refund(lease.server)
@@ -589,11 +594,17 @@
         self._answers.pop((lease.entry_host, lease.number), None)
         self._outcomes.add_service_time(self._leases.close(lease))
 
-    def _mark_leaving(self, server: ids.ServerId, started_wall_ms: float) -> None:
-        if self._signals.record_leaving(server, started_wall_ms):
+    def _mark_leaving(
+        self, server: ids.ServerId, started_wall_ms: float, *, heard_from: str = ""
+    ) -> None:
+        if self._signals.record_leaving(server, started_wall_ms, heard_from=heard_from):
             self._drain_probed_ms = self._context.now_ms()
             self._context.record_decision(
-                ring.DecisionKind.EJECT, "no-new-work", "server-draining", subject=server
+                ring.DecisionKind.EJECT,
+                "no-new-work",
+                "server-draining",
+                subject=server,
+                detail={"heard_from": heard_from or self._context.host},
             )
         self._servers.apply_signals()
 
--- a/verbenadrum/placement/pool_home.py
+++ b/verbenadrum/placement/pool_home.py
@@ -73,7 +73,7 @@
         self._judge_type = health_registry.judges.get(judge)
         self._table = parts.PartTable(records=records, membership=membership)
         self._ledger = poison.PoisonLedger()
-        self._signals = signals.ServerSignals(now_ms=context.now_ms)
+        self._signals = signals.ServerSignals(now_ms=context.now_ms, host=context.host)
         self._voucher = permits.Voucher(started_ms=context.now_ms())
         self._homes: dict[PartKey, home_side.PartHome] = {}
         self._permits: dict[PartKey, permits.PermitHolder] = {}
@@ -139,6 +139,11 @@
         if home is not None:
             home.record_probe(order, outcome)
 
+    def server_signals(self) -> tuple[ports.ServerSignal, ...]:
+        """Return the signals of servers that are in force on this host."""
+        entries = (entry for pool in self._records.pools().values() for entry in pool.servers)
+        return tuple(self._signals.in_force(entries))
+
     def on_tick(self) -> None:
         """Run the periodic work of the entry side and of every part that this host is home of."""
         self._entry.on_tick()
--- a/verbenadrum/placement/power_of_two.py
+++ b/verbenadrum/placement/power_of_two.py
@@ -126,6 +126,10 @@
     def record_probe(self, order: ports.ProbeOrder, outcome: ports.Outcome) -> None:
         """Do nothing: this placer sends no probes."""
 
+    def server_signals(self) -> tuple[ports.ServerSignal, ...]:
+        """Return nothing: this placer keeps no signals."""
+        return ()
+
     def on_tick(self) -> None:
         """Review the health of the servers by this host's attempts, and update the ejections."""
         now_ms = self._context.now_ms()
--- a/verbenadrum/placement/signals.py
+++ b/verbenadrum/placement/signals.py
@@ -1,11 +1,12 @@
 """What backend servers say about themselves in their answers, as one host knows it."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 import msgspec
 
 from verbenadrum import ids
+from verbenadrum.core import ports
 from verbenadrum.records import types
 
 __all__ = ["ServerSignals"]
@@ -21,14 +22,21 @@
     """A server's word that it is leaving; ``started_wall_ms`` is 0 if its start is not known."""
 
     started_wall_ms: float
+    since_ms: float
     heard_ms: float
+    heard_from: str
 
 
 class _LimitRow(msgspec.Struct, kw_only=True):
-    """A server's last word on its limit; ``limit_per_s`` is infinite once an answer named none."""
+    """A server's last word on its limit; ``limit_per_s`` is infinite once an answer named none.
+
+    ``since_ms`` is when the limit in force was named first.
+    """
 
     started_wall_ms: float
+    since_ms: float
     heard_ms: float
+    heard_from: str
     limit_per_s: float
 
 
@@ -36,6 +44,7 @@
     """Until when a server wants nothing from this host, in monotonic milliseconds."""
 
     started_wall_ms: float
+    since_ms: float
     until_ms: float
 
 
@@ -52,10 +61,13 @@
     ----------
     now_ms : callable
         Returns the monotonic time in milliseconds.
+    host : str
+        This host, for `in_force`.
     """
 
-    def __init__(self, *, now_ms: Callable[[], float]) -> None:
+    def __init__(self, *, now_ms: Callable[[], float], host: str = "") -> None:
         self._now_ms = now_ms
+        self._host = host
         # The row that was heard last is the last one.
         self._leaving: dict[ids.ServerId, _LeavingRow] = {}
         # Likewise; only servers that have named a limit have a row.
@@ -67,7 +79,9 @@
         """Whether any server has named a limit, which it may have ended since."""
         return bool(self._limits)
 
-    def record_leaving(self, server: ids.ServerId, started_wall_ms: float) -> bool:
+    def record_leaving(
+        self, server: ids.ServerId, started_wall_ms: float, *, heard_from: str = ""
+    ) -> bool:
         """Record that a server said that it is leaving.
 
         Parameters
@@ -76,6 +90,8 @@
             The server.
         started_wall_ms : float
             Published start time of the process that said so; 0 if it is not known.
+        heard_from : str
+            Host to which it said so; empty for this one.
 
         Returns
         -------
@@ -84,9 +100,12 @@
         """
         previous = self._leaving.pop(server, None)
         known = previous is not None and previous.started_wall_ms >= started_wall_ms
+        now_ms = self._now_ms()
         self._leaving[server] = _LeavingRow(
             started_wall_ms=previous.started_wall_ms if known else started_wall_ms,
-            heard_ms=self._now_ms(),
+            since_ms=previous.since_ms if known else now_ms,
+            heard_ms=now_ms,
+            heard_from=previous.heard_from if known else heard_from or self._host,
         )
         _bound(self._leaving)
         return not known
@@ -107,10 +126,17 @@
             del self._leaving[server]
 
     def record_limit(
-        self, server: ids.ServerId, started_wall_ms: float, limit_per_s: float
+        self,
+        server: ids.ServerId,
+        started_wall_ms: float,
+        limit_per_s: float,
+        *,
+        heard_from: str = "",
     ) -> bool:
         """Record the limit that an answer of a server names, infinite for none.
 
+        ``heard_from`` is the host that got the answer; empty for this one.
+
         Returns
         -------
         bool
@@ -123,11 +149,17 @@
             # A late answer of the process before.
             return False
         self._limits.pop(server, None)
+        now_ms = self._now_ms()
+        is_news = previous is None or previous.limit_per_s != limit_per_s
         self._limits[server] = _LimitRow(
-            started_wall_ms=started_wall_ms, heard_ms=self._now_ms(), limit_per_s=limit_per_s
+            started_wall_ms=started_wall_ms,
+            since_ms=now_ms if is_news else previous.since_ms,
+            heard_ms=now_ms,
+            heard_from=heard_from or self._host if is_news else previous.heard_from,
+            limit_per_s=limit_per_s,
         )
         _bound(self._limits)
-        return previous is None or previous.limit_per_s != limit_per_s
+        return is_news
 
     def record_rest(self, server: ids.ServerId, started_wall_ms: float, rest_ms: float) -> bool:
         """Record that a server wants nothing from this host for ``rest_ms``.
@@ -141,7 +173,11 @@
         previous = self._rests.pop(server, None)
         resting = previous is not None and previous.until_ms > now_ms
         until_ms = max(now_ms + rest_ms, previous.until_ms if resting else 0.0)
-        self._rests[server] = _RestRow(started_wall_ms=started_wall_ms, until_ms=until_ms)
+        self._rests[server] = _RestRow(
+            started_wall_ms=started_wall_ms,
+            since_ms=previous.since_ms if resting else now_ms,
+            until_ms=until_ms,
+        )
         _bound(self._rests)
         return not resting
 
@@ -164,6 +200,43 @@
         row = self._limits.get(server)
         return math.inf if row is None else self._now_ms() - row.heard_ms
 
+    def in_force(self, entries: Iterable[types.ServerEntry]) -> Iterator[ports.ServerSignal]:
+        """Yield the signals that hold back requests of this host from servers, with their age.
+
+        Parameters
+        ----------
+        entries : iterable of ServerEntry
+            Records of the servers.
+        """
+        now_ms = self._now_ms()
+        for entry in entries:
+            server = ids.ServerId(entry.server)
+            if self.is_leaving(entry):
+                row = self._leaving[server]
+                yield ports.ServerSignal(
+                    server=server,
+                    signal="leaving",
+                    for_ms=round(now_ms - row.since_ms, 1),
+                    heard_from=row.heard_from,
+                )
+            if math.isfinite(self.limit_per_s(entry)):
+                limit = self._limits[server]
+                yield ports.ServerSignal(
+                    server=server,
+                    signal="limit",
+                    for_ms=round(now_ms - limit.since_ms, 1),
+                    heard_from=limit.heard_from,
+                    limit_per_s=limit.limit_per_s,
+                )
+            if self.rest_ms(entry):
+                yield ports.ServerSignal(
+                    server=server,
+                    signal="rest",
+                    for_ms=round(now_ms - self._rests[server].since_ms, 1),
+                    heard_from=self._host,
+                    left_ms=round(self.rest_ms(entry), 1),
+                )
+
 
 def _bound(rows: dict) -> None:
     """Drop the row that was heard first if there are too many."""
--- a/verbenadrum/placement/tests/test_leaving.py
+++ b/verbenadrum/placement/tests/test_leaving.py
@@ -5,7 +5,9 @@
 
 from standins import stepped_fleet
 from verbenadrum.core import behaviours, ports
+from verbenadrum.placement import signals
 from verbenadrum.records import types
+from verbenadrum.utils import clock
 
 assert behaviours
 
@@ -103,6 +105,35 @@
     assert leaving.broken == []
 
 
+def test_signals_in_force_tell_since_when_and_from_whose_answer():
+    time = clock.SteppedClock()
+    said = signals.ServerSignals(now_ms=time.now_ms, host="h1")
+    entries = [
+        types.ServerEntry(server=name, address="127.0.0.1:1", started_wall_ms=1.0)
+        for name in ("a", "b", "c", "d")
+    ]
+    said.record_leaving("a", 1.0, heard_from="h2")
+    said.record_limit("b", 1.0, 4.0)
+    said.record_rest("c", 1.0, 2_000.0)
+    time.advance(1_500.0)
+    # Words that are heard again are no news.
+    said.record_leaving("a", 1.0)
+    said.record_limit("b", 1.0, 4.0, heard_from="h3")
+    time.advance(100.0)
+    found = [
+        (each.server, each.signal, each.for_ms, each.heard_from, each.limit_per_s, each.left_ms)
+        for each in said.in_force(entries)
+    ]
+    assert found == [
+        ("a", "leaving", 1_600.0, "h2", 0.0, 0.0),
+        ("b", "limit", 1_600.0, "h1", 4.0, 0.0),
+        ("c", "rest", 1_600.0, "h1", 0.0, 400.0),
+    ]
+    said.record_limit("b", 1.0, float("inf"))
+    time.advance(400.0)
+    assert [each.server for each in said.in_force(entries)] == ["a"]
+
+
 def test_new_process_of_a_server_that_left_gets_requests():
     leaving = LeavingFleet(seed=6)
     leaving.fleet.run(5_000.0)
