--- a/verbenadrum/daemon/tests/test_upstream.py
+++ b/verbenadrum/daemon/tests/test_upstream.py
@@ -288,6 +288,44 @@
         assert kind in (Kind.RESET, Kind.TRUNCATED), head[:length]
 
 
+TAIL_BYTES = 64
+BODY = bytes(range(65, 91)) * 4
+FRAMED = {
+    "length": HEAD + b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY,
+    "chunked": HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(BODY)
+    + BODY
+    + b"\r\n0\r\n\r\n",
+    "trailers": HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(BODY)
+    + BODY
+    + b"\r\n0\r\nX-Sum: 1\r\nX-Other: 2\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("framing", FRAMED)
+def test_body_that_is_cut_in_its_last_bytes_is_truncated(pools, framing):
+    whole = FRAMED[framing]
+    assert attempt(pools, Backend(whole, after="close").address).run().prefetched == BODY
+    for length in range(len(whole) - TAIL_BYTES, len(whole)):
+        backend = Backend(whole[:length], after="close")
+        assert outcome_of(pools, backend, pass_errors=True).kind is Kind.TRUNCATED, length
+        backend.server.stop()
+
+
+def test_unframed_answer_that_is_reset_is_truncated(pools):
+    class ResettingBackend(Backend):
+        def handle(self, sock, address):
+            sock.recv(65_536)
+            sock.sendall(HEAD + b"\r\nhalf")
+            gevent.sleep(0.02)
+            sockets.reset_on_close(sock)
+            sock.close()
+
+    names = upstream.HeaderNames(allow_close_delimited=True)
+    assert outcome_of(pools, ResettingBackend(b""), names=names).kind is Kind.TRUNCATED
+
+
 def test_chunked_body_without_its_last_line_is_truncated(pools):
     whole = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
     assert attempt(pools, Backend(whole, after="close").address).run().prefetched == b"ok"
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -492,6 +492,33 @@
     assert [entry.server for entry in pool.servers] == ["s1", "s2"]
 
 
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("all_restart", [False, True])
+def test_restarted_host_soon_knows_what_was_withdrawn_while_the_platform_is_down(seed, all_restart):
+    """Some of its peers lag, and may be the first to send it their records."""
+    fleet = spreading.Fleet(
+        seed=seed, data_centres=1, hosts=8, host_list="seeded", seeds=("h0000", "h1000")
+    )
+    fleet.platform.publish("workspace", "w", good_spec(1))
+    fleet.run(3_000)
+    lagging = list(fleet.hosts)[5:8]
+    for name in lagging:
+        fleet.hosts[name].paused = True
+    withdrawn = fleet.platform.publish("workspace", "w", None)
+    fleet.run(1_000)
+    fleet.platform.down = True
+    for name in lagging:
+        fleet.hosts[name].paused = False
+    restarted = list(fleet.hosts)[2:5] if all_restart else ["h0002"]
+    for name in restarted:
+        fleet.start(name)
+    fleet.run(2_000)
+    for name in restarted:
+        host = fleet.hosts[name].engine
+        assert host.records.row(types.RecordKind.WORKSPACE, "w").revision == withdrawn
+        assert host.records.workspace(ids.WorkspaceId("w")) is None
+
+
 def test_peers_of_a_large_region_come_from_a_small_rotating_view():
     fleet = ready_fleet(10, data_centres=1, hosts=40)
     engine = fleet.hosts["h0000"].engine
