--- a/verbenadrum/placement/tests/test_server_limit.py
+++ b/verbenadrum/placement/tests/test_server_limit.py
@@ -9,6 +9,8 @@
 
 assert behaviours
 
+_NEXT_TO_NOTHING_PER_S = 1e-6
+
 
 @pytest.mark.parametrize(
     ("hosts", "script"),
@@ -36,6 +38,34 @@
     assert limited.excess() == {}
 
 
+@pytest.mark.parametrize("limit_per_s", [1.0, 5.0])
+def test_limited_pool_serves_each_workspace_beside_one_at_seven_times_its_rate(limit_per_s):
+    """The pool is asked for twice what its limits allow."""
+    names = ("a", "b", "c", "d")
+    total_per_s = 8 * limit_per_s
+    rate_per_s = 2.0 * total_per_s / (len(names) + 7)
+    limited = limited_fleet.LimitedFleet(
+        44,
+        per_s=_NEXT_TO_NOTHING_PER_S,
+        limits=(limit_per_s,) * 8,
+        unlimited=0,
+        target_ms=1_200.0,
+        weights=dict.fromkeys(("w", *names, "greedy"), 1.0),
+    )
+    fleet = limited.fleet
+    for name, per_s in (*dict.fromkeys(names, rate_per_s).items(), ("greedy", 7 * rate_per_s)):
+        fleet.load(workspace=name, per_s=per_s, path=lambda: f"/{fleet.rng.random()}")
+    fleet.run(5_000.0)
+    started_ms = fleet.clock.now_ms()
+    received = limited_fleet.count_received(limited, 20_000.0)
+    fleet.run(2_000.0)
+    assert sum(received.values()) >= 0.9 * total_per_s * 20.0
+    sent = [log for log in fleet.logs if started_ms <= log.sent_ms < started_ms + 20_000.0]
+    for name in names:
+        own = [log.ok for log in sent if log.workspace == name]
+        assert sum(own) >= 0.95 * len(own), name
+
+
 def test_refused_callers_of_a_limited_pool_are_told_when_to_come_back():
     limited = limited_fleet.LimitedFleet(
         44, per_s=60.0, limits=(1.0,) * 8, unlimited=0, target_ms=1_200.0
