--- a/verbenadrum/daemon/tests/test_peers.py
+++ b/verbenadrum/daemon/tests/test_peers.py
@@ -168,9 +168,9 @@
     nodes[1].streams._deliver = fail_once
     for _ in range(3):
         nodes[0].streams.send("h2", failing)
-    nodes[1].streams.send("h2", failing)
     nodes[0].streams.send("h2", messages.HostsPull(14))
     wait_until(lambda: nodes[1].received)
+    nodes[1].streams.send("h2", failing)
     wait_until(lambda: nodes[1].streams.counters.unhandled == 4)
     assert nodes[1].received == [codec.Envelope("h1", messages.HostsPull(14))]
     logged = [each for each in caplog.records if each.getMessage() == "peer message not handled"]
