The engine leaves the core, so that no import runs back up

`core` held the interfaces that every system imports and also the engine that imports every system. The engine and the list of implementations are the package `engine`; `core` imports none of the systems. Names stay but for the package.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -19,9 +19,10 @@
 from benchmarks import control_bus
 from standins import spreading
 from verbenadrum import ids
-from verbenadrum.core import context, engine, ports
+from verbenadrum.core import context, ports
 from verbenadrum.decisions import ring
 from verbenadrum.dissemination import duty
+from verbenadrum.engine import engine
 from verbenadrum.utils import clock
 
 _FOLDER = flags.DEFINE_string("folder", "docs/capacity", "Where data and plots are written.")
--- a/benchmarks/control_bus.py
+++ b/benchmarks/control_bus.py
@@ -14,9 +14,10 @@
 
 from standins import spreading
 from verbenadrum import ids
-from verbenadrum.core import behaviours, context, engine, ports
+from verbenadrum.core import context, ports
 from verbenadrum.decisions import ring
 from verbenadrum.dissemination import duty
+from verbenadrum.engine import behaviours, engine
 from verbenadrum.entry import keys
 from verbenadrum.messages import codec
 from verbenadrum.utils import clock
--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -13,8 +13,8 @@
 
 from benchmarks import experiment, parallel
 from standins import stepped_fleet
-from verbenadrum.core import behaviours
 from verbenadrum.decisions import ring
+from verbenadrum.engine import behaviours
 
 assert behaviours  # Importing it registers the implementations that are chosen by name.
 
--- a/benchmarks/limits_fleet.py
+++ b/benchmarks/limits_fleet.py
@@ -14,8 +14,9 @@
 import msgspec
 
 from verbenadrum import ids
-from verbenadrum.core import behaviours, context, engine, ports, system
+from verbenadrum.core import context, ports, system
 from verbenadrum.decisions import ring
+from verbenadrum.engine import behaviours, engine
 from verbenadrum.epochs import registry as epoch_registry
 from verbenadrum.limits import registry
 from verbenadrum.membership import table as host_table
--- a/benchmarks/retry_budget.py
+++ b/benchmarks/retry_budget.py
@@ -11,7 +11,7 @@
 
 from benchmarks import experiment
 from standins import stepped_fleet
-from verbenadrum.core import behaviours
+from verbenadrum.engine import behaviours
 from verbenadrum.placement import budget
 
 __all__ = ["LIMITS", "SCRIPTS", "max_excess_retries", "failing_fleet"]
--- a/benchmarks/signals.py
+++ b/benchmarks/signals.py
@@ -8,7 +8,7 @@
 from benchmarks import experiment
 from standins import limited_fleet
 from verbenadrum import ids
-from verbenadrum.core import behaviours
+from verbenadrum.engine import behaviours
 from verbenadrum.placement import server_rates, signals
 from verbenadrum.records import types
 from verbenadrum.utils import clock
--- a/standins/spreading.py
+++ b/standins/spreading.py
@@ -11,9 +11,10 @@
 
 from standins import channel
 from verbenadrum import ids
-from verbenadrum.core import behaviours, context, engine, ports
+from verbenadrum.core import context, ports
 from verbenadrum.decisions import ring
 from verbenadrum.dissemination import duty
+from verbenadrum.engine import behaviours, engine
 from verbenadrum.records import types
 from verbenadrum.utils import clock
 
--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -16,8 +16,9 @@
 
 from verbenadrum import ids
 from verbenadrum.claims import local
-from verbenadrum.core import context, engine, ports
+from verbenadrum.core import context, ports
 from verbenadrum.decisions import ring
+from verbenadrum.engine import engine
 from verbenadrum.entry import keys, pipeline
 from verbenadrum.membership import table as host_table
 from verbenadrum.placement import budget, registry
--- a/verbenadrum/core/__init__.py
+++ b/verbenadrum/core/__init__.py
@@ -1,7 +1,7 @@
-"""The sans-IO core: it decides on requests, and the surrounding program performs the I/O.
+"""What the systems of the sans-IO core rest on.
 
-`engine` assembles the systems (limits, claims, placement and so on) of one host, `ports` holds the
-interfaces between them, and `context` what they share.
+`ports` holds the interfaces between the systems (limits, claims, placement and so on), `system`
+their base class, and `context` what those of one host share.
 """
 
-__all__ = ["context", "engine", "ports", "system"]
+__all__ = ["context", "ports", "system"]
--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from verbenadrum import ids
-from verbenadrum.core import engine, ports
+from verbenadrum.core import ports
 from verbenadrum.daemon import (
     connection_pools,
     exchange,
@@ -23,6 +23,7 @@
     targets,
     upstream,
 )
+from verbenadrum.engine import engine
 from verbenadrum.settings import types
 from verbenadrum.utils import clock
 
--- a/verbenadrum/daemon/exchange.py
+++ b/verbenadrum/daemon/exchange.py
@@ -8,8 +8,9 @@
 from gevent import event
 
 from verbenadrum import ids
-from verbenadrum.core import engine, ports
+from verbenadrum.core import ports
 from verbenadrum.daemon import connection_pools, http_server, upstream
+from verbenadrum.engine import engine
 from verbenadrum.utils import clock
 
 __all__ = ["CommittedAnswer", "Exchange"]
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -13,7 +13,7 @@
 from gevent import event
 
 from verbenadrum import ids
-from verbenadrum.core import behaviours, context, engine
+from verbenadrum.core import context
 from verbenadrum.daemon import (
     callers,
     connection_pools,
@@ -31,6 +31,7 @@
 )
 from verbenadrum.decisions import ring
 from verbenadrum.dissemination import duty
+from verbenadrum.engine import behaviours, engine
 from verbenadrum.messages import base, codec
 from verbenadrum.placement import budget
 from verbenadrum.platform import store
--- a/verbenadrum/daemon/platform_reader.py
+++ b/verbenadrum/daemon/platform_reader.py
@@ -6,9 +6,10 @@
 import msgspec
 import urllib3
 
-from verbenadrum.core import engine, ports
+from verbenadrum.core import ports
 from verbenadrum.daemon import answers, sources
 from verbenadrum.dissemination import duty
+from verbenadrum.engine import engine
 
 __all__ = ["HttpSource", "PlatformReader"]
 
--- a/verbenadrum/daemon/prober.py
+++ b/verbenadrum/daemon/prober.py
@@ -7,8 +7,9 @@
 import urllib3
 from urllib3 import exceptions
 
-from verbenadrum.core import engine, ports
+from verbenadrum.core import ports
 from verbenadrum.daemon import answers, sockets, upstream
+from verbenadrum.engine import engine
 
 __all__ = ["Prober"]
 
--- a/verbenadrum/daemon/tests/test_callers.py
+++ b/verbenadrum/daemon/tests/test_callers.py
@@ -8,10 +8,11 @@
 import urllib3
 from gevent import server
 
-from verbenadrum.core import behaviours, context, engine, ports
+from verbenadrum.core import context, ports
 from verbenadrum.daemon import callers, connection_pools, http_server, sockets
 from verbenadrum.daemon.tests import certificates
 from verbenadrum.decisions import ring
+from verbenadrum.engine import behaviours, engine
 from verbenadrum.entry import keys
 from verbenadrum.records import types
 from verbenadrum.utils import clock
--- a/verbenadrum/daemon/tests/test_endless_callers.py
+++ b/verbenadrum/daemon/tests/test_endless_callers.py
@@ -8,9 +8,10 @@
 import pytest
 import urllib3
 
-from verbenadrum.core import engine, ports
+from verbenadrum.core import ports
 from verbenadrum.daemon import callers, connection_pools, http_server, sockets
 from verbenadrum.daemon.tests import endless, test_callers
+from verbenadrum.engine import engine
 from verbenadrum.settings import types
 
 serve = endless.serve
--- a/verbenadrum/core/tests/test_engine.py
+++ b/verbenadrum/engine/tests/test_engine.py
@@ -3,8 +3,9 @@
 import random
 
 from verbenadrum import ids
-from verbenadrum.core import behaviours, context, engine, ports
+from verbenadrum.core import context, ports
 from verbenadrum.decisions import ring
+from verbenadrum.engine import behaviours, engine
 from verbenadrum.entry import keys
 from verbenadrum.records import types
 from verbenadrum.utils import clock
--- a/verbenadrum/core/tests/test_odd_messages.py
+++ b/verbenadrum/engine/tests/test_odd_messages.py
@@ -13,8 +13,9 @@
 import pytest
 from hypothesis import strategies as st
 
-from verbenadrum.core import behaviours, context, engine, ports
+from verbenadrum.core import context, ports
 from verbenadrum.decisions import ring
+from verbenadrum.engine import behaviours, engine
 from verbenadrum.messages import codec
 from verbenadrum.records import types
 from verbenadrum.utils import clock
--- a/verbenadrum/epochs/tests/fleet.py
+++ b/verbenadrum/epochs/tests/fleet.py
@@ -5,8 +5,9 @@
 import random
 
 from verbenadrum import ids
-from verbenadrum.core import behaviours, context, ports, system
+from verbenadrum.core import context, ports, system
 from verbenadrum.decisions import ring
+from verbenadrum.engine import behaviours
 from verbenadrum.epochs import registry
 from verbenadrum.membership import table as host_table
 from verbenadrum.records import table as record_table
--- a/verbenadrum/placement/tests/test_chaos.py
+++ b/verbenadrum/placement/tests/test_chaos.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from standins import stepped_fleet
-from verbenadrum.core import behaviours
+from verbenadrum.engine import behaviours
 from verbenadrum.records import types
 
 assert behaviours
--- a/verbenadrum/placement/tests/test_leaving.py
+++ b/verbenadrum/placement/tests/test_leaving.py
@@ -4,7 +4,8 @@
 import pytest
 
 from standins import stepped_fleet
-from verbenadrum.core import behaviours, ports
+from verbenadrum.core import ports
+from verbenadrum.engine import behaviours
 from verbenadrum.placement import signals
 from verbenadrum.records import types
 from verbenadrum.utils import clock
--- a/verbenadrum/placement/tests/test_overload.py
+++ b/verbenadrum/placement/tests/test_overload.py
@@ -5,7 +5,7 @@
 import pytest
 
 from standins import stepped_fleet
-from verbenadrum.core import behaviours
+from verbenadrum.engine import behaviours
 from verbenadrum.placement import budget, messages
 
 assert behaviours
--- a/verbenadrum/placement/tests/test_pool_home.py
+++ b/verbenadrum/placement/tests/test_pool_home.py
@@ -8,8 +8,8 @@
 
 from standins import stepped_fleet
 from verbenadrum import ids
-from verbenadrum.core import behaviours
 from verbenadrum.decisions import ring
+from verbenadrum.engine import behaviours
 from verbenadrum.records import types
 
 assert behaviours
--- a/verbenadrum/placement/tests/test_rest.py
+++ b/verbenadrum/placement/tests/test_rest.py
@@ -5,7 +5,8 @@
 import pytest
 
 from standins import stepped_fleet
-from verbenadrum.core import behaviours, ports
+from verbenadrum.core import ports
+from verbenadrum.engine import behaviours
 
 assert behaviours
 
--- a/verbenadrum/placement/tests/test_server_limit.py
+++ b/verbenadrum/placement/tests/test_server_limit.py
@@ -5,7 +5,7 @@
 import pytest
 
 from standins import limited_fleet
-from verbenadrum.core import behaviours
+from verbenadrum.engine import behaviours
 
 assert behaviours
 
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from verbenadrum.core import engine
+from verbenadrum.engine import engine
 
 __all__ = [
     "CallersTable",
