--- a/standins/stepped_fleet.py
+++ b/standins/stepped_fleet.py
@@ -157,6 +157,8 @@
         Whether it got a successful answer.
     refusal : str
         Code of the host's refusal, or empty.
+    not_run : bool
+        Whether the refusal states that no server ran the request.
     attempts : list of str
         Servers to which it was sent, in order.
     """
@@ -168,6 +170,7 @@
     ended_ms: float = math.inf
     ok: bool = False
     refusal: str = ""
+    not_run: bool = False
     retry_after_ms: float = 0.0
     attempts: list[str] = []
 
@@ -269,6 +272,7 @@
 
     def refuse(self, refusal):
         self.log.refusal = refusal.code
+        self.log.not_run = refusal.not_run is ports.NotRun.TRUE
         self.log.retry_after_ms = refusal.retry_after_ms
         self.log.ended_ms = self.fleet.clock.now_ms()
 
