--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -300,21 +300,19 @@
         assert sock.recv(65_536).startswith(b"HTTP/1.1 504 ")
 
 
-@pytest.mark.parametrize("task", ["run_ticks", "send_seed_requests", "close_idle_connections"])
-def test_background_task_that_fails_is_logged_and_starts_again(quick, monkeypatch, caplog, task):
+def test_background_task_that_fails_is_logged_and_starts_again(monkeypatch, caplog):
     monkeypatch.setattr(host, "_TASK_RESTART_DELAY_S", 0.02)
     calls = []
 
     def fail_once():
-        calls.append(task)
+        calls.append("called")
         if len(calls) == 1:
             raise KeyError("unexpected")
 
-    fail_once.__name__ = task
     host._run_task(fail_once)
     assert len(calls) == 2
     logged = [each for each in caplog.records if each.getMessage() == "a background task failed"]
-    assert [each.task for each in logged] == [task]
+    assert [each.task for each in logged] == ["fail_once"]
 
 
 @pytest.mark.parametrize("after_bytes", [False, True])
