--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -517,10 +517,11 @@
         self.sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + (body or b""))
         return attempt
 
-    def receive(self, *, head_only: bool = False) -> tuple[int, Head, bytes] | None:
+    def receive(self, interim: list[str] | None = None) -> tuple[int, Head, bytes] | None:
         """Return the next final answer; None if the channel ends without one.
 
-        Interim answers (1xx) are skipped, as every HTTP/1.1 client has to do.
+        Interim answers (1xx) are skipped, as every HTTP/1.1 client has to do; their first lines are
+        added to `interim`.
         """
         while True:
             head = read_head(self.source)
@@ -528,8 +529,10 @@
                 return None
             status = int(head.first.split(" ")[1])
             if 100 <= status < 200:
+                if interim is not None:
+                    interim.append(head.first)
                 continue
-            if head_only or status in (204, 304):
+            if status in (204, 304):
                 return status, head, b""
             if "content-length" not in head.names and "transfer-encoding" not in head.names:
                 return status, head, self.source.read()
