--- a/verbenadrum/core/context.py
+++ b/verbenadrum/core/context.py
@@ -1,7 +1,8 @@
 """Identity and resources of a host that its systems share."""
 
+import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from verbenadrum import ids
 from verbenadrum.decisions import ring
@@ -10,6 +11,9 @@
 
 __all__ = ["Context"]
 
+# Numbers below 2**53 stay exact in tools that read the numbers of a log as floats.
+_FIRST_NUMBER_BITS = 52
+
 
 class Context:
     """Identity, clock, random numbers, message sending and decision log of one host.
@@ -55,6 +59,14 @@
         """Return the monotonic time in milliseconds."""
         return self.clock.now_ms()
 
+    def numbers(self) -> Iterator[int]:
+        """Return increasing numbers for requests to other hosts, which their answers repeat.
+
+        They start at a number that depends on the incarnation, so that an answer to an earlier run
+        of this host has the number of no request of this run.
+        """
+        return itertools.count(random.Random(self.incarnation).getrandbits(_FIRST_NUMBER_BITS))
+
     def record_decision(
         self, kind: ring.DecisionKind, choice: str, reason: str, **fields: object
     ) -> None:
--- a/verbenadrum/limits/escrow.py
+++ b/verbenadrum/limits/escrow.py
@@ -1,6 +1,5 @@
 """Escrow limiter: hosts lend shares to homes, and homes grant tokens to entry hosts."""
 
-import itertools
 from collections.abc import Callable
 
 from verbenadrum import ids
@@ -45,8 +44,7 @@
     ) -> None:
         super().__init__(context=context)
         homes = partitions.HomeMap(context=context, membership=membership, scope=scope)
-        # Starts at random, so that replies to an earlier run of this host match no request.
-        numbers = itertools.count(context.rng.getrandbits(31))
+        numbers = context.numbers()
         self._lender = lender.Lender(context=context, records=records, epochs=epochs, homes=homes)
         self._home = home.Home(context=context, records=records, homes=homes, numbers=numbers)
         self._entry = entry_role.EntryRole(
--- a/verbenadrum/limits/global_owner.py
+++ b/verbenadrum/limits/global_owner.py
@@ -1,6 +1,5 @@
 """Baseline limiter: one host, by the sender's host list, keeps a workspace's only bucket."""
 
-import itertools
 from collections.abc import Callable
 
 import msgspec
@@ -38,7 +37,7 @@
         super().__init__(context=context)
         self._records = records
         self._membership = membership
-        self._request_numbers = itertools.count(context.rng.getrandbits(31))
+        self._request_numbers = context.numbers()
         self._buckets: dict[ids.WorkspaceId, bucket.TokenBucket] = {}
         self._pending: dict[int, _PendingRequest] = {}
         self._owners: dict[ids.WorkspaceId, tuple[ids.HostId, ...]] = {}
--- a/verbenadrum/limits/home_leases.py
+++ b/verbenadrum/limits/home_leases.py
@@ -29,8 +29,8 @@
     def __init__(self, *, context: context.Context, homes: partitions.HomeMap) -> None:
         self._context = context
         self._homes = homes
-        # Random, so that replies to polls of an earlier run of this host match no round.
-        self._round = context.rng.getrandbits(31)
+        # Replies to polls of an earlier run of this host match no round.
+        self._round = next(context.numbers())
         self._sent_ms_by_round: dict[int, float] = {}
         self._next_poll_ms = context.now_ms()
         self._last_received_ms = context.now_ms()
--- a/verbenadrum/limits/metered.py
+++ b/verbenadrum/limits/metered.py
@@ -12,7 +12,6 @@
 hard bound, at the cost of a token for every request and of leases between all hosts.
 """
 
-import itertools
 from collections.abc import Callable
 
 import msgspec
@@ -99,7 +98,7 @@
         self._meters = meters.MeterTable(context=context, membership=membership)
         self._accounts: dict[ids.WorkspaceId, _Account] = {}
         self._pending: dict[int, _PendingRequest] = {}
-        self._request_numbers = itertools.count(context.rng.getrandbits(31))
+        self._request_numbers = context.numbers()
         # Granted requests, each with the monotonic time at which its token becomes valid.
         self._delayed_grants: list[tuple[float, Callable[[ports.Admission], None]]] = []
         # Workspaces with unreported admissions, and the time of the last report, by home.
--- a/verbenadrum/membership/detector.py
+++ b/verbenadrum/membership/detector.py
@@ -92,7 +92,7 @@
         self._suspicions: dict[ids.HostId, suspicion.SuspicionRow] = {}
         self._last_ack_ms: dict[ids.HostId, float] = {}
         self._recent_results: collections.deque[bool] = collections.deque(maxlen=_SELF_CHECK_PROBES)
-        self._last_probe_number = 0
+        self._probe_numbers = context.numbers()
         self._last_tick_ms = context.now_ms()
         self._next_probe_ms = context.now_ms() + context.rng.random() * _PROBE_INTERVAL_MS
         self._leaving = False
@@ -158,7 +158,7 @@
     @system.handles(messages.PingRequest)
     def on_ping_request(self, sender: ids.HostId, message: messages.PingRequest) -> None:
         """Probe a host on behalf of the sender."""
-        number = self._next_probe_number()
+        number = next(self._probe_numbers)
         expires_ms = self._context.now_ms() + _RELAYED_PROBE_TIMEOUT_MS
         self._relayed_probes[number] = _RelayedProbe(
             origin=sender, origin_number=message.number, expires_ms=expires_ms
@@ -184,14 +184,10 @@
 
     # Probing
 
-    def _next_probe_number(self) -> int:
-        self._last_probe_number += 1
-        return self._last_probe_number
-
     def _begin_probe(self, target: ids.HostId) -> None:
         if any(probe.target == target for probe in self._probes.values()):
             return
-        number = self._next_probe_number()
+        number = next(self._probe_numbers)
         self._probes[number] = _Probe(target=target, number=number, sent_ms=self._context.now_ms())
         self._send_ping(target, number)
 
--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -128,7 +128,7 @@
         self._slow_homes_until_ms: dict[ids.HostId, float] = {}
         self._local_in_use: collections.Counter[ids.ServerId] = collections.Counter()
         self._avoided_until_ms: dict[ids.ServerId, float] = {}
-        self._serial = 0
+        self._numbers = context.numbers()
 
     @property
     def held(self) -> dict[ids.LeaseId, _HeldLeaseRow]:
@@ -150,10 +150,9 @@
             return
         if request.attempt == 0:
             self._retry_buckets[request.service].earn()
-        self._serial += 1
         near_first = sorted(pool_parts, key=lambda part: part.region != self._context.region)
         row = _PendingRequest(
-            number=self._serial, request=request, done=done, regions=near_first, homes=[]
+            number=next(self._numbers), request=request, done=done, regions=near_first, homes=[]
         )
         self._pending[row.number] = row
         self._try_first_part(row)
@@ -318,9 +317,8 @@
         """Request a slot in the next region too, while the request waits in the current one."""
         if row.sibling in self._pending or len(row.regions) < 2:
             return
-        self._serial += 1
         second_row = _PendingRequest(
-            number=self._serial,
+            number=next(self._numbers),
             request=row.request,
             done=row.done,
             regions=row.regions[1:],
--- a/verbenadrum/placement/messages.py
+++ b/verbenadrum/placement/messages.py
@@ -44,7 +44,7 @@
     Attributes
     ----------
     number : int
-        Number of the request, unique at the entry host while its process runs.
+        Number of the request, unique over all runs of the entry host.
     fingerprint : str
         Hash by which copies of the caller's request are recognized; empty for none.
     remaining_ms : float
