--- a/standins/spreading.py
+++ b/standins/spreading.py
@@ -85,10 +85,13 @@
     def publish(self, kind: str, name: str, spec: object) -> int:
         """Publish a record under a new revision, which is returned."""
         self.revision += 1
-        data = envelope_of(kind, name, self.revision, spec)
+        self.publish_envelope(kind, name, envelope_of(kind, name, self.revision, spec))
+        return self.revision
+
+    def publish_envelope(self, kind: str, name: str, data: bytes) -> None:
+        """Publish an envelope whose revision is the platform's newest."""
         self._records[kind, name] = (self.revision, data)
         self._sorted_records = None
-        return self.revision
 
     def latest(self, kind: str, name: str) -> int:
         """Return the newest revision of a record, or 0 if it was never published."""
--- a/verbenadrum/daemon/sources.py
+++ b/verbenadrum/daemon/sources.py
@@ -9,7 +9,14 @@
 from verbenadrum.dissemination import duty
 from verbenadrum.utils import errors, registry
 
-__all__ = ["Source", "SourceError", "SourceOptions", "read_answer_body", "record_sources"]
+__all__ = [
+    "AnswerTooLargeError",
+    "Source",
+    "SourceError",
+    "SourceOptions",
+    "read_answer_body",
+    "record_sources",
+]
 
 
 # Eight times the size of the largest value that the platform stores.
@@ -22,6 +29,12 @@
     code = "platform-unusable"
 
 
+class AnswerTooLargeError(SourceError):
+    """An answer of the platform exceeds the maximum size."""
+
+    code = "platform-answer-too-large"
+
+
 class SourceOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of this host that record sources use.
 
@@ -82,7 +95,7 @@
 
     Raises
     ------
-    SourceError
+    AnswerTooLargeError
         If the body is too large; the connection is closed then and after any other error.
     urllib3.exceptions.HTTPError
         If the body ends early.
@@ -91,7 +104,7 @@
         return answers.read_body(response, max_bytes=_MAX_ANSWER_BYTES)
     except answers.BodyTooLongError as error:
         response.close()
-        raise SourceError(f"{error.args[0]} from {base_url}") from error
+        raise AnswerTooLargeError(f"{error.args[0]} from {base_url}") from error
     except BaseException:
         response.close()
         raise
--- a/verbenadrum/dissemination/messages.py
+++ b/verbenadrum/dissemination/messages.py
@@ -14,8 +14,10 @@
     "HostsPull",
     "LastAccepted",
     "ListedHost",
+    "PartPull",
     "ReadRequest",
     "RecordChanges",
+    "RecordPart",
     "RecordPull",
     "Wanted",
 ]
@@ -62,12 +64,44 @@
     """Asks for the records that changed after a revision.
 
     ``reply_to`` is the sender's address while the host list does not contain it yet.
-    ``accepts_packed`` means that the sender can read `RecordChanges.packed`.
+    ``accepts_packed`` means that the sender can read `RecordChanges.packed`, and ``accepts_parts``
+    that it can also read `RecordPart`.
     """
 
     after: int
     reply_to: str = ""
     accepts_packed: bool = False
+    accepts_parts: bool = False
+
+
+@base.register
+class RecordPart(base.Message, tag="rt"):
+    """Part ``index`` of ``count`` of packed `RecordChanges` that are too large for one message.
+
+    ``after``, ``to``, ``final`` and ``known_from`` are those of the whole.
+    """
+
+    after: int
+    to: int
+    final: bool
+    known_from: int
+    index: int
+    count: int
+    data: bytes
+
+
+@base.register
+class PartPull(base.Message, tag="rq"):
+    """Asks for a further part of the `RecordChanges` in ``(after, to]``.
+
+    A receiver that holds newer changes by now sends their first part. ``reply_to`` is as in
+    `RecordPull`.
+    """
+
+    after: int
+    to: int
+    index: int
+    reply_to: str = ""
 
 
 @base.register
--- a/verbenadrum/dissemination/packing.py
+++ b/verbenadrum/dissemination/packing.py
@@ -11,7 +11,7 @@
 
 # Level 1 takes half the time of the default level, for output a few percent larger.
 _COMPRESSION_LEVEL = 1
-_MAX_UNPACKED_BYTES = 4 * envelope.MAX_ENVELOPE_BYTES
+_MAX_UNPACKED_BYTES = 2 * envelope.MAX_ENVELOPE_BYTES
 
 
 class MalformedPackError(errors.VerbenadrumError):
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -8,7 +8,7 @@
 from verbenadrum import ids
 from verbenadrum.core import context, system
 from verbenadrum.decisions import ring
-from verbenadrum.dissemination import host_lists, messages, packing, progress, sampler
+from verbenadrum.dissemination import host_lists, messages, packing, parts, progress, sampler
 from verbenadrum.membership import table as host_table
 from verbenadrum.records import envelope, store
 
@@ -46,6 +46,7 @@
     peer: ids.HostId
     sent_ms: float
     attempts: int = 1
+    assembly: parts.PartAssembly = msgspec.field(default_factory=parts.PartAssembly)
 
 
 class RecordSpread(system.System):
@@ -208,7 +209,39 @@
         chunk = self._chunk(message.after)
         if message.accepts_packed and sum(map(len, chunk.envelopes)) > _MAX_UNREQUESTED_BYTES:
             chunk = self._packed(chunk)
-        self._context.send(sender, chunk)
+        if message.accepts_parts and len(chunk.packed) > parts.MAX_PART_BYTES:
+            self._context.send(sender, parts.cut(chunk, 0))
+        else:
+            self._context.send(sender, chunk)
+
+    @system.handles(messages.PartPull)
+    def on_part_pull(self, sender: ids.HostId, message: messages.PartPull) -> None:
+        """Send a further part of a packed chunk, or the first one if there are newer changes."""
+        self._membership.add_unlisted_address(sender, message.reply_to)
+        chunk = self._packed(self._chunk(message.after))
+        part = parts.cut(chunk, message.index if chunk.to == message.to else 0)
+        if part is not None:
+            self._context.send(sender, part)
+
+    @system.handles(messages.RecordPart)
+    def on_part(self, sender: ids.HostId, message: messages.RecordPart) -> None:
+        """Collect a part of the changes that are pulled; apply them when all parts are here."""
+        if not self._is_pulling_from(sender):
+            return
+        assembly = self._pull.assembly
+        expected = assembly.next_index
+        packed = assembly.add(message)
+        if packed is not None:
+            self.on_changes(
+                sender,
+                messages.RecordChanges(
+                    message.after, message.to, message.final, (), message.known_from, packed
+                ),
+            )
+        elif assembly.next_index != expected or message.index == 0:
+            self._pull.sent_ms = self._context.now_ms()
+            self._pull.attempts = 1
+            self._send_pull()
 
     @system.handles(messages.Digest)
     def on_digest(self, sender: ids.HostId, message: messages.Digest) -> None:
@@ -412,8 +445,16 @@
 
     def _send_pull(self) -> None:
         peer = self._pull.peer
+        reply_to = self._host_list.reply_address()
+        assembly = self._pull.assembly
+        if assembly.next_index:
+            part_pull = messages.PartPull(
+                assembly.after, assembly.to, assembly.next_index, reply_to
+            )
+            self._context.send(peer, part_pull)
+            return
         cursor = self._progress.cursor(peer)
-        self._context.send(peer, messages.RecordPull(cursor, self._host_list.reply_address(), True))
+        self._context.send(peer, messages.RecordPull(cursor, reply_to, True, True))
 
     def _check_pull(self, now_ms: float) -> None:
         """Retry an unanswered pull, and switch to another peer after the last attempt."""
--- a/verbenadrum/platform/store.py
+++ b/verbenadrum/platform/store.py
@@ -92,13 +92,21 @@
         return _decode_json(data, wire.Page)
 
     def _watch(self, base_url: str, order: duty.PollOrder) -> wire.Page | None:
-        """Return the changes, or None if the store's history no longer contains ``order.after``."""
+        """Return the changes, or None if all records have to be read instead.
+
+        That is if the store's history no longer contains ``order.after``, or if the changes since
+        then are too many for one answer.
+        """
         query = {
             "prefix": _ALL_KEYS_PREFIX,
             "after": str(order.after),
             "wait_ms": f"{order.wait_ms:.0f}",
         }
-        status, data = self._get(base_url, _WATCH_PATH, query, order.wait_ms)
+        try:
+            status, data = self._get(base_url, _WATCH_PATH, query, order.wait_ms)
+        except sources.AnswerTooLargeError as error:
+            _log.info("the store's changes are too many", extra={"fault": error.message})
+            return None
         if status == _HISTORY_GONE:
             _log.info("the store's history was dropped", extra={"after": order.after})
             return None
--- a/verbenadrum/platform/tests/test_store.py
+++ b/verbenadrum/platform/tests/test_store.py
@@ -97,6 +97,17 @@
     assert poll(fake_store, 5).full_listing
 
 
+# Large configurations in quick succession made each watch fail until the history was dropped.
+def test_changes_too_large_for_one_answer_lead_to_a_listing(fake_store):
+    tenant = test_wire.CONFIGURATION["tenants"][0]
+    keys = [f"key{index:017}" for index in range(40_000)]
+    large = {**test_wire.CONFIGURATION, "tenants": [{**tenant, "api_keys": keys}]}
+    for _ in range(9):
+        fake_store.put("op/config", large)
+    answer = poll(fake_store, 5)
+    assert (names(answer), answer.full_listing) == (["configuration"], True)
+
+
 def test_malformed_entry_withdraws_only_its_own_server(fake_store):
     fake_store.put("servers/i-0", test_wire.SERVER)
     fake_store.put("servers/i-1", {"address": 3})
--- a/verbenadrum/records/envelope.py
+++ b/verbenadrum/records/envelope.py
@@ -17,7 +17,9 @@
     "equals_rendered",
 ]
 
-MAX_ENVELOPE_BYTES = 1_000_000
+# The platform stores values of up to 1 MiB. A short API key takes 6 bytes there and 190 in the
+# envelope of the configuration.
+MAX_ENVELOPE_BYTES = 33_554_432
 
 _MAX_FAULTS = 20
 _MAX_FAULT_CHARS = 300
@@ -164,7 +166,8 @@
 
 def equals_rendered(raw: bytes, record: types.Record) -> bool:
     """Return whether `render` of the record gives the same JSON document as the envelope."""
-    return msgspec.json.decode(raw) == msgspec.json.decode(render(record))
+    rendered = render(record)
+    return raw == rendered or msgspec.json.decode(raw) == msgspec.json.decode(rendered)
 
 
 def _read_kind(header: EnvelopeHeader) -> types.RecordKind:
