--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -15,6 +15,7 @@
 from verbenadrum import ids
 from verbenadrum.core import ports
 from verbenadrum.daemon import (
+    buffers,
     connection_pools,
     exchange,
     http_server,
@@ -58,6 +59,8 @@
         Metrics of requests and refusals.
     headers : HeadersTable
         Settings for the headers of requests and responses.
+    budget : BufferBudget or None
+        Buffers of the host for answers; None for one of the default size.
 
     Attributes
     ----------
@@ -73,7 +76,9 @@
         clock: clock.Clock,
         request_metrics: metrics.RequestMetrics,
         headers: types.HeadersTable = types.DEFAULT_HEADERS,
+        budget: buffers.BufferBudget | None = None,
     ) -> None:
+        self._budget = budget or buffers.BufferBudget()
         self._headers = headers
         self._names = upstream.HeaderNames(
             request_id=headers.request_id,
@@ -122,6 +127,7 @@
             clock=self._clock,
             outgoing=outgoing,
             names=self._names,
+            budget=self._budget,
         )
         try:
             self._engine.begin(head, sink)
@@ -129,10 +135,12 @@
         except http_server.AbortResponse as error:
             self._engine.abandon(request, error.reason)
             sink.stop_body_reads()
+            sink.drop_result()
             raise
         except BaseException as error:
             self._engine.abandon(request, type(error).__name__)
             sink.stop_body_reads()
+            sink.drop_result()
             raise
         if isinstance(result, exchange.CommittedAnswer) and not result.answer.fully_prefetched:
             return self._start_stream(sink, head, result, started_ms)
@@ -145,9 +153,10 @@
                 result.status, list(result.headers), result.body, request, replayed=True
             )
         answer = result.answer
-        return _complete_response(
+        body = _complete_response(
             answer.status, answer.forwarded_headers(), answer.prefetched, request
         )
+        return _passed_on(answer) if len(body) > _READ_BYTES else _copied(answer, body)
 
     def _read_head(
         self, environ: dict, request: ids.RequestId
@@ -299,12 +308,14 @@
         try:
             if answer.prefetched:
                 yield answer.prefetched
+            answer.release_buffer()
             yield from answer.iter_remaining()
             outcome = answer.outcome(answer.outcome_kind())
         except upstream.AttemptError as error:
             outcome = error.outcome
             raise http_server.AbortResponse(error.message, error.outcome.kind.value) from error
         finally:
+            answer.release_buffer()
             if outcome.kind is ports.OutcomeKind.CANCELLED:
                 answer.discard()
             sink.finish_streamed(head.request, committed, outcome)
@@ -335,6 +346,20 @@
         return f"{seconds:.3f}" if self._headers.fractional_retry_after else str(math.ceil(seconds))
 
 
+def _passed_on(answer: upstream.Answer) -> Iterator[bytes]:
+    """Yield the whole body of an answer, and return its buffer when it was written."""
+    try:
+        yield answer.prefetched
+    finally:
+        answer.release_buffer()
+
+
+def _copied(answer: upstream.Answer, body: bytes) -> bytes:
+    """Return the body of a small answer, which the socket's buffer can take."""
+    answer.release_buffer()
+    return body
+
+
 def _complete_response(
     status: int,
     headers: list[tuple[str, str]],
--- a/verbenadrum/daemon/exchange.py
+++ b/verbenadrum/daemon/exchange.py
@@ -9,7 +9,7 @@
 
 from verbenadrum import ids
 from verbenadrum.core import ports
-from verbenadrum.daemon import connection_pools, http_server, upstream
+from verbenadrum.daemon import buffers, connection_pools, http_server, upstream
 from verbenadrum.engine import engine
 from verbenadrum.utils import clock
 
@@ -53,6 +53,8 @@
         are added for each attempt.
     names : HeaderNames
         Names of the headers that backend servers use.
+    budget : BufferBudget or None
+        Buffers of the host for answers; None for a budget of each attempt's own.
     """
 
     def __init__(
@@ -63,8 +65,10 @@
         clock: clock.Clock,
         outgoing: upstream.OutgoingRequest,
         names: upstream.HeaderNames = upstream.DEFAULT_HEADER_NAMES,
+        budget: buffers.BufferBudget | None = None,
     ) -> None:
         self._names = names
+        self._budget = budget
         self._engine = engine
         self._pools = pools
         self._clock = clock
@@ -103,6 +107,7 @@
             outgoing=msgspec.structs.replace(self._outgoing, headers=tuple(headers)),
             timeout_s=(remaining_ms + _READ_TIMEOUT_MARGIN_MS) / _MS_PER_S,
             names=self._names,
+            budget=self._budget,
             max_idle_s=math.inf if order.idempotent else _MAX_REUSE_IDLE_S,
         )
         self._attempts[order.lease] = attempt
@@ -122,6 +127,12 @@
         if attempt is not None:
             attempt.cancel()
 
+    def drop_result(self) -> None:
+        """Discard the response of a committed attempt that is not passed on after all."""
+        result = self._result.value if self._result.ready() else None
+        if isinstance(result, CommittedAnswer):
+            result.answer.discard()
+
     def stop_body_reads(self) -> None:
         """Kill the attempts that read the caller's body; does nothing if it is not streamed.
 
--- a/verbenadrum/daemon/tests/test_endless_callers.py
+++ b/verbenadrum/daemon/tests/test_endless_callers.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from verbenadrum.core import ports
-from verbenadrum.daemon import callers, connection_pools, http_server, sockets
+from verbenadrum.daemon import buffers, callers, connection_pools, http_server, sockets
 from verbenadrum.daemon.tests import endless, test_callers
 from verbenadrum.engine import engine
 from verbenadrum.settings import types
@@ -49,8 +49,10 @@
     def __init__(self, *addresses):
         core, clock = test_callers.make_engine(*addresses, echoes_request_id=False)
         self.core = RecordingEngine(core)
+        self.budget = buffers.BufferBudget()
         port = callers.CallersPort(
             engine=self.core,
+            budget=self.budget,
             pools=connection_pools.ConnectionPools(max_idle_per_server=2),
             clock=clock,
             request_metrics=test_callers.FakeRequestMetrics(),
--- a/verbenadrum/daemon/tests/test_upstream.py
+++ b/verbenadrum/daemon/tests/test_upstream.py
@@ -55,6 +55,7 @@
     names=upstream.DEFAULT_HEADER_NAMES,
     max_idle_s=math.inf,
     body=None,
+    budget=None,
     **fields,
 ):
     order = ports.DispatchOrder(
@@ -76,6 +77,7 @@
         outgoing=outgoing,
         timeout_s=timeout_s,
         names=names,
+        budget=budget,
         max_idle_s=max_idle_s,
     )
 
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -3,6 +3,7 @@
 An attempt sends the request once, validates the response's head and classifies every failure.
 """
 
+import collections
 import contextlib
 import http.client
 import math
@@ -17,7 +18,7 @@
 from urllib3 import exceptions
 
 from verbenadrum.core import ports
-from verbenadrum.daemon import answers, connection_pools, signal_headers, sockets
+from verbenadrum.daemon import answers, buffers, connection_pools, signal_headers, sockets
 from verbenadrum.utils import errors
 
 __all__ = [
@@ -162,6 +163,8 @@
         Time from the start of the attempt to the response's head.
     address : str
         ``ip:port`` of the server.
+    reservation : Reservation
+        Part of the host's buffers that ``prefetched`` takes.
     names : HeaderNames
         Names of the headers that backend servers use.
     """
@@ -175,8 +178,10 @@
         rest: Iterator[bytes] | None,
         latency_ms: float,
         address: str,
+        reservation: buffers.Reservation,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
     ) -> None:
+        self._reservation = reservation
         self._names = names
         self._response = response
         self._address = address
@@ -275,8 +280,13 @@
         """Return the outcome kind of the response, provided that its body is complete."""
         return outcome_kind(self.status, self._response.headers, self._names)
 
+    def release_buffer(self) -> None:
+        """Return the buffer of ``prefetched``, once that was passed on or is not needed."""
+        self._reservation.release()
+
     def discard(self) -> None:
         """Close the connection, so that late bytes are not read as another response."""
+        self.release_buffer()
         self._release(False)
 
     def _interrupted_kind(self, error: Exception, waited_s: float) -> ports.OutcomeKind:
@@ -303,6 +313,8 @@
         Maximum time from the creation of this object to the last byte of the response.
     names : HeaderNames
         Names of the headers that backend servers use.
+    budget : BufferBudget or None
+        Buffers of the host; None for a budget of the attempt's own.
     max_idle_s : float
         Connections that have been idle for longer are not reused. A server may close an idle
         connection at any time, and a request that must not run twice cannot be retried then.
@@ -316,9 +328,11 @@
         outgoing: OutgoingRequest,
         timeout_s: float,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
+        budget: buffers.BufferBudget | None = None,
         max_idle_s: float = math.inf,
     ) -> None:
         self._names = names
+        self._reservation = (budget or buffers.BufferBudget()).reservation()
         self._max_idle_s = max_idle_s
         self._pools = pools
         self._order = order
@@ -351,7 +365,7 @@
     def close_after_kill(self) -> ports.Outcome:
         """Close the connection after the greenlet in `run` was killed, and return the outcome."""
         self._cancelled = True
-        self._release(False)
+        self._abort()
         return self._outcome(ports.OutcomeKind.CANCELLED)
 
     def close_after_error(self) -> ports.Outcome:
@@ -359,7 +373,7 @@
 
         The server may have begun to process the request if a byte may have been sent.
         """
-        self._release(False)
+        self._abort()
         sent = self._bytes_sent
         return self._outcome(ports.OutcomeKind.RESET if sent else ports.OutcomeKind.CONNECT_FAILED)
 
@@ -378,7 +392,7 @@
             self._check_identity(response)
             prefetched, rest = self._prefetch(response)
         except AttemptError:
-            self._release(False)
+            self._abort()
             raise
         answer = Answer(
             response=response,
@@ -387,6 +401,7 @@
             rest=rest,
             latency_ms=latency_ms,
             address=self._order.address,
+            reservation=self._reservation,
             names=self._names,
         )
         self._check_status(answer)
@@ -420,6 +435,10 @@
             max(0.0, remaining_s), TimeoutError("the deadline of the attempt has passed")
         )
 
+    def _check_deadline(self) -> None:
+        if time.monotonic() >= self._started_s + self._timeout_s:
+            raise TimeoutError("the deadline of the attempt has passed")
+
     def _send(self) -> None:
         try:
             self._connection.request(
@@ -436,6 +455,11 @@
             # body was not sent.
             self._body_incomplete = True
 
+    def _abort(self) -> None:
+        """Close the connection and return the buffer."""
+        self._reservation.release()
+        self._release(False)
+
     def _release(self, reusable: bool) -> None:
         used, self._connection = self._connection, None
         response, self._response = self._response, None
@@ -485,8 +509,8 @@
     def _prefetch(self, response: urllib3.BaseHTTPResponse) -> tuple[bytes, Iterator[bytes] | None]:
         """Return the first bytes of the body, and an iterator over the rest or None.
 
-        A body of up to `PREFETCH_BYTES` is read completely, so that it is known to be whole before
-        any of it is passed on.
+        A body of up to `PREFETCH_BYTES` is read completely, as far as the buffers of the host
+        allow, so that it is known to be whole before any of it is passed on.
         """
         if self._outgoing.method == "HEAD" or response.status in _BODILESS_STATUSES:
             response.close()
@@ -518,7 +542,8 @@
         self, response: urllib3.BaseHTTPResponse, chunked: bool, length: str | None
     ) -> tuple[bytes, Iterator[bytes] | None]:
         if not chunked and length is not None:
-            if int(length) > PREFETCH_BYTES:
+            size = int(length)
+            if size > PREFETCH_BYTES or not self._reservation.extend(size):
                 return b"", self._stream(response)
             with self._deadline_timeout():
                 data = response.read(decode_content=False)
@@ -527,20 +552,31 @@
         # The same iterator serves the whole body: abandoning one half-way closes the response,
         # which then looks complete.
         pieces = self._stream(response)
-        data = bytearray()
+        held: collections.deque[bytes] = collections.deque()
+        held_bytes = 0
         for piece in pieces:
-            data += piece
-            if len(data) >= PREFETCH_BYTES:
-                return bytes(data), pieces
+            held.append(piece)
+            held_bytes += len(piece)
+            if held_bytes >= PREFETCH_BYTES or not self._reservation.extend(len(piece)):
+                return b"", self._continue_stream(held, pieces)
         self._release(True)
-        return bytes(data), None
+        return b"".join(held), None
+
+    def _continue_stream(
+        self, held: collections.deque[bytes], rest: Iterator[bytes]
+    ) -> Iterator[bytes]:
+        """Yield the parts of the body that are held, then the rest as it comes."""
+        while held:
+            self._check_deadline()
+            yield held.popleft()
+        self._reservation.release()
+        yield from rest
 
     def _stream(self, response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
         """Yield the body in parts; raises TimeoutError at the attempt's deadline."""
         pieces = response.stream(_READ_BYTES, decode_content=False)
         while True:
-            if time.monotonic() >= self._started_s + self._timeout_s:
-                raise TimeoutError("the deadline of the attempt has passed")
+            self._check_deadline()
             with self._deadline_timeout():
                 piece = next(pieces, None)
             if piece is None:
@@ -555,7 +591,9 @@
         not_run = kind in (ports.OutcomeKind.SHED, ports.OutcomeKind.MISDIRECTED)
         if not not_run and (self._order.pass_errors or answer.status < 500):
             return
-        if not answer.fully_prefetched:
+        if answer.fully_prefetched:
+            answer.release_buffer()
+        else:
             answer.discard()
         raise AttemptError(
             f"the server responded with status {answer.status}", answer.outcome(kind)
