--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -300,6 +300,14 @@
             name.lower() == b"content-length" for name, _ in self.response_headers
         ):
             self.server.close_delimited.add(self.socket)
+            self._close_after_body()
+
+    def _close_after_body(self) -> None:
+        """Close the connection after a body without a length, also for HTTP/1.0 with keep-alive."""
+        bodiless = self.command == "HEAD" or self.code in (204, 304)
+        if not bodiless and not self.close_connection:
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
 
     def _write_with_headers(self, data: bytes) -> None:
         # Head and first data are sent in one write, since two writes would cost a second packet.
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -38,7 +38,7 @@
         if environ["PATH_INFO"] == "/abort":
             start_response("200 OK", [("Content-Length", "10")])
             return self.aborted()
-        if environ["PATH_INFO"] in ("/unframed-abort", "/unframed-error", "/unframed-wait"):
+        if environ["PATH_INFO"].startswith("/unframed"):
             start_response("200 OK", [])
             return self.unframed(environ["PATH_INFO"])
         start_response("200 OK", [("Content-Length", "2")])
@@ -54,7 +54,8 @@
             raise http_server.AbortResponse("the server left", "truncated")
         if path == "/unframed-error":
             raise KeyError("unexpected")
-        gevent.sleep(TIMEOUT_S)
+        if path == "/unframed-wait":
+            gevent.sleep(TIMEOUT_S)
 
     def send(self, data):
         with socket.create_connection(("127.0.0.1", self.server.server_port), TIMEOUT_S) as sock:
@@ -157,6 +158,19 @@
             assert sock.recv(65_536)
 
 
+# A caller of HTTP/1.0 that keeps its connection waited for the end of such an answer for good.
+def test_answer_without_a_length_ends_the_kept_connection_of_an_old_caller(server):
+    request = b"GET /unframed HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n"
+    with socket.create_connection(("127.0.0.1", server.server.server_port), TIMEOUT_S) as sock:
+        sock.sendall(request)
+        received = b""
+        while piece := sock.recv(65_536):
+            received += piece
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert b"\r\nConnection: close" in head
+    assert body == b"half"
+
+
 def test_error_of_the_application_is_logged_and_answered(server, caplog, monkeypatch, capfd):
     def fail(environ, start_response):
         raise KeyError("unexpected")
