--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -14,7 +14,7 @@
 from gevent import socket as gevent_socket
 from urllib3 import connection, exceptions
 
-from verbenadrum.daemon import sockets
+from verbenadrum.daemon import framing, sockets
 
 __all__ = [
     "BodyTooLongError",
@@ -156,11 +156,64 @@
 
 
 class _BoundedResponse(http.client.HTTPResponse):
-    """Response that is read through a `_BoundedReader`."""
+    """Response that is read through a `_BoundedReader`.
+
+    Attributes
+    ----------
+    framing : BodyFraming or None
+        Framing of the body; None before the head is read.
+    """
 
     def __init__(self, sock: socket.socket, *args: object, **kwargs: object) -> None:
         super().__init__(sock, *args, **kwargs)
         self.fp = _BoundedReader(_YieldingReader(raw=self.fp.detach(), sock=sock))
+        self.framing: framing.BodyFraming | None = None
+
+    def begin(self) -> None:
+        """Read the head, after any interim heads, and decide how the body is framed.
+
+        Raises
+        ------
+        http.client.HTTPException
+            If the head is malformed, or does not tell where the body ends.
+        """
+        if self.headers is not None:
+            return
+        version, status, reason = self._read_final_status()
+        if not version.startswith("HTTP/1."):
+            raise http.client.UnknownProtocol(version)
+        self.code = self.status = status
+        self.reason = reason.strip()
+        self.version = 10 if version == "HTTP/1.0" else 11
+        self.headers = self.msg = framing.read_fields(self._read_field_lines())
+        self._apply_framing()
+
+    def _read_final_status(self) -> tuple[str, int, str]:
+        """Return version, status and reason of the first head that is not ``100 Continue``."""
+        while True:
+            version, status, reason = self._read_status()
+            if status != http.client.CONTINUE:
+                return version, status, reason
+            self._read_field_lines()
+
+    def _read_field_lines(self) -> list[bytes]:
+        """Return the lines up to the empty one, which is left out."""
+        lines = []
+        while (line := self.fp.readline(MAX_LINE_BYTES + 1)) not in (b"\r\n", b"\n", b""):
+            lines.append(line)
+        return lines
+
+    def _apply_framing(self) -> None:
+        found = self.framing = framing.frame_body(
+            self._method, self.status, self.headers, http_1_0=self.version == 10
+        )
+        # What reads the body, and whoever gets the headers, goes by the framing that was found.
+        del self.headers["Content-Length"]
+        if found.length is not None:
+            self.headers["Content-Length"] = str(found.length)
+        self.chunked = found.kind is framing.FramingKind.CHUNKED
+        self.length = 0 if found.kind is framing.FramingKind.NONE else found.length
+        self.will_close = not found.reusable or self._check_close()
 
 
 class BoundedConnection(connection.HTTPConnection):
@@ -173,11 +226,17 @@
     """
 
     _reader: _BoundedReader | None = None
+    _response: _BoundedResponse | None = None
 
     def __init__(self, *args: object, **kwargs: object) -> None:
         super().__init__(*args, **kwargs)
         self.request_ids: collections.deque[str] = collections.deque(maxlen=_MAX_REQUEST_IDS)
 
+    @property
+    def framing(self) -> framing.BodyFraming:
+        """Framing of the last response whose head was read."""
+        return self._response.framing
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether data follows the last response that was read. It belongs to no request."""
@@ -189,6 +248,7 @@
         """Return a response that reads from ``sock``; urllib3 calls this for each request."""
         response = _BoundedResponse(sock, *args, **kwargs)
         self._reader = response.fp
+        self._response = response
         return response
 
 
--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -373,7 +373,7 @@
     if replayed:
         response.set_header("Idempotent-Replayed", "true")
     bodiless = bottle.request.environ["REQUEST_METHOD"] == "HEAD" or status in (204, 304)
-    if not bodiless:
+    if not bodiless and "Content-Length" not in response.headers:
         response.set_header("Content-Length", str(len(body)))
     return body
 
--- /dev/null
+++ b/verbenadrum/daemon/framing.py
@@ -0,0 +1,140 @@
+"""Decides how the body of a server's answer is framed, by RFC 9112, section 6.3."""
+
+import enum
+import http.client
+import re
+
+import msgspec
+
+__all__ = ["BodyFraming", "FramingError", "FramingKind", "frame_body", "read_fields"]
+
+# Every number of up to 18 digits fits into a signed 64-bit integer.
+_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
+_FIELD_NAME_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_FORBIDDEN_VALUE_BYTES = re.compile(rb"[\x00\r\n]")
+_BODILESS_STATUSES = (204, 304)
+
+
+class FramingError(http.client.HTTPException):
+    """A head that does not tell, or contradicts itself about, where the body ends."""
+
+
+class FramingKind(enum.Enum):
+    """How the end of a body is found.
+
+    ``NONE`` is an answer without a body, and ``CLOSE`` one that ends with its connection.
+    """
+
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+class BodyFraming(msgspec.Struct, frozen=True, kw_only=True):
+    """Framing of an answer's body.
+
+    Attributes
+    ----------
+    kind : FramingKind
+        How the end of the body is found.
+    length : int or None
+        Length of the body in bytes; for an answer without a body, the length that the same answer
+        with one would have. None if that is not known.
+    reusable : bool
+        Whether another request may follow on the connection.
+    """
+
+    kind: FramingKind
+    length: int | None = None
+    reusable: bool = True
+
+
+def frame_body(
+    method: str, status: int, headers: http.client.HTTPMessage, *, http_1_0: bool = False
+) -> BodyFraming:
+    """Return the framing of the body of an answer.
+
+    Parameters
+    ----------
+    method : str
+        Method of the request.
+    status : int
+        Status code of the answer.
+    headers : HTTPMessage
+        Headers of the answer.
+    http_1_0 : bool
+        Whether the answer is of HTTP/1.0.
+
+    Raises
+    ------
+    FramingError
+        If the headers contradict each other or are malformed.
+
+    Examples
+    --------
+    >>> headers = http.client.HTTPMessage()
+    >>> headers["Content-Length"] = "5"
+    >>> frame_body("GET", 200, headers).length
+    5
+    """
+    length = _content_length(headers)
+    codings = headers.get_all("Transfer-Encoding", [])
+    if method == "HEAD" or status in _BODILESS_STATUSES:
+        declared = None if codings or status == 204 else length
+        return BodyFraming(kind=FramingKind.NONE, length=declared)
+    if codings:
+        # Where both are given the length is ignored, and the connection must not be reused.
+        _check_codings(codings, http_1_0)
+        return BodyFraming(kind=FramingKind.CHUNKED, reusable=length is None)
+    if length is not None:
+        return BodyFraming(kind=FramingKind.LENGTH, length=length)
+    return BodyFraming(kind=FramingKind.CLOSE, reusable=False)
+
+
+def read_fields(lines: list[bytes]) -> http.client.HTTPMessage:
+    """Return the header fields in the lines of a head, without its first and its empty line.
+
+    A folded line is joined to the one before it by a space (RFC 9112, section 5.2).
+
+    Raises
+    ------
+    FramingError
+        If a line is no header field, or a value contains a NUL or a lone carriage return.
+    """
+    fields: list[tuple[bytes, bytes]] = []
+    for line in lines:
+        text = line.rstrip(b"\r\n")
+        if text[:1] in (b" ", b"\t"):
+            if not fields:
+                raise FramingError("the head begins with a folded line")
+            name, value = fields.pop()
+            fields.append((name, (value + b" " + text).strip(b" \t")))
+            continue
+        name, colon, value = text.partition(b":")
+        if not colon or not _FIELD_NAME_PATTERN.fullmatch(name):
+            raise FramingError(f"{text[:80]!r} is not a header field")
+        fields.append((name, value.strip(b" \t")))
+    message = http.client.HTTPMessage()
+    for name, value in fields:
+        if _FORBIDDEN_VALUE_BYTES.search(value):
+            raise FramingError(f"the value of header {name[:80]!r} has forbidden characters")
+        message[name.decode("ascii")] = value.decode("latin-1")
+    return message
+
+
+def _content_length(headers: http.client.HTTPMessage) -> int | None:
+    """Return the value of Content-Length, or None without one; it must not be repeated."""
+    values = headers.get_all("Content-Length", [])
+    if not values:
+        return None
+    if len(values) > 1 or not _LENGTH_PATTERN.fullmatch(values[0]):
+        raise FramingError(f"Content-Length {', '.join(values)[:80]!r} is not one number")
+    return int(values[0])
+
+
+def _check_codings(codings: list[str], http_1_0: bool) -> None:
+    if http_1_0:
+        raise FramingError("an HTTP/1.0 answer has a Transfer-Encoding")
+    if len(codings) != 1 or codings[0].strip(" \t").lower() != "chunked":
+        raise FramingError(f"Transfer-Encoding {', '.join(codings)[:80]!r} is not chunked")
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -18,7 +18,14 @@
 from urllib3 import exceptions
 
 from verbenadrum.core import ports
-from verbenadrum.daemon import answers, buffers, connection_pools, signal_headers, sockets
+from verbenadrum.daemon import (
+    answers,
+    buffers,
+    connection_pools,
+    framing,
+    signal_headers,
+    sockets,
+)
 from verbenadrum.utils import errors
 
 __all__ = [
@@ -42,8 +49,6 @@
 # Time for which an idle connection is reused if its server announces no keep-alive timeout.
 _DEFAULT_KEEP_ALIVE_S = 4.0
 _KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout\s*=\s*([0-9]+)")
-# Every number of up to 18 digits fits into a signed 64-bit integer.
-_CONTENT_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
 # Values of the not-run and draining headers that mean the same as a missing header.
@@ -55,6 +60,8 @@
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
+        # The host states the length itself, as it was read.
+        "content-length",
         "keep-alive",
         "proxy-connection",
         "te",
@@ -63,7 +70,6 @@
         "upgrade",
     }
 )
-_BODILESS_STATUSES = (204, 304)
 
 
 class AttemptError(errors.VerbenadrumError):
@@ -159,6 +165,8 @@
         The first bytes of the body.
     rest : iterator of bytes or None
         The remaining body; None if ``prefetched`` is the complete body.
+    body : BodyFraming
+        Framing of the body.
     latency_ms : float
         Time from the start of the attempt to the response's head.
     address : str
@@ -176,6 +184,7 @@
         release: Callable[[bool], None],
         prefetched: bytes,
         rest: Iterator[bytes] | None,
+        body: framing.BodyFraming,
         latency_ms: float,
         address: str,
         reservation: buffers.Reservation,
@@ -188,6 +197,7 @@
         self._release = release
         self.prefetched = prefetched
         self._rest = rest
+        self._body = body
         self.latency_ms = latency_ms
         self._received_s = time.monotonic()
 
@@ -223,13 +233,30 @@
             return 0.0
         return signal_headers.read_retry_after_ms(self._response.headers, self._address)
 
+    @property
+    def body_length(self) -> int | None:
+        """Length of the body as it was read, or as it was announced in an answer without one.
+
+        None if the length is not known.
+        """
+        if self._rest is None and self._body.kind is not framing.FramingKind.NONE:
+            return len(self.prefetched)
+        return self._body.length
+
     def forwarded_headers(self) -> list[tuple[str, str]]:
-        """Return names and values of the headers to forward, without hop-by-hop headers."""
-        return [
+        """Return names and values of the headers to forward, without hop-by-hop headers.
+
+        Content-Length follows from how the body was read, not from the server's headers.
+        """
+        headers = [
             (name, value)
             for name, value in self._response.headers.items()
             if name.lower() not in _HOP_BY_HOP_HEADERS
         ]
+        length = self.body_length
+        if length is not None:
+            headers.append(("Content-Length", str(length)))
+        return headers
 
     def iter_remaining(self) -> Iterator[bytes]:
         """Yield the body that follows ``prefetched``, and release the connection at its end.
@@ -388,9 +415,10 @@
         """
         response = self._exchange()
         latency_ms = self._elapsed_ms()
+        body = self._connection.framing
         try:
             self._check_identity(response)
-            prefetched, rest = self._prefetch(response)
+            prefetched, rest = self._prefetch(response, body)
         except AttemptError:
             self._abort()
             raise
@@ -399,6 +427,7 @@
             release=self._release,
             prefetched=prefetched,
             rest=rest,
+            body=body,
             latency_ms=latency_ms,
             address=self._order.address,
             reservation=self._reservation,
@@ -480,6 +509,8 @@
             kind = ports.OutcomeKind.CONNECT_FAILED
         elif _is_timeout(error):
             kind = ports.OutcomeKind.TIMEOUT
+        elif isinstance(error, framing.FramingError):
+            kind = ports.OutcomeKind.TRUNCATED
         else:
             kind = ports.OutcomeKind.RESET
         return AttemptError(f"{kind.value}: {type(error).__name__}", self._outcome(kind))
@@ -506,31 +537,26 @@
             self._outcome(ports.OutcomeKind.CROSSED, response.status),
         )
 
-    def _prefetch(self, response: urllib3.BaseHTTPResponse) -> tuple[bytes, Iterator[bytes] | None]:
+    def _prefetch(
+        self, response: urllib3.BaseHTTPResponse, body: framing.BodyFraming
+    ) -> tuple[bytes, Iterator[bytes] | None]:
         """Return the first bytes of the body, and an iterator over the rest or None.
 
         A body of up to `PREFETCH_BYTES` is read completely, as far as the buffers of the host
         allow, so that it is known to be whole before any of it is passed on.
         """
-        if self._outgoing.method == "HEAD" or response.status in _BODILESS_STATUSES:
+        if body.kind is framing.FramingKind.NONE:
             response.close()
             self._release(True)
             return b"", None
-        length = response.headers.get("Content-Length")
-        chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-        close_delimited = length is None and self._names.allow_close_delimited
-        if (
-            not chunked
-            and not close_delimited
-            and not _CONTENT_LENGTH_PATTERN.fullmatch(length or "")
-        ):
+        if body.kind is framing.FramingKind.CLOSE and not self._names.allow_close_delimited:
             # Without a length, a truncated response cannot be told from a complete one.
             raise AttemptError(
                 "the response has neither a valid Content-Length nor chunked encoding",
                 self._outcome(ports.OutcomeKind.TRUNCATED, response.status),
             )
         try:
-            return self._read_prefix(response, chunked, length)
+            return self._read_prefix(response, body)
         except (exceptions.HTTPError, http.client.HTTPException, OSError) as error:
             kind = ports.OutcomeKind.CANCELLED if self._cancelled else _read_error_kind(error)
             raise AttemptError(
@@ -539,10 +565,10 @@
             ) from error
 
     def _read_prefix(
-        self, response: urllib3.BaseHTTPResponse, chunked: bool, length: str | None
+        self, response: urllib3.BaseHTTPResponse, body: framing.BodyFraming
     ) -> tuple[bytes, Iterator[bytes] | None]:
-        if not chunked and length is not None:
-            size = int(length)
+        if body.kind is framing.FramingKind.LENGTH:
+            size = body.length
             if size > PREFETCH_BYTES or not self._reservation.extend(size):
                 return b"", self._stream(response)
             with self._deadline_timeout():
