--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -28,6 +28,8 @@
 # Maximum total size of the lines of a head, or of consecutive chunk sizes and trailers;
 # `http.client` allows as much for a single line.
 MAX_LINE_BYTES = 65_536
+# Maximum number of interim heads (1xx) before the head of an answer.
+_MAX_INTERIM_HEADS = 1_000
 # After this many reads from a socket other greenlets run, even if more data is available.
 _MAX_READS_WITHOUT_YIELD = 4
 _READ_BYTES = 65_536
@@ -189,12 +191,15 @@
         self._apply_framing()
 
     def _read_final_status(self) -> tuple[str, int, str]:
-        """Return version, status and reason of the first head that is not ``100 Continue``."""
-        while True:
+        """Return version, status and reason of the first head that is not an interim one."""
+        for _ in range(_MAX_INTERIM_HEADS + 1):
             version, status, reason = self._read_status()
-            if status != http.client.CONTINUE:
+            if status == http.client.SWITCHING_PROTOCOLS:
+                raise http.client.HTTPException("the server switches protocols unasked")
+            if status >= http.client.OK:
                 return version, status, reason
             self._read_field_lines()
+        raise http.client.HTTPException(f"more than {_MAX_INTERIM_HEADS} interim heads")
 
     def _read_field_lines(self) -> list[bytes]:
         """Return the lines up to the empty one, which is left out."""
--- /dev/null
+++ b/verbenadrum/daemon/tests/test_interim_heads.py
@@ -0,0 +1,85 @@
+"""Tests of interim heads (1xx) that a server sends before its answer."""
+
+import contextlib
+
+import gevent
+import pytest
+
+from verbenadrum.core import ports
+from verbenadrum.daemon import connection_pools, upstream
+from verbenadrum.daemon.tests import test_endless_callers, test_framing, test_upstream
+
+start = test_endless_callers.start
+Kind = ports.OutcomeKind
+FINAL = test_upstream.HEAD + b"Content-Length: 2\r\n\r\nok"
+PAUSE_S = 0.2
+INTERIM = {
+    status: b"HTTP/1.1 %d Wait\r\nX-Request-Id: q1\r\nContent-Length: 7\r\n\r\n" % status
+    for status in (100, 102, 103, 150, 199)
+}
+
+
+class PausingBackend(test_upstream.Backend):
+    """Backend server that sends each part of its answer after a pause."""
+
+    def handle(self, sock, address):
+        with contextlib.suppress(OSError):
+            while data := sock.recv(65_536):
+                self.requests += data.count(b"HTTP/1.1\r\n")
+                for part in self.answer:
+                    sock.sendall(part)
+                    gevent.sleep(PAUSE_S)
+                if self.after != "keep":
+                    return
+
+
+def attempt(address, **options):
+    pools = connection_pools.ConnectionPools(max_idle_per_server=2)
+    return test_upstream.attempt(pools, address, **options)
+
+
+# A head of status 102 or 103 ended the request: it ran and was never answered.
+@pytest.mark.parametrize("status", INTERIM)
+@pytest.mark.parametrize("count", [1, 3])
+def test_answer_after_interim_heads_is_passed_on(status, count):
+    backend = PausingBackend([*[INTERIM[status]] * count, FINAL])
+    answer = attempt(backend.address).run()
+    assert (answer.status, answer.prefetched) == (200, b"ok")
+    assert answer.latency_ms >= count * PAUSE_S * 1000.0
+
+
+@pytest.mark.parametrize(
+    ("parts", "kind"),
+    [
+        ([b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", FINAL], Kind.RESET),
+        ([INTERIM[102] * 5_000, FINAL], Kind.RESET),
+        ([b"HTTP/1.1 103 Hints\r\n\r\n" * 1_001, FINAL], Kind.RESET),
+        ([INTERIM[102]], Kind.TIMEOUT),
+        ([INTERIM[103][:-4]], Kind.TIMEOUT),
+    ],
+)
+def test_interim_heads_without_an_answer_end_as_work_that_may_have_run(parts, kind):
+    backend = PausingBackend(parts)
+    with pytest.raises(upstream.AttemptError) as raised:
+        attempt(backend.address, timeout_s=1.0).run()
+    assert (raised.value.outcome.kind, raised.value.outcome.may_have_run) == (kind, True)
+
+
+def test_connection_that_ends_after_an_interim_head_may_have_run():
+    backend = PausingBackend([INTERIM[102]], after="close")
+    with pytest.raises(upstream.AttemptError) as raised:
+        attempt(backend.address).run()
+    assert (raised.value.outcome.kind, raised.value.outcome.may_have_run) == (Kind.RESET, True)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_caller_gets_the_one_answer_and_no_interim_head(start, method):
+    final = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    backend = PausingBackend([INTERIM[103], final])
+    host = start(backend.address)
+    with contextlib.closing(test_framing.Caller(host)) as caller:
+        for _ in range(2):
+            answer = caller.ask("/first", method)
+            assert (answer.status, answer.body) == (200, b"ok")
+        assert caller.reader.pending == b""
+    assert backend.requests == 2
