--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -247,6 +247,10 @@
         """Whether data follows the last response that was read. It belongs to no request."""
         return self._reader is not None and self._reader.has_unread_bytes
 
+    def _encode_request(self, request: str) -> bytes:
+        # The target holds one character for each byte that the caller sent.
+        return request.encode("latin-1")
+
     def response_class(
         self, sock: socket.socket, *args: object, **kwargs: object
     ) -> http.client.HTTPResponse:
--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -104,7 +104,7 @@
         self._clock = clock
         self._request_metrics = request_metrics
         self.application = bottle.Bottle(catchall=False)
-        self.application.route("<path:re:.*>", method="ANY", callback=self._handle)
+        self.application.route(r"<path:re:[\s\S]*>", method="ANY", callback=self._handle)
 
     @property
     def names(self) -> upstream.HeaderNames:
@@ -162,6 +162,7 @@
         self, environ: dict, request: ids.RequestId
     ) -> tuple[ports.RequestHead, upstream.OutgoingRequest]:
         target = targets.parse_target(environ[http_server.TARGET_KEY])
+        authority = target.authority or environ.get("HTTP_HOST", "")
         key = targets.find_key(environ, target, self._headers.key_scheme)
         length, body = self._read_body(environ, request)
         method = environ["REQUEST_METHOD"]
@@ -171,7 +172,7 @@
         head = ports.RequestHead(
             request=request,
             method=method,
-            host=environ.get("HTTP_HOST", "").rsplit(":", 1)[0].lower(),
+            host=targets.host_name(authority),
             path=target.path,
             query=target.query,
             api_key=key,
@@ -182,7 +183,7 @@
             body_digest=xxhash.xxh3_64_hexdigest(body) if isinstance(body, bytes) else "",
             caller_request=environ.get(self._request_id_key, "")[:_MAX_LOGGED_ID_LENGTH],
         )
-        headers.append(("Host", environ.get("HTTP_HOST", "")))
+        headers.append(("Host", authority))
         outgoing = upstream.OutgoingRequest(
             method=method,
             target=target.forward,
--- a/verbenadrum/daemon/targets.py
+++ b/verbenadrum/daemon/targets.py
@@ -14,13 +14,16 @@
     "clean_headers",
     "environ_name",
     "find_key",
+    "host_name",
     "parse_target",
 ]
 
 KEY_PARAMETER = "api_key"
 KEY_HEADER = "HTTP_X_API_KEY"
 _AUTHORIZATION_PATTERN = re.compile(r"^(\S+) +(\S+)$")
-_SLASHES = re.compile(r"/+")
+_ABSOLUTE_FORM = re.compile(r"https?://(?:[^/?#@]*@)?([^/?#@]+)([/?].*)?", re.IGNORECASE)
+_AUTHORITY = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[^\[\]:]+)(:[0-9]*)?")
+_PORT = re.compile(r":[0-9]*$")
 _SEPARATORS = re.compile(r"[/\\]")
 _FORBIDDEN_CHARACTERS = re.compile(r"[\x00-\x20\x7f]")
 
@@ -70,19 +73,22 @@
     Attributes
     ----------
     path : str
-        Decoded path with repeated slashes merged, which is matched against routes.
+        Path as the caller sent it, which is matched against routes.
     query : str
-        Raw query without the API key.
+        Query without the API key.
     forward : str
-        Target for the backend server: the raw path, and the query without the API key.
+        Target for the backend server: the path, and the query without the API key.
     query_key : str
         API key from the query, or an empty string.
+    authority : str
+        Host name and port of an absolute form, or an empty string.
     """
 
     path: str
     query: str
     forward: str
     query_key: str
+    authority: str = ""
 
 
 def parse_target(raw: str) -> Target:
@@ -91,7 +97,7 @@
     Parameters
     ----------
     raw : str
-        Origin form (``/path?query``) or absolute form.
+        Origin form (``/path?query``) or absolute form, one character for each byte.
 
     Raises
     ------
@@ -104,28 +110,51 @@
     --------
     >>> target = parse_target("/a//b%20c?x=1&api_key=secret")
     >>> target.path, target.forward, target.query_key
-    ('/a/b c', '/a//b%20c?x=1', 'secret')
+    ('/a//b%20c', '/a//b%20c?x=1', 'secret')
     """
-    if raw.startswith(("http://", "https://")):
-        parts = urllib.parse.urlsplit(raw)
-        raw = (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
+    authority, raw = _split_authority(raw)
     if not raw.startswith("/"):
         raise BadRequestError("the request target must begin with a slash")
-    raw_path, _, raw_query = raw.partition("?")
+    path, mark, raw_query = raw.partition("?")
     if "#" in raw or _FORBIDDEN_CHARACTERS.search(raw):
         raise BadRequestError("the request target has forbidden characters")
-    decoded = urllib.parse.unquote(raw_path, encoding="latin-1")
+    decoded = urllib.parse.unquote(path, encoding="latin-1")
     if any(segment in (".", "..") for segment in _SEPARATORS.split(decoded)):
         raise BadRequestError("the request target has dot segments")
     query, query_key = _split_key(raw_query, "&")
     return Target(
-        path=_SLASHES.sub("/", decoded),
+        path=path,
         query=query,
-        forward=f"{raw_path}?{query}" if query else raw_path,
+        forward=f"{path}{mark}{query}" if query or not query_key else path,
         query_key=query_key,
+        authority=authority,
     )
 
 
+def host_name(authority: str) -> str:
+    """Return the host name of an authority or a Host header, in lower case without the port.
+
+    Examples
+    --------
+    >>> host_name("A.example:80"), host_name("[::1]")
+    ('a.example', '[::1]')
+    """
+    return _PORT.sub("", authority).lower()
+
+
+def _split_authority(raw: str) -> tuple[str, str]:
+    """Return the authority of a request target, if it has one, and the rest in origin form."""
+    if raw.startswith("/"):
+        return "", raw
+    absolute = _ABSOLUTE_FORM.fullmatch(raw)
+    if absolute is None:
+        return "", raw
+    authority, rest = absolute[1], absolute[2] or "/"
+    if not _AUTHORITY.fullmatch(authority):
+        raise BadRequestError("the request target names no valid host")
+    return authority, rest if rest.startswith("/") else f"/{rest}"
+
+
 def find_key(environ: dict, target: Target, scheme: str = "Bearer") -> str:
     """Return the API key of a request, or an empty string.
 
--- a/verbenadrum/records/table.py
+++ b/verbenadrum/records/table.py
@@ -94,6 +94,7 @@
     def route(self, host: str, path: str) -> tuple[str, types.RouteSpec] | None:
         """Return name and spec of the matching route with the longest path prefix, or None.
 
+        Prefixes are compared with the path byte by byte; ``path`` has one character for each byte.
         Routes of the request's host name take precedence over routes without a host name. Of
         routes with the same prefix, the one whose name sorts first is returned.
         """
@@ -155,10 +156,10 @@
         self, name: str, previous: types.RouteSpec | None, spec: types.RouteSpec | None
     ) -> None:
         if previous is not None:
-            self._routes[previous.host][previous.path_prefix].pop(name, None)
+            self._routes[previous.host][_path_bytes(previous.path_prefix)].pop(name, None)
         if spec is not None:
             prefixes = self._routes.setdefault(spec.host, {})
-            prefixes.setdefault(spec.path_prefix, {})[name] = spec
+            prefixes.setdefault(_path_bytes(spec.path_prefix), {})[name] = spec
 
     def _index_key(
         self, name: str, previous: types.KeySpec | None, spec: types.KeySpec | None
@@ -245,6 +246,11 @@
             yield name, old.get(name), new.get(name)
 
 
+def _path_bytes(prefix: str) -> str:
+    """Return a path prefix with one character for each byte of its UTF-8 form."""
+    return prefix if prefix.isascii() else prefix.encode().decode("latin-1")
+
+
 def _prefixes(path: str) -> Iterator[str]:
     """Yield the prefixes of a path that end at a segment boundary, longest first."""
     yield path
--- a/verbenadrum/records/types.py
+++ b/verbenadrum/records/types.py
@@ -76,7 +76,8 @@
     Attributes
     ----------
     path_prefix : str
-        Prefix of the decoded path, matched at segment boundaries.
+        Prefix of the path as callers send it, percent-encoding included, matched at segment
+        boundaries.
     service : str
         Name of the service, and of its pool.
     host : str
