--- a/verbenadrum/claims/__init__.py
+++ b/verbenadrum/claims/__init__.py
@@ -6,6 +6,7 @@
     "keys",
     "local",
     "messages",
+    "none",
     "register",
     "registry",
     "winners",
--- a/verbenadrum/claims/keys.py
+++ b/verbenadrum/claims/keys.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "LIFETIME_MS",
+    "MAX_LENGTH",
     "WITNESS_COUNT",
     "created_ms",
     "home_data_centre",
@@ -19,6 +20,8 @@
 
 LIFETIME_MS = 15 * 60_000.0
 WITNESS_COUNT = 3
+# A register holds tens of thousands of keys.
+MAX_LENGTH = 200
 _UUID_LENGTH = 36
 _UUID_TIME_SHIFT = 80
 _UUID_VERSION = 7
--- a/verbenadrum/claims/winners.py
+++ b/verbenadrum/claims/winners.py
@@ -63,9 +63,9 @@
         if row is None or row.ended_ms <= now_ms:
             return
         row.ended_ms = now_ms
-        if answer is not None and _size(answer) <= _MAX_ANSWER_BYTES:
+        if answer is not None and answer.size <= _MAX_ANSWER_BYTES:
             row.answer = answer
-            self._answer_bytes += _size(answer)
+            self._answer_bytes += answer.size
         self._ended.append(key)
         self._trim(now_ms)
 
@@ -95,14 +95,10 @@
         while self._ended and self._has_excess(now_ms):
             row = self._rows.pop(self._ended.popleft(), None)
             if row is not None and row.answer is not None:
-                self._answer_bytes -= _size(row.answer)
+                self._answer_bytes -= row.answer.size
 
     def _has_excess(self, now_ms: float) -> bool:
         oldest = self._rows.get(self._ended[0])
         expired = oldest is None or oldest.ended_ms + keys.LIFETIME_MS < now_ms
         too_many = len(self._ended) > _MAX_ENDED_RUNS
         return expired or too_many or self._answer_bytes > _MAX_TOTAL_ANSWER_BYTES
-
-
-def _size(answer: ports.StoredAnswer) -> int:
-    return len(answer.body) + sum(len(name) + len(value) for name, value in answer.headers)
--- a/verbenadrum/claims/witnessed.py
+++ b/verbenadrum/claims/witnessed.py
@@ -52,6 +52,9 @@
 
     def claim(self, request: ports.ClaimRequest, done: Callable[[ports.ClaimResult], None]) -> None:
         """Claim a key; ``done`` gets the result once, by the request's deadline."""
+        if len(request.key) > keys.MAX_LENGTH:
+            done(ports.ClaimResult(state=ports.ClaimState.NOT_RUN, reason="key-too-long"))
+            return
         row = attempts.PendingClaim(
             request=request,
             done=done,
--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -293,6 +293,11 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
+    @property
+    def size(self) -> int:
+        """Number of bytes of the headers and the body."""
+        return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+
 
 class ClaimResult(msgspec.Struct, frozen=True, kw_only=True):
     """Result of a claim; ``answer`` is set only for `ClaimState.ANSWERED`, ``reason`` is a code."""
--- a/verbenadrum/engine/behaviours.py
+++ b/verbenadrum/engine/behaviours.py
@@ -1,6 +1,6 @@
 """Imports every module that registers an implementation, so that settings can select it by name."""
 
-from verbenadrum.claims import local, witnessed
+from verbenadrum.claims import local, none, witnessed
 from verbenadrum.dissemination import duty, every_host, host_lists
 from verbenadrum.epochs import counted, listed, vouched
 from verbenadrum.health import belief, consecutive, sequential
@@ -20,6 +20,7 @@
     "listed",
     "metered",
     "local",
+    "none",
     "pool_home",
     "power_of_two",
     "seeded",
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -290,7 +290,7 @@
             workspace=row.workspace,
             key=row.head.idempotency_key,
             request=row.head.request,
-            fingerprint=row.fingerprint,
+            fingerprint=_claim_fingerprint(row),
             deadline_ms=row.deadline_ms,
         )
 
@@ -550,6 +550,15 @@
     return xxhash.xxh3_64_hexdigest("\x00".join(parts))
 
 
+def _claim_fingerprint(row: table.RequestRow) -> str:
+    """Return the hash by which a resend under an idempotency key is told from another request.
+
+    A body that is streamed has no digest, so such a request equals no other one.
+    """
+    body = row.head.body_digest if row.head.body_buffered else row.head.request
+    return xxhash.xxh3_64_hexdigest(f"{row.fingerprint}\x00{body}")
+
+
 def _placement_fingerprint(row: table.RequestRow) -> str:
     if not row.head.body_digest:
         return row.fingerprint
--- a/verbenadrum/entry/refusals.py
+++ b/verbenadrum/entry/refusals.py
@@ -35,6 +35,8 @@
 # of their own.
 SHUTDOWN_RETRY_MS = 50.0
 KEY_REUSED = "key-reused"
+KEY_TOO_LONG = "key-too-long"
+_KEY_FAULT_STATUS = {KEY_REUSED: 422, KEY_TOO_LONG: 400}
 POISON_REQUEST = "poison-request"
 LIMIT_UNAVAILABLE = "limit-unavailable"
 _OUTCOME_STATUS = {ports.OutcomeKind.TIMEOUT: 504, ports.OutcomeKind.CANCELLED: 504}
@@ -94,13 +96,14 @@
 def claim_refused(head: ports.RequestHead, claim: ports.ClaimResult) -> ports.Refusal:
     """Return the refusal of a request that did not win the claim of its idempotency key.
 
-    The status is 422 for a key that was used with a different request, 409 where the key's first
+    The status is 422 for a key that was used with a different request, 400 for one that is too
+    long, 409 where the key's first
     request is in progress or ended with an unknown outcome, and 503 where nothing has run.
     """
     not_run = ports.NotRun.UNKNOWN
     if claim.state is ports.ClaimState.NOT_RUN:
         not_run = ports.NotRun.TRUE
-    status = 422 if claim.reason == KEY_REUSED else _CLAIM_STATUS[claim.state]
+    status = _KEY_FAULT_STATUS.get(claim.reason) or _CLAIM_STATUS[claim.state]
     return ports.Refusal(
         request=head.request,
         status=status,
