--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -97,6 +97,7 @@
             headers.expected_server,
         )
         self._reserved_headers = frozenset(targets.environ_name(name) for name in reserved if name)
+        self._key_places = frozenset(map(targets.KeyPlace, headers.key_places))
         self._request_id_key = targets.environ_name(headers.request_id)
         self._deadline_key = targets.environ_name(headers.deadline_ms)
         self._engine = engine
@@ -161,12 +162,14 @@
     def _read_head(
         self, environ: dict, request: ids.RequestId
     ) -> tuple[ports.RequestHead, upstream.OutgoingRequest]:
-        target = targets.parse_target(environ[http_server.TARGET_KEY])
+        target = targets.parse_target(environ[http_server.TARGET_KEY], self._key_places)
         authority = target.authority or environ.get("HTTP_HOST", "")
-        key = targets.find_key(environ, target, self._headers.key_scheme)
+        key = targets.find_key(environ, target, self._headers.key_scheme, self._key_places)
         length, body = self._read_body(environ, request)
         method = environ["REQUEST_METHOD"]
-        headers = list(targets.clean_headers(environ, key, self._reserved_headers))
+        headers = list(
+            targets.clean_headers(environ, key, self._reserved_headers, self._key_places)
+        )
         if length >= 0 and not isinstance(body, bytes) and body is not None:
             headers.append(("Content-Length", str(length)))
         head = ports.RequestHead(
--- a/verbenadrum/daemon/targets.py
+++ b/verbenadrum/daemon/targets.py
@@ -1,5 +1,6 @@
 """Validates a caller's request target, headers and API key, and selects what to forward."""
 
+import enum
 import re
 import urllib.parse
 from collections.abc import Iterator
@@ -9,7 +10,9 @@
 from verbenadrum.utils import errors
 
 __all__ = [
+    "ALL_KEY_PLACES",
     "BadRequestError",
+    "KeyPlace",
     "Target",
     "clean_headers",
     "environ_name",
@@ -42,7 +45,6 @@
         "HTTP_TRAILER",
         "HTTP_TRANSFER_ENCODING",
         "HTTP_UPGRADE",
-        "HTTP_X_API_KEY",
     }
 )
 
@@ -61,6 +63,22 @@
 _RESERVED_HEADERS = frozenset(map(environ_name, ("X-Request-Id", "X-Deadline-Ms", "X-Workspace")))
 
 
+class KeyPlace(enum.Enum):
+    """Part of a request that may hold the caller's API key.
+
+    ``AUTHORIZATION`` is the Authorization header, ``HEADER`` the X-Api-Key header, ``QUERY`` the
+    parameter `KEY_PARAMETER` of the query, and ``COOKIE`` the cookie of that name.
+    """
+
+    AUTHORIZATION = "authorization"
+    HEADER = "header"
+    QUERY = "query"
+    COOKIE = "cookie"
+
+
+ALL_KEY_PLACES = frozenset(KeyPlace)
+
+
 class BadRequestError(errors.VerbenadrumError):
     """A caller's request is malformed or ambiguous."""
 
@@ -91,13 +109,15 @@
     authority: str = ""
 
 
-def parse_target(raw: str) -> Target:
+def parse_target(raw: str, places: frozenset[KeyPlace] = ALL_KEY_PLACES) -> Target:
     """Parse a request target.
 
     Parameters
     ----------
     raw : str
         Origin form (``/path?query``) or absolute form, one character for each byte.
+    places : frozenset of KeyPlace
+        Where a key may be. The query is left unchanged if it is not one of these.
 
     Raises
     ------
@@ -121,7 +141,9 @@
     decoded = urllib.parse.unquote(path, encoding="latin-1")
     if any(segment in (".", "..") for segment in _SEPARATORS.split(decoded)):
         raise BadRequestError("the request target has dot segments")
-    query, query_key = _split_key(raw_query, "&")
+    query, query_key = raw_query, ""
+    if KeyPlace.QUERY in places:
+        query, query_key = _split_key(raw_query, "&")
     return Target(
         path=path,
         query=query,
@@ -155,11 +177,14 @@
     return authority, rest if rest.startswith("/") else f"/{rest}"
 
 
-def find_key(environ: dict, target: Target, scheme: str = "Bearer") -> str:
+def find_key(
+    environ: dict,
+    target: Target,
+    scheme: str = "Bearer",
+    places: frozenset[KeyPlace] = ALL_KEY_PLACES,
+) -> str:
     """Return the API key of a request, or an empty string.
 
-    It may be in the Authorization header, the X-Api-Key header, the query or a cookie.
-
     Parameters
     ----------
     environ : dict
@@ -168,17 +193,22 @@
         The request's target, whose query may hold the key.
     scheme : str
         Scheme of an Authorization header that carries a key; upper and lower case are the same.
+    places : frozenset of KeyPlace
+        Where the key may be.
 
     Raises
     ------
     BadRequestError
         If the request holds two different keys.
     """
-    found_keys = {target.query_key, environ.get(KEY_HEADER, "").strip()}
+    found_keys = {target.query_key}
+    if KeyPlace.HEADER in places:
+        found_keys.add(environ.get(KEY_HEADER, "").strip())
     authorization = _AUTHORIZATION_PATTERN.match(environ.get("HTTP_AUTHORIZATION", "").strip())
-    if authorization and authorization.group(1).lower() == scheme.lower():
+    matches = authorization and authorization.group(1).lower() == scheme.lower()
+    if matches and KeyPlace.AUTHORIZATION in places:
         found_keys.add(authorization.group(2))
-    if "HTTP_COOKIE" in environ:
+    if "HTTP_COOKIE" in environ and KeyPlace.COOKIE in places:
         found_keys.add(_split_key(environ["HTTP_COOKIE"], ";")[1])
     found_keys.discard("")
     if len(found_keys) > 1:
@@ -187,16 +217,21 @@
 
 
 def clean_headers(
-    environ: dict, key: str, reserved: frozenset[str] = _RESERVED_HEADERS
+    environ: dict,
+    key: str,
+    reserved: frozenset[str] = _RESERVED_HEADERS,
+    places: frozenset[KeyPlace] = ALL_KEY_PLACES,
 ) -> Iterator[tuple[str, str]]:
     """Yield names and values of the caller's headers that are forwarded to a backend server.
 
-    Hop-by-hop headers, Authorization, Expect, Host, X-Api-Key and every other header whose value
-    contains the API key are removed. So are the headers in ``reserved``, which the host sets
-    itself; it holds names of a WSGI environment. Cookies are forwarded without the one that holds
-    the key.
+    Hop-by-hop headers, Authorization, Expect, Host and every other header whose value contains the
+    API key are removed. So are the headers in ``reserved``, which the host sets itself; it holds
+    names of a WSGI environment. X-Api-Key is removed, and cookies are forwarded without the one
+    that holds the key, if these are among the ``places`` of keys.
     """
     removed = _REMOVED_HEADERS | reserved
+    if KeyPlace.HEADER in places:
+        removed = removed | {KEY_HEADER}
     if "HTTP_CONNECTION" in environ:
         connection_headers = environ["HTTP_CONNECTION"].upper().replace("-", "_").split(",")
         removed = removed.union("HTTP_" + token.strip() for token in connection_headers)
@@ -206,7 +241,9 @@
         if key and key in value:
             continue
         yield name[5:].replace("_", "-").title(), value
-    cookies = _split_key(environ.get("HTTP_COOKIE", ""), ";")[0].strip()
+    cookies = environ.get("HTTP_COOKIE", "")
+    if KeyPlace.COOKIE in places:
+        cookies = _split_key(cookies, ";")[0].strip()
     if cookies and not (key and key in cookies):
         yield "Cookie", cookies
     if environ.get("CONTENT_TYPE"):
--- a/verbenadrum/daemon/tests/test_targets.py
+++ b/verbenadrum/daemon/tests/test_targets.py
@@ -46,6 +46,22 @@
     assert list(targets.clean_headers(environ, "")) == [("Accept", "*/*")]
 
 
+ONLY_AUTHORIZATION = frozenset({targets.KeyPlace.AUTHORIZATION})
+
+
+# A query parameter that is no key of the deployment was taken out before the server got the path.
+@pytest.mark.parametrize(
+    "query", ["api_key=1&z=2", "api_key=1", "a=1&api%5fkey=2&api_key=3", "api_key"]
+)
+def test_query_arrives_unchanged_where_keys_do_not_come_that_way(query):
+    target = targets.parse_target(f"/p?{query}", ONLY_AUTHORIZATION)
+    assert (target.forward, target.query, target.query_key) == (f"/p?{query}", query, "")
+    environ = {"HTTP_X_API_KEY": "k", "HTTP_COOKIE": "a=1; api_key=2"}
+    assert targets.find_key(environ, target, places=ONLY_AUTHORIZATION) == ""
+    forwarded = dict(targets.clean_headers(environ, "", places=ONLY_AUTHORIZATION))
+    assert forwarded == {"X-Api-Key": "k", "Cookie": "a=1; api_key=2"}
+
+
 @hypothesis.given(
     place=strategies.sampled_from(("bearer", "header", "query", "cookie")), extra=TEXT
 )
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -116,6 +116,10 @@
         address can refuse the request; empty to send no such header.
     key_scheme : str
         Authentication scheme in the Authorization header that carries a caller's key.
+    key_places : tuple of str
+        Where a caller's key may be: ``authorization`` (the Authorization header), ``header`` (the
+        X-Api-Key header), ``query`` (the parameter ``api_key``) or ``cookie`` (of the same name).
+        What is not listed here is passed on as it came.
     keep_request_id : bool
         Whether a request identifier set by the caller is passed on to backend servers.
     fractional_retry_after : bool
@@ -132,6 +136,12 @@
     limit: HeaderName = "X-Rate-Limit"
     expected_server: str = ""
     key_scheme: HeaderName = "Bearer"
+    key_places: tuple[Literal["authorization", "header", "query", "cookie"], ...] = (
+        "authorization",
+        "header",
+        "query",
+        "cookie",
+    )
     keep_request_id: bool = False
     fractional_retry_after: bool = False
     unframed_answers: bool = False
