--- a/verbenadrum/cli/status.py
+++ b/verbenadrum/cli/status.py
@@ -5,9 +5,19 @@
 
 from verbenadrum.cli import operators, options, output, registry
 
-__all__ = ["exit_code_of", "print_status"]
-
-_COLUMNS = ("host", "where", "ready", "records", "host list", "in flight", "reads", "remarks")
+__all__ = ["exit_code_of", "print_faults", "print_status"]
+
+_COLUMNS = (
+    "host",
+    "where",
+    "ready",
+    "records",
+    "version",
+    "host list",
+    "in flight",
+    "reads",
+    "remarks",
+)
 
 
 @registry.command(
@@ -26,7 +36,7 @@
         output.print_json(replies, out)
     else:
         print_status(replies, out)
-        _print_rejected(replies, out)
+        print_faults(replies, out)
         _print_signals(replies, out)
     return exit_code_of(replies)
 
@@ -39,6 +49,12 @@
     output.print_table(_COLUMNS, [_row(reply, newest_revision) for reply in replies], out)
 
 
+def print_faults(replies: Sequence[operators.Reply[operators.HostStatus]], out: TextIO) -> None:
+    """Print the records that hosts refused, and what they left out of the one in force."""
+    _print_rejected(replies, out)
+    _print_left_out(replies, out)
+
+
 def exit_code_of(replies: Sequence[operators.Reply[operators.HostStatus]]) -> options.ExitCode:
     """Return ``OK`` if all hosts are ready, ``UNREACHABLE`` if one gave no valid answer.
 
@@ -54,7 +70,7 @@
 def _row(reply: operators.Reply[operators.HostStatus], newest_revision: int) -> Sequence[object]:
     status = reply.value
     if status is None:
-        return (reply.address, "", "no", "", "", "", "", reply.fault)
+        return (reply.address, "", "no", "", "", "", "", "", reply.fault)
     location = f"{status.region}/{status.data_centre}"
     ready = "yes" if status.ready else "no"
     return (
@@ -62,6 +78,7 @@
         location,
         ready,
         status.held_revision,
+        "" if status.configuration_version is None else f"{status.configuration_version:x}",
         status.host_list_revision,
         status.in_flight,
         status.platform_reader,
@@ -75,6 +92,8 @@
         remarks.append("shutting down")
     if status.held_revision < newest_revision:
         remarks.append(f"{newest_revision - status.held_revision} revisions behind")
+    if status.configuration_faults:
+        remarks.append("entries left out")
     if status.rejected_records:
         remarks.append(f"{len(status.rejected_records)} records refused")
     if status.suspected_hosts:
@@ -109,6 +128,20 @@
     return "is leaving"
 
 
+def _print_left_out(replies: Sequence[operators.Reply[operators.HostStatus]], out: TextIO) -> None:
+    """Print what each version of the configuration lacks once, with the hosts that say so."""
+    hosts: dict[tuple, list[str]] = {}
+    for reply in replies:
+        if reply.value and reply.value.configuration_faults:
+            key = (reply.value.configuration_version, reply.value.configuration_faults)
+            hosts.setdefault(key, []).append(reply.value.host)
+    for (version, faults), names in hosts.items():
+        out.write(f"left out of configuration version {version or 0:x} ")
+        out.write(f"({len(names)} hosts: {', '.join(names[:5])})\n")
+        for fault in faults:
+            out.write(f"  {fault}\n")
+
+
 def _print_rejected(replies: Sequence[operators.Reply[operators.HostStatus]], out: TextIO) -> None:
     """Print each rejected revision once, with the hosts that rejected it."""
     hosts: dict[tuple, list[str]] = {}
--- a/verbenadrum/cli/tests/test_cli.py
+++ b/verbenadrum/cli/tests/test_cli.py
@@ -84,6 +84,29 @@
     assert "refused: pool 'p' revision 8; revision 3 stays in force" in out
 
 
+@pytest.mark.parametrize("words", [("status",), ("watch", "--count=1")])
+def test_status_and_watch_tell_the_version_in_force_and_what_was_refused(words):
+    refused = {
+        "kind": "configuration",
+        "name": "configuration",
+        "revision": 9,
+        "faults": ["cannot decode value"],
+        "accepted_revision": 7,
+    }
+    status = _STATUS | {
+        "configuration_version": 12,
+        "configuration_faults": ["routes.3: type 'sometimes' of route 'r' is unknown"],
+        "rejected_records": [refused],
+    }
+    with operators_port(status) as host:
+        _, out, _ = run(words[0], host.address, **({"count": 1} if len(words) > 1 else {}))
+    assert " c " in out
+    assert "refused: configuration 'configuration' revision 9; revision 7 stays in force" in out
+    assert "cannot decode value" in out
+    assert "left out of configuration version c" in out
+    assert "routes.3: type 'sometimes'" in out
+
+
 def test_status_shows_what_holds_back_requests_from_servers():
     told = {"server": "s1", "signal": "limit", "for_ms": 400.0, "heard_from": "h1"}
     limited = {**told, "limit_per_s": 2.5}
--- a/verbenadrum/cli/watch.py
+++ b/verbenadrum/cli/watch.py
@@ -39,5 +39,6 @@
         ready = sum(reply.value is not None and reply.value.ready for reply in replies)
         out.write(f"-- {time.strftime('%H:%M:%S')}: {ready} of {len(replies)} hosts ready\n")
         status.print_status(replies, out)
+        status.print_faults(replies, out)
     out.flush()
     return status.exit_code_of(replies)
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -443,6 +443,8 @@
             "epoch": self._engine.epochs.active(),
             "complete_revision": self._engine.record_spread.complete_revision,
             "confirmed_age_ms": self._confirmed_age_ms(),
+            "configuration_version": self._engine.records.configuration_version,
+            "configuration_faults": self._engine.records.configuration_faults,
             "rejected_records": self._engine.store.rejections(),
             "suspected_hosts": self._engine.detector.suspicions(),
             "server_signals": self._engine.placer.server_signals(),
@@ -456,6 +458,10 @@
         age_ms = self._engine.record_spread.confirmed_age_ms
         return round(age_ms, 1) if math.isfinite(age_ms) else -1.0
 
+    def _configuration_version(self) -> int:
+        version = self._engine.records.configuration_version
+        return -1 if version is None else version
+
     def _count_signals(self, signal: str) -> int:
         return sum(each.signal == signal for each in self._engine.placer.server_signals())
 
@@ -476,6 +482,18 @@
                 lambda: self._caller_server.connections,
             ),
             ("verbenadrum.records.revision", "", "Records.", lambda: self._engine.records.revision),
+            (
+                "verbenadrum.records.rejected",
+                "",
+                "Records whose newest revision this host rejected.",
+                lambda: len(self._engine.store.rejections()),
+            ),
+            (
+                "verbenadrum.records.configuration_version",
+                "",
+                "Version of the configuration in force; -1 without one.",
+                self._configuration_version,
+            ),
             (
                 "verbenadrum.records.confirmed_age",
                 "ms",
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -173,6 +173,7 @@
         """Send a digest when it is due, time out the pending pull, and drop lapsed servers."""
         now_ms = self._context.now_ms()
         self._store.drop_lapsed_servers()
+        self._store.report_rejections()
         self._check_pull(now_ms)
         self._load_initial(now_ms)
         if now_ms >= self._next_digest_ms:
--- a/verbenadrum/dissemination/tests/test_large_configuration.py
+++ b/verbenadrum/dissemination/tests/test_large_configuration.py
@@ -115,3 +115,25 @@
     assembly = parts.PartAssembly()
     assert assembly.add(odd) is None
     assert assembly.next_index == 0
+
+
+# A version that no host could take was told by one log line on the hosts that read it.
+def test_refused_version_is_known_with_its_reason_on_every_host_for_as_long_as_it_lasts():
+    fleet = spreading.Fleet(seed=9, data_centres=1, hosts=3)
+    first = publish(fleet, 80)
+    assert fleet.run_until(lambda: fleet.all_have(first), 10_000) < 10_000
+    fleet.platform.revision += 1
+    revision = fleet.platform.revision
+    item = wire.Item(key=wire.CONFIGURATION_KEY, mod_revision=revision, value="")
+    fleet.platform.publish_envelope("configuration", "configuration", wire.refusal(item, "no JSON"))
+    assert fleet.run_until(lambda: fleet.all_have(revision), 10_000) < 10_000
+    fleet.run(61_000)
+    for host in fleet.hosts.values():
+        (rejection,) = host.engine.store.rejections()
+        assert (rejection.revision, rejection.faults) == (revision, ("no JSON",))
+        assert host.engine.records.configuration_version == 2
+        reasons = [row.reason for row in host.decisions.newest(512)]
+        assert reasons.count("still-rejected") == 1
+    last = publish(fleet, 160)
+    assert fleet.run_until(lambda: fleet.all_have(last), 10_000) < 10_000
+    assert not any(host.engine.store.rejections() for host in fleet.hosts.values())
--- a/verbenadrum/platform/store.py
+++ b/verbenadrum/platform/store.py
@@ -146,8 +146,7 @@
                         "fault": error.message,
                     },
                 )
-            # A server whose entry is malformed must not be used.
-            return wire.withdrawal(item)
+            return wire.refusal(item, error.message)
 
     def _get(
         self, base_url: str, path: str, query: dict[str, str], wait_ms: float = 0.0
--- a/verbenadrum/platform/wire.py
+++ b/verbenadrum/platform/wire.py
@@ -4,11 +4,12 @@
 import binascii
 import hashlib
 import re
+from collections.abc import Callable, Iterable
 from typing import Annotated
 
 import msgspec
 
-from verbenadrum.records import envelope, types
+from verbenadrum.records import envelope, partial, types
 from verbenadrum.utils import durations, errors
 
 __all__ = [
@@ -20,6 +21,7 @@
     "Page",
     "decode_item",
     "duration_ms",
+    "refusal",
     "withdrawal",
 ]
 
@@ -30,6 +32,8 @@
 # Types of routes whose requests are idempotent, whatever their method.
 _IDEMPOTENT_ROUTE_TYPES = frozenset({"safe", "download"})
 _ROUTE_TYPES = frozenset({"safe", "download", "unsafe"})
+# Slots of a server whose entry names none.
+_DEFAULT_SLOTS = 3
 _ALL_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE")
 _SERVER_STATES = {"ready": types.ServerState.LIVE, "draining": types.ServerState.LEAVING}
 
@@ -41,7 +45,7 @@
 
 # Every whole number up to this limit has an exact value as a float.
 NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-ShortText = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Text = Annotated[str, msgspec.Meta(min_length=1)]
 
 
 class MalformedValueError(errors.VerbenadrumError):
@@ -79,38 +83,38 @@
 
 class _ServerInfo(msgspec.Struct, frozen=True, kw_only=True):
     # ``config_version`` is the version of the server's software, unlike in `_Configuration`.
-    service: ShortText
-    zone: ShortText
+    service: Text
+    zone: Text
     capacity: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     config_version: str = ""
 
 
 class _ServerStatus(msgspec.Struct, frozen=True, kw_only=True):
     # ``warmup_left`` is the remaining duration of slow responses after the server's start.
-    state: ShortText
+    state: Text
     sequence: NonNegativeInt
     warmup_left: str = "0ms"
 
 
 class _Server(msgspec.Struct, frozen=True, kw_only=True):
     # ``born`` is the start time of the server, in milliseconds since the Unix epoch.
-    address: ShortText
+    address: Text
     info: _ServerInfo
     status: _ServerStatus
     born: NonNegativeInt = 0
 
 
 class _Backend(msgspec.Struct, frozen=True, kw_only=True):
-    service: ShortText
+    service: Text
     weight: Annotated[float, msgspec.Meta(ge=0)]
 
 
 class _Route(msgspec.Struct, frozen=True, kw_only=True):
     # ``public`` routes need no key; ``timeout`` limits the time until the head of the answer.
-    name: ShortText
-    hostname: ShortText
-    prefix: ShortText
-    type: ShortText
+    name: Text
+    hostname: Text
+    prefix: Text
+    type: Text
     timeout: str
     target_latency: str = "0ms"
     priority: NonNegativeInt = 0
@@ -122,14 +126,14 @@
 
 class _Service(msgspec.Struct, frozen=True, kw_only=True):
     # ``max_connections`` limits the connections to one server from all callers together.
-    name: ShortText
+    name: Text
     health_path: str = "/"
     max_connections: Annotated[int, msgspec.Meta(ge=1)] = 300
 
 
 class _Tenant(msgspec.Struct, frozen=True, kw_only=True):
     # ``rate_per_s`` of 0 means no limit.
-    name: ShortText
+    name: Text
     api_keys: tuple[str, ...] = ()
     priority: NonNegativeInt | None = None
     rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
@@ -147,11 +151,12 @@
 
 class _Configuration(msgspec.Struct, frozen=True, kw_only=True):
     # ``config_version`` has eight hexadecimal digits. Without ``tenants`` no route needs a key.
+    # The entries are decoded one by one, so that a faulty one costs no other.
     config_version: str
-    routes: tuple[_Route, ...]
-    services: tuple[_Service, ...]
-    tenants: tuple[_Tenant, ...] | None = None
-    limits: _Limits | None = None
+    routes: tuple[msgspec.Raw, ...]
+    services: tuple[msgspec.Raw, ...]
+    tenants: tuple[msgspec.Raw, ...] | None = None
+    limits: msgspec.Raw = msgspec.Raw(b"null")
 
 
 def duration_ms(text: str) -> float:
@@ -224,6 +229,18 @@
     return _envelope(types.RecordKind.SERVER, name, item, _server(server, data_centres))
 
 
+def refusal(item: Item, fault: str) -> bytes | None:
+    """Return an envelope that tells every host why a key's value cannot be taken.
+
+    None for a key that is not the configuration. A server whose entry is malformed is withdrawn.
+    """
+    if item.key == CONFIGURATION_KEY:
+        return envelope.render_refusal(
+            types.RecordKind.CONFIGURATION, _CONFIGURATION_NAME, item.mod_revision, fault
+        )
+    return withdrawal(item)
+
+
 def withdrawal(item: Item) -> bytes | None:
     """Return the envelope that withdraws the server of a key; None if no server has that key."""
     if not item.key.startswith(SERVERS_PREFIX):
@@ -271,17 +288,57 @@
             f"config_version {configuration.config_version!r} is not hexadecimal"
         ) from error
     keyless = not configuration.tenants
-    return types.ConfigurationSpec(
+    faults: list[str] = []
+    tenants = _entries("tenants", configuration.tenants or (), _Tenant, faults)
+    spec = types.ConfigurationSpec(
         version=version,
-        routes=tuple(_route(route, keyless) for route in configuration.routes),
-        workspaces=tuple(_workspace(tenant) for tenant in configuration.tenants or ()),
-        keys=tuple(key for tenant in configuration.tenants or () for key in _keys(tenant)),
-        pools=tuple(_pool(service, floor) for service in configuration.services),
-        callers=_callers(configuration.limits),
+        routes=tuple(
+            _entries(
+                "routes", configuration.routes, _Route, faults, lambda each: _route(each, keyless)
+            )
+        ),
+        workspaces=tuple(_workspace(tenant) for tenant in tenants),
+        keys=tuple(key for tenant in tenants for key in _keys(tenant)),
+        pools=tuple(
+            _entries(
+                "services",
+                configuration.services,
+                _Service,
+                faults,
+                lambda each: _pool(each, floor),
+            )
+        ),
+        callers=_callers(configuration.limits, faults),
     )
-
-
-def _callers(limits: _Limits | None) -> types.CallerLimits:
+    return partial.without_faulty_entries(spec, faults)
+
+
+def _entries(
+    group: str,
+    raw_entries: Iterable[msgspec.Raw],
+    expected: type,
+    faults: list[str],
+    convert: Callable = lambda entry: entry,
+) -> list:
+    """Return the entries that can be decoded and converted; add a fault for each other one."""
+    found = []
+    for index, raw in enumerate(raw_entries):
+        try:
+            found.append(convert(msgspec.json.decode(raw, type=expected)))
+        except MalformedValueError as error:
+            faults.append(f"{group}.{index}: {error.message}")
+        except (msgspec.DecodeError, RecursionError, ValueError) as error:
+            faults.append(f"{group}.{index}: {error}")
+    return found
+
+
+def _callers(raw: msgspec.Raw, faults: list[str]) -> types.CallerLimits:
+    for limits in _entries("limits", (raw,), _Limits | None, faults, _limits):
+        return limits
+    return types.CallerLimits()
+
+
+def _limits(limits: _Limits | None) -> types.CallerLimits:
     if limits is None:
         return types.CallerLimits()
     configured = {
@@ -331,7 +388,7 @@
 
 
 def _keys(tenant: _Tenant) -> list[types.NamedKey]:
-    digests = (hashlib.sha256(key.encode()).hexdigest() for key in tenant.api_keys)
+    digests = (hashlib.sha256(key.encode()).hexdigest() for key in dict.fromkeys(tenant.api_keys))
     return [
         types.NamedKey(name=digest, spec=types.KeySpec(workspace=tenant.name, sha256=digest))
         for digest in digests
@@ -342,6 +399,7 @@
     spec = types.PoolSpec(
         servers=(),
         floor=floor,
+        slots=min(_DEFAULT_SLOTS, service.max_connections),
         max_connections=service.max_connections,
         probe_path=service.health_path or "/",
     )
--- a/verbenadrum/records/checks.py
+++ b/verbenadrum/records/checks.py
@@ -15,15 +15,17 @@
 
 FLEET_RECORD_NAME = "fleet"
 
-_MAX_TIMEOUT_MS = 3_600_000.0
-_MAX_RATE_PER_S = 10_000_000.0
+# Far above every sound value, and small enough for sums of them.
+_MAX_TIMEOUT_MS = 1e12
+_MAX_RATE_PER_S = 1e12
+_MAX_WEIGHT = 1e12
 _MAX_SLOTS = 10_000
 _MAX_PORT = 65_535
 _MAX_OCTET = 255
 
 _METHOD = re.compile(r"[A-Z]+")
 _PATH = re.compile(r"/[^\s?#]*")
-_HOST_NAME = re.compile(r"[a-z0-9.-]*")
+_HOST_NAME = re.compile(r"[^\s/?#@A-Z]*")
 
 Check = Callable[[str, types.Spec], Iterator[str]]
 
@@ -73,6 +75,8 @@
     if not _HOST_NAME.fullmatch(spec.host):
         yield f"spec.host: {spec.host!r} is not a lower-case host name without a port"
     yield from _check_range("spec.timeout_ms", spec.timeout_ms, _MAX_TIMEOUT_MS)
+    for index, share in enumerate(spec.backends):
+        yield from _check_range(f"spec.backends.{index}.weight", share.weight, _MAX_WEIGHT)
     for index, method in enumerate(spec.idempotent_methods):
         if not _METHOD.fullmatch(method):
             yield f"spec.idempotent_methods.{index}: {method!r} is not an upper-case HTTP method"
--- a/verbenadrum/records/envelope.py
+++ b/verbenadrum/records/envelope.py
@@ -13,6 +13,7 @@
     "parse",
     "read_header",
     "render",
+    "render_refusal",
     "revision_of",
     "equals_rendered",
 ]
@@ -21,6 +22,8 @@
 # envelope of the configuration.
 MAX_ENVELOPE_BYTES = 33_554_432
 
+# Field of a spec that stands for one which could not be taken.
+_REFUSED_FIELD = "refused"
 _MAX_FAULTS = 20
 _MAX_FAULT_CHARS = 300
 
@@ -164,6 +167,27 @@
     return msgspec.json.encode(document)
 
 
+def render_refusal(kind: types.RecordKind, name: str, revision: int, fault: str) -> bytes:
+    """Return an envelope that every host rejects with a fault.
+
+    It tells all hosts of a revision that the host which read it could not take.
+
+    Examples
+    --------
+    >>> parse(render_refusal(types.RecordKind.KEY, "k", 3, "no number"))
+    Traceback (most recent call last):
+    verbenadrum.records.envelope.BadRecordError: bad-record: key 'k': no number
+    """
+    document = {
+        "kind": kind,
+        "name": name,
+        "revision": revision,
+        "schema": types.SCHEMA_VERSION,
+        "spec": {_REFUSED_FIELD: fault},
+    }
+    return msgspec.json.encode(document)
+
+
 def equals_rendered(raw: bytes, record: types.Record) -> bool:
     """Return whether `render` of the record gives the same JSON document as the envelope."""
     rendered = render(record)
@@ -202,6 +226,8 @@
 
 def _read_spec(header: EnvelopeHeader, kind: types.RecordKind, body: _Body) -> types.Spec:
     expected = _SPEC_TYPES[kind]
+    if isinstance(body.spec.get(_REFUSED_FIELD), str):
+        raise _bad_record(header, [body.spec[_REFUSED_FIELD]])
     upgraded = upgrades.upgrade(kind, body.schema, body.spec)
     try:
         spec = msgspec.convert(upgraded, expected)
--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -16,6 +16,7 @@
 __all__ = ["RecordStore", "Rejection", "Verdict"]
 
 _MAX_REJECTIONS = 500
+_REPORT_INTERVAL_MS = 60_000.0
 # A server whose record was withdrawn by a fault of the platform is published again within this
 # time. Any other has left.
 _LAPSED_TTL_MS = 2_000.0
@@ -90,6 +91,7 @@
         self._outdated_count = 0
         self._rejections: dict[tuple[str, str], Rejection] = {}
         self._newest_revision = 0
+        self._reported_ms = context.now_ms()
         # Monotonic time at which each server in the table was first seen as lapsed.
         self._lapsed_since_ms: dict[ids.ServerId, float] = {}
 
@@ -144,6 +146,8 @@
         if not quiet:
             reason = "withdrawn" if record.spec is None else "newer-revision"
             detail = {"revision": record.revision, "kind": header.kind}
+            if isinstance(record.spec, types.ConfigurationSpec) and record.spec.faults:
+                detail["faults"] = "; ".join(record.spec.faults)
             self._record_decision(Verdict.ACCEPTED, reason, record.name, detail)
         return Verdict.ACCEPTED
 
@@ -207,6 +211,25 @@
             if now_ms - since_ms >= _LAPSED_TTL_MS:
                 self._records.drop_lapsed(server)
 
+    def report_rejections(self) -> None:
+        """Record the rejected revisions and left-out entries as decisions again, now and then."""
+        now_ms = self._context.now_ms()
+        if now_ms - self._reported_ms < _REPORT_INTERVAL_MS:
+            return
+        self._reported_ms = now_ms
+        for each in self.rejections():
+            detail = {
+                "kind": each.kind,
+                "revision": each.revision,
+                "in_force": each.accepted_revision,
+                "faults": "; ".join(each.faults),
+            }
+            self._record_decision(Verdict.REJECTED, "still-rejected", each.name, detail)
+        faults = self._records.configuration_faults
+        if faults:
+            detail = {"version": self._records.configuration_version, "faults": "; ".join(faults)}
+            self._record_decision(Verdict.ACCEPTED, "entries-left-out", "configuration", detail)
+
     def rejections(self) -> tuple[Rejection, ...]:
         """Return the rejected revisions that no newer valid one has replaced, newest last."""
         return tuple(sorted(self._rejections.values(), key=lambda entry: entry.revision))
--- a/verbenadrum/records/table.py
+++ b/verbenadrum/records/table.py
@@ -48,6 +48,16 @@
         """Whether any route or configuration record is known."""
         return self._configuration is not None or bool(self._routes)
 
+    @property
+    def configuration_version(self) -> int | None:
+        """Version of the configuration record in force, or None without one."""
+        return None if self._configuration is None else self._configuration.version
+
+    @property
+    def configuration_faults(self) -> tuple[str, ...]:
+        """What was left out of the configuration record in force."""
+        return () if self._configuration is None else self._configuration.faults
+
     @property
     def caller_limits(self) -> types.CallerLimits:
         """Limits on requests and connections; the defaults before the first configuration."""
--- a/verbenadrum/records/types.py
+++ b/verbenadrum/records/types.py
@@ -34,7 +34,10 @@
 
 SCHEMA_VERSION = 2
 
+# Name of a record of its own.
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+# Name or text inside a record, which is bounded by the size of the record.
+Text = Annotated[str, msgspec.Meta(min_length=1)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
@@ -66,7 +69,7 @@
 class BackendShare(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """One of the services among which the requests of a route are divided by weight."""
 
-    service: Name
+    service: Text
     weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
 
 
@@ -100,8 +103,8 @@
         Rank under load; 0 is the most urgent.
     """
 
-    path_prefix: Name
-    service: Name
+    path_prefix: Text
+    service: Text
     host: str = ""
     public: bool = False
     timeout_ms: Positive = 10_000.0
@@ -143,7 +146,7 @@
 class KeySpec(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """SHA-256 of an API key, as lower-case hexadecimal digits, and the workspace it belongs to."""
 
-    workspace: Name
+    workspace: Text
     sha256: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
 
 
@@ -184,7 +187,7 @@
     ``service`` names the pool to which it is added; the other fields are those of `ServerEntry`.
     """
 
-    service: Name
+    service: Text
     address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
     data_centre: str = ""
     state: ServerState = ServerState.LIVE
@@ -261,28 +264,28 @@
 class NamedRoute(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """A route of a configuration record."""
 
-    name: Name
+    name: Text
     spec: RouteSpec
 
 
 class NamedWorkspace(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """A workspace of a configuration record."""
 
-    name: Name
+    name: Text
     spec: WorkspaceSpec
 
 
 class NamedKey(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """An API key of a configuration record."""
 
-    name: Name
+    name: Text
     spec: KeySpec
 
 
 class NamedPool(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True):
     """A pool of a configuration record; its servers may have records of their own."""
 
-    name: Name
+    name: Text
     spec: PoolSpec
 
 
@@ -312,7 +315,7 @@
 
     ``version`` is a number chosen by the operators; a record with a smaller ``version`` than the
     one in force has no effect, even if its revision is greater. ``callers`` limits what callers
-    may send.
+    may send. ``faults`` tells what was left out when the record was made.
     """
 
     version: Annotated[int, msgspec.Meta(ge=0)]
@@ -321,6 +324,7 @@
     keys: tuple[NamedKey, ...] = ()
     pools: tuple[NamedPool, ...] = ()
     callers: CallerLimits = CallerLimits()
+    faults: tuple[str, ...] = ()
 
 
 Spec = RouteSpec | WorkspaceSpec | KeySpec | PoolSpec | FleetSpec | ConfigurationSpec | ServerSpec
--- a/verbenadrum/utils/durations.py
+++ b/verbenadrum/utils/durations.py
@@ -1,5 +1,6 @@
 """Parsing of durations that are written as a number with a unit."""
 
+import math
 import re
 
 __all__ = ["parse_ms"]
@@ -25,4 +26,7 @@
     if found is None:
         raise ValueError(f"{text!r} is not a duration with the unit ms or s")
     number, unit = found.groups()
-    return float(number) * _MS_PER_UNIT[unit]
+    duration_ms = float(number) * _MS_PER_UNIT[unit]
+    if not math.isfinite(duration_ms):
+        raise ValueError(f"{text[:20]!r}... is too long for a duration")
+    return duration_ms
