--- a/standins/backend.py
+++ b/standins/backend.py
@@ -89,13 +89,15 @@
     """End of a run, as printed to standard output.
 
     ``at_ms`` is in milliseconds since the Unix epoch. An answer, if there is one, has been
-    handed to the operating system by then; it may not have reached the host yet.
+    handed to the operating system by then; it may not have reached the host yet. ``faulty`` says
+    that its head contradicted itself, so that it cannot be passed on.
     """
 
     server: str
     request: str
     at_ms: float
     outcome: RunOutcome
+    faulty: bool = False
 
 
 class RunCounts(msgspec.Struct, frozen=True, kw_only=True):
@@ -206,9 +208,15 @@
             self._by_key[f"{run.workspace}/{run.key}"] += 1
         print(msgspec.json.encode(run).decode(), flush=True)
 
-    def end_run(self, request: str, outcome: RunOutcome) -> None:
+    def end_run(self, request: str, outcome: RunOutcome, *, faulty: bool) -> None:
         """Print the end of a run."""
-        end = RunEnd(server=self.name, request=request, at_ms=time.time() * 1000.0, outcome=outcome)
+        end = RunEnd(
+            server=self.name,
+            request=request,
+            at_ms=time.time() * 1000.0,
+            outcome=outcome,
+            faulty=faulty,
+        )
         print(msgspec.json.encode(end).decode(), flush=True)
 
 
@@ -265,7 +273,7 @@
         try:
             outcome = self._execute_plan(plan, run, query, deadline_s, body_checksum)
         finally:
-            self.server.end_run(run.request, outcome)
+            self.server.end_run(run.request, outcome, faulty=bool(plan.framing))
 
     def _execute_plan(
         self, plan: behaviours.Plan, run: Run, query: dict, deadline_s: float, body_checksum: str
@@ -273,6 +281,8 @@
         """Wait for the service time and send the answer of the plan; return how the run ended."""
         if plan.crash:
             os._exit(_CRASH_EXIT_CODE)
+        if plan.interim:
+            self.wfile.write(b"HTTP/1.1 103 Early Hints\r\nX-Server: hint\r\n\r\n")
         outcome = self._simulate_work(plan.service_ms, deadline_s)
         if outcome is not RunOutcome.ANSWERED:
             return outcome
@@ -314,6 +324,7 @@
         answer_to_send = self.server.last_answer if plan.crossed else answer
         self.server.last_answer = answer
         cut = plan.truncation is not behaviours.Truncation.NONE
+        fields = behaviours.FRAMINGS.get(plan.framing, ())
         chunked = plan.truncation is behaviours.Truncation.CHUNKED
         self.send_response(200)
         self.send_header("X-Request-Id", answer_to_send.request)
@@ -324,13 +335,19 @@
             self.send_header("X-Draining", "true")
         if plan.limit_per_s is not None:
             self.send_header("X-Rate-Limit", f"{plan.limit_per_s:g}")
+        for field in fields:
+            name, _, value = field.partition(": ")
+            self.send_header(name, value.replace("%d", str(answer_to_send.body_bytes)))
         if chunked:
             self.send_header("Transfer-Encoding", "chunked")
-        else:
+        elif not fields:
             self.send_header("Content-Length", str(answer_to_send.body_bytes))
         self.end_headers()
         if self.command == "HEAD":
             return
+        if any("chunked" in field for field in fields):
+            self._write_chunks(answer_to_send)
+            return
         if chunked:
             self.wfile.write(b"%x\r\n" % answer_to_send.body_bytes)
         for block in answer_to_send.blocks():
@@ -339,6 +356,11 @@
                 break
         self.close_connection = self.close_connection or cut
 
+    def _write_chunks(self, answer: Answer) -> None:
+        for block in answer.blocks():
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(block), block))
+        self.wfile.write(b"0\r\n\r\n")
+
     def _send_status(self, status: int, *, not_run: bool, rest_ms: float = 0.0) -> None:
         self.send_response(status)
         self.send_header("X-Request-Id", self.headers.get("X-Request-Id", ""))
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -12,7 +12,16 @@
 
 from verbenadrum.utils import registry
 
-__all__ = ["Behaviour", "Call", "Fault", "Plan", "Truncation", "behaviours", "make_plan"]
+__all__ = [
+    "Behaviour",
+    "Call",
+    "FRAMINGS",
+    "Fault",
+    "Plan",
+    "Truncation",
+    "behaviours",
+    "make_plan",
+]
 
 HEALTH_PATH = "/health"
 CRASH_QUERY = "crash=1"
@@ -98,6 +107,10 @@
         Whether the process exits when the run starts.
     truncation : Truncation
         How the body is truncated.
+    framing : str
+        How the head contradicts itself about the body, as in `FRAMINGS`; empty for not at all.
+    interim : bool
+        Whether an interim head comes before the run.
     """
 
     service_ms: float
@@ -109,8 +122,19 @@
     crossed: bool = False
     crash: bool = False
     truncation: Truncation = Truncation.NONE
+    framing: str = ""
+    interim: bool = False
 
 
+# Headers that contradict the framing of a body; ``%d`` is its length. The body is sent in chunks
+# where a Transfer-Encoding says so.
+FRAMINGS = {
+    "chunks-and-length": ("Transfer-Encoding: chunked", "Content-Length: 9"),
+    "two-lengths": ("Content-Length: 3", "Content-Length: %d"),
+    "signed-length": ("Content-Length: +%d",),
+    "two-codings": ("Transfer-Encoding: gzip, chunked",),
+}
+
 Behaviour = Callable[[Plan, Call, Fault], None]
 behaviours: registry.Registry[Behaviour] = registry.Registry(kind="behaviour")
 
@@ -225,3 +249,13 @@
     if call.is_probe:
         plan.status = 503 if fault.mode == "ill" else 200
         plan.service_ms = 1.0
+
+
+@behaviours.register("frame")
+def _frame(plan: Plan, call: Call, fault: Fault) -> None:
+    plan.framing = fault.mode or "chunks-and-length"
+
+
+@behaviours.register("interim")
+def _interim(plan: Plan, call: Call, fault: Fault) -> None:
+    plan.interim = True
