--- a/conftest.py
+++ b/conftest.py
@@ -15,6 +15,8 @@
     return {line.split()[0]: _FLAKY_MARK not in line for line in entries}
 
 
+# First, since xdist appends the group of a test to its identifier.
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Mark the listed tests as expected failures; one that is not flaky must not pass."""
     known_failures = _known_failures()
