A shutting host logs how old its signal may be

The host keeps the times of the last ticks of its event loop, and the line `shutting down` gives the greatest age that the signal may have had. No decision changes.

--- a/verbenadrum/daemon/command.py
+++ b/verbenadrum/daemon/command.py
@@ -9,7 +9,7 @@
 import gevent
 from absl import flags
 
-from verbenadrum.daemon import host, logs
+from verbenadrum.daemon import heartbeat, host, logs
 from verbenadrum.settings import load, watch
 from verbenadrum.utils import clock, errors
 
@@ -36,6 +36,7 @@
         )
         return EXIT_BAD_SETTINGS
     path = pathlib.Path(_CONFIG.value)
+    beats = heartbeat.LoopHeartbeat(clock=clock.SystemClock())
     signal_handlers = _SignalHandlers(path=path)
     # Created before the file is read, so that a change during the start is detected.
     settings_watch = watch.SettingsWatch(path=path)
@@ -47,7 +48,7 @@
     writer = logs.configure(settings.log.level)
     gevent.get_hub().print_exception = _log_unhandled_error
     try:
-        new_host = host.Host(settings=settings, writer=writer)
+        new_host = host.Host(settings=settings, writer=writer, beats=beats)
         new_host.start()
     except (errors.VerbenadrumError, OSError) as error:
         writer.flush()
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -17,6 +17,7 @@
 from verbenadrum.daemon import (
     callers,
     connection_pools,
+    heartbeat,
     http_server,
     log_limits,
     log_writer,
@@ -84,6 +85,8 @@
         Validated settings.
     writer : LineWriter or None
         Queue of log lines, flushed with each batch of decisions.
+    beats : LoopHeartbeat or None
+        Records each tick of this host; None for one of its own.
 
     Raises
     ------
@@ -95,10 +98,15 @@
     """
 
     def __init__(
-        self, *, settings: types.Settings, writer: log_writer.LineWriter | None = None
+        self,
+        *,
+        settings: types.Settings,
+        writer: log_writer.LineWriter | None = None,
+        beats: heartbeat.LoopHeartbeat | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock.SystemClock()
+        self._beats = beats or heartbeat.LoopHeartbeat(clock=self._clock)
         self._stopped = event.Event()
         self._stopping = False
         self._greenlets: list[gevent.Greenlet] = []
@@ -227,7 +235,15 @@
         returns `_PEER_FLUSH_S` after all connections are closed, or halfway through the margin at
         the latest.
         """
-        _log.info("shutting down", extra={"in_flight": self._caller_server.in_flight})
+        _log.info(
+            "shutting down",
+            extra={
+                "in_flight": self._caller_server.in_flight,
+                "max_signal_age_ms": round(
+                    self._clock.now_ms() - self._beats.earliest_signal_ms, 1
+                ),
+            },
+        )
         table = self._settings.shutdown
         margin_ms = max(table.margin_ms, _MIN_MARGIN_MS)
         allowed_ms = max(0.0, table.limit_ms - margin_ms)
@@ -396,6 +412,7 @@
             # more, so that an answer that arrived before its deadline is handled before the tick
             # that expires the request.
             gevent.sleep(0)
+            self._beats.beat()
             for system in self._engine.systems:
                 self._run_guarded(type(system).__name__, system.on_tick)
             self._run_guarded(type(self._prober).__name__, self._prober.start_due_probes)
