LOST: a shutdown counts from when its signal was sent, not from when it was handled

What callers saw: a request that may run only once, passed on late in the grace of a planned stop, had no whole answer; the host was killed at the end of the grace, or answered 504, with a server at work on it.

Cause: the host counted the linger, the refusals and its own end from when it handled SIGTERM. A process that was not scheduled, or whose event loop was busy, did all of this as much later, while the platform counts from the sending. With a real process that was stopped for 0.7 s around SIGTERM (linger 3 s, limit 6 s), requests that came 3.0 s after it were passed on and cut at 6.0 s; with 1.2 s, those that came until 3.6 s.

Change: the host keeps the times of the last three ticks of its event loop. A signal that is handled now was sent after the oldest of them, and the shutdown counts from there. SIGTERM is taken in the loop's own callback, the requests' deadlines are capped there too, and whether an idempotent request comes too late is decided by the clock and not by a greenlet that may not have run yet.

--- a/benchmarks/rolling_stop.py
+++ b/benchmarks/rolling_stop.py
@@ -58,9 +58,11 @@
 
     def stop(name: str) -> None:
         host = fleet.hosts[name]
-        host.pipeline.cap_deadlines(fleet.clock.now_ms() + _ALLOWED_MS)
+        now_ms = fleet.clock.now_ms()
+        host.pipeline.cap_deadlines(
+            now_ms + _ALLOWED_MS, refuse_from_ms=now_ms + _LINGER_MS - _EARLY_REFUSAL_MS
+        )
         fleet.run_after(_ROTATION_DELAY_MS, lambda: out_of_rotation.add(name))
-        fleet.run_after(_LINGER_MS - _EARLY_REFUSAL_MS, host.pipeline.refuse_past_shutdown)
         fleet.run_after(_ALLOWED_MS + _RESTART_DELAY_MS, lambda: restart(name))
 
     def restart(name: str) -> None:
--- a/verbenadrum/daemon/command.py
+++ b/verbenadrum/daemon/command.py
@@ -37,7 +37,7 @@
         return EXIT_BAD_SETTINGS
     path = pathlib.Path(_CONFIG.value)
     beats = heartbeat.LoopHeartbeat(clock=clock.SystemClock())
-    signal_handlers = _SignalHandlers(path=path)
+    signal_handlers = _SignalHandlers(path=path, beats=beats)
     # Created before the file is read, so that a change during the start is detected.
     settings_watch = watch.SettingsWatch(path=path)
     try:
@@ -76,16 +76,24 @@
     ----------
     path : Path
         The settings file that SIGHUP reloads.
+    beats : LoopHeartbeat
+        Ticks of the host, which bound when a signal was sent.
     """
 
-    def __init__(self, *, path: pathlib.Path) -> None:
+    def __init__(self, *, path: pathlib.Path, beats: heartbeat.LoopHeartbeat) -> None:
         self._path = path
+        self._beats = beats
         self._host: host.Host | None = None
         self._reload_requested = False
         self._shutdown_ms: float | None = None
         gevent.signal_handler(signal.SIGHUP, self._on_reload)
-        gevent.signal_handler(signal.SIGTERM, self._on_shutdown)
-        gevent.signal_handler(signal.SIGINT, self._on_shutdown)
+        # A greenlet of `gevent.signal_handler` could start only after further ticks.
+        loop = gevent.get_hub().loop
+        self._watchers = [
+            loop.signal(number, ref=False) for number in (signal.SIGTERM, signal.SIGINT)
+        ]
+        for watcher in self._watchers:
+            watcher.start(self._on_shutdown)
 
     def attach(self, new_host: host.Host) -> None:
         """Apply the deferred signals to the host, and from now on each signal at once."""
@@ -102,6 +110,6 @@
 
     def _on_shutdown(self) -> None:
         if self._shutdown_ms is None:
-            self._shutdown_ms = clock.SystemClock().now_ms()
+            self._shutdown_ms = self._beats.earliest_signal_ms
         if self._host is not None:
             self._host.begin_shutdown(self._shutdown_ms)
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -50,9 +50,8 @@
 _PEER_FLUSH_S = 0.1
 _SEED_REQUEST_INTERVAL_S = 0.5
 _SHUTDOWN_POLL_INTERVAL_S = 0.02
-# Requests that could outlive the host are refused this long before the linger time ends: callers
-# measure that time from the sending of SIGTERM, which a busy process handles late.
-_MAX_SIGNAL_DELAY_MS = 250.0
+# Requests that could outlive the host are refused this long before the linger time ends.
+_EARLY_REFUSAL_MS = 250.0
 # Covers the two ticks within which overdue requests are refused, as long again for writing the
 # refusals, and the last messages to other hosts.
 _MIN_MARGIN_MS = 400.0
@@ -74,6 +73,30 @@
 _log = logging.getLogger(__name__)
 
 
+class _ShutdownTimes(msgspec.Struct, frozen=True, kw_only=True):
+    """Monotonic times of a shutdown, in milliseconds.
+
+    Attributes
+    ----------
+    since_ms : float
+        Time from which the others are counted; the signal was sent no earlier.
+    refuse_from_ms : float
+        When new requests that may outlive the host begin to be refused.
+    linger_end_ms : float
+        When the listener closes.
+    deadline_ms : float
+        When requests without an answer are refused.
+    close_by_ms : float
+        When the connections that are still open are closed.
+    """
+
+    since_ms: float
+    refuse_from_ms: float
+    linger_end_ms: float
+    deadline_ms: float
+    close_by_ms: float
+
+
 class Host:
     """One host: its decision core, network ports, connections and background tasks.
 
@@ -174,11 +197,18 @@
         Parameters
         ----------
         since_ms : float or None
-            Monotonic time in ms from which the shutdown times are measured; None for now.
+            Monotonic time in ms from which the shutdown times are measured, no later than the
+            signal was sent; None for now.
         """
-        if not self._stopping:
-            self._stopping = True
-            gevent.spawn(self._shut_down, self._clock.now_ms() if since_ms is None else since_ms)
+        if self._stopping:
+            return
+        self._stopping = True
+        times = _shutdown_times(
+            self._settings.shutdown, self._clock.now_ms() if since_ms is None else since_ms
+        )
+        gevent.spawn(self._shut_down, times)
+        # Not in the new greenlet: requests that are read before that runs are subject to it.
+        self._announce_shutdown(times)
 
     def follow_settings(self, settings_watch: watch.SettingsWatch) -> None:
         """Start to reload the settings whenever their file changes."""
@@ -218,51 +248,44 @@
         logging.getLogger().setLevel(new_settings.log.level)
         _log.info("settings reloaded", extra={"changed": changed, "in_force": applied})
 
-    def _shut_down(self, since_ms: float) -> None:
+    def _shut_down(self, times: "_ShutdownTimes") -> None:
         try:
-            self._finish_requests(since_ms)
+            self._finish_requests(times)
             self._close_ports()
         finally:
             # Even after an error, a process that accepts no requests must not keep running.
             self._stopped.set()
 
-    def _finish_requests(self, since_ms: float) -> None:
-        """Announce the shutdown, close the listener after the linger time and drain the requests.
+    def _announce_shutdown(self, times: "_ShutdownTimes") -> None:
+        """Announce the shutdown to other hosts and to callers, and cap the deadlines of requests.
 
-        A request without an answer at the deadline, which is the limit of the shutdown less its
-        margin (at least `_MIN_MARGIN_MS`), is refused. One that is not idempotent and may take
-        longer is refused from the start of the shutdown, before a server gets it. This method
-        returns `_PEER_FLUSH_S` after all connections are closed, or halfway through the margin at
-        the latest.
+        A request without an answer at the deadline is refused. One that is not idempotent and may
+        take longer is refused from now on, before a server gets it.
         """
         _log.info(
             "shutting down",
             extra={
                 "in_flight": self._caller_server.in_flight,
-                "max_signal_age_ms": round(
-                    self._clock.now_ms() - self._beats.earliest_signal_ms, 1
-                ),
+                "max_signal_age_ms": round(self._clock.now_ms() - times.since_ms, 1),
             },
         )
-        table = self._settings.shutdown
-        margin_ms = max(table.margin_ms, _MIN_MARGIN_MS)
-        allowed_ms = max(0.0, table.limit_ms - margin_ms)
-        deadline_ms = since_ms + allowed_ms
-        self._engine.start_shutdown(deadline_ms)
+        self._engine.start_shutdown(times.deadline_ms, refuse_from_ms=times.refuse_from_ms)
         self._caller_server.announce_close()
+
+    def _finish_requests(self, times: "_ShutdownTimes") -> None:
+        """Close the listener after the linger time and drain the requests.
+
+        This method returns `_PEER_FLUSH_S` after all connections are closed, or halfway through the
+        margin at the latest.
+        """
         # Keep accepting for a while: callers and load balancers notice the shutdown late.
-        linger_ms = min(table.linger_ms, allowed_ms / 2.0)
-        early_refusal_ms = min(_MAX_SIGNAL_DELAY_MS, linger_ms / 2.0)
-        self._sleep_until(since_ms + linger_ms - early_refusal_ms)
-        self._engine.refuse_past_shutdown()
-        self._sleep_until(since_ms + linger_ms)
-        late_ms = round(self._clock.now_ms() - since_ms - linger_ms, 1)
+        self._sleep_until(times.linger_end_ms)
+        late_ms = round(self._clock.now_ms() - times.linger_end_ms, 1)
         self._caller_server.drain()
         _log.info("listener closed", extra={**self._open_counts(), "late_ms": late_ms})
         # A request may still arrive on a keep-alive connection until that is closed, and requests
         # that are refused at the deadline get their answers after it.
-        close_by_ms = deadline_ms + margin_ms / 2.0 - _PEER_FLUSH_S * _MS_PER_S
-        while self._caller_server.connections and self._clock.now_ms() < close_by_ms:
+        while self._caller_server.connections and self._clock.now_ms() < times.close_by_ms:
             try:
                 self._caller_server.close_idle_connections()
             except Exception:
@@ -535,6 +558,21 @@
             self._metrics.add_gauge(name, unit, description, read)
 
 
+def _shutdown_times(table: types.ShutdownTable, since_ms: float) -> _ShutdownTimes:
+    """Return the times of a shutdown that began at ``since_ms``."""
+    margin_ms = max(table.margin_ms, _MIN_MARGIN_MS)
+    allowed_ms = max(0.0, table.limit_ms - margin_ms)
+    linger_ms = min(table.linger_ms, allowed_ms / 2.0)
+    deadline_ms = since_ms + allowed_ms
+    return _ShutdownTimes(
+        since_ms=since_ms,
+        refuse_from_ms=since_ms + linger_ms - min(_EARLY_REFUSAL_MS, linger_ms / 2.0),
+        linger_end_ms=since_ms + linger_ms,
+        deadline_ms=deadline_ms,
+        close_by_ms=deadline_ms + margin_ms / 2.0 - _PEER_FLUSH_S * _MS_PER_S,
+    )
+
+
 def _run_task(task: Callable[[], None]) -> None:
     """Run a background task to its end; one that fails is logged and started again."""
     while True:
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -77,9 +77,10 @@
 class HostWithServer:
     """A host in this process, with one backend server that has one slot."""
 
-    def __init__(self, delay_s):
+    def __init__(self, delay_s, beats=None):
         self.server = DelayedServer(delay_s)
-        self.host = host.Host(settings=load.parse_settings(SETTINGS, source="test"))
+        settings = load.parse_settings(SETTINGS, source="test")
+        self.host = host.Host(settings=settings, beats=beats)
         entry = types.ServerEntry(server="s1", address=self.server.address)
         specs = (
             (
--- a/verbenadrum/engine/engine.py
+++ b/verbenadrum/engine/engine.py
@@ -5,6 +5,7 @@
 machine's clock.
 """
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -213,20 +214,19 @@
         """Return the message to send to the seed peers while `ReadPlan.contact_seeds` is set."""
         return self.host_spread.list_request()
 
-    def start_shutdown(self, deadline_ms: float) -> None:
+    def start_shutdown(self, deadline_ms: float, *, refuse_from_ms: float = math.inf) -> None:
         """Announce to the peers that this host is shutting down, and cap request deadlines.
 
         Parameters
         ----------
         deadline_ms : float
             Monotonic time by which requests without an answer are refused.
+        refuse_from_ms : float
+            Monotonic time from which new requests are refused if their deadline is later than
+            ``deadline_ms``; those that are not idempotent are refused at once.
         """
         self.detector.announce_shutdown()
-        self.pipeline.cap_deadlines(deadline_ms)
-
-    def refuse_past_shutdown(self) -> None:
-        """Refuse new requests whose deadline is later than the time given to `start_shutdown`."""
-        self.pipeline.refuse_past_shutdown()
+        self.pipeline.cap_deadlines(deadline_ms, refuse_from_ms=refuse_from_ms)
 
     def apply_records(self, records: list[types.Record]) -> int:
         """Put records in force; return how many were newer than those in force before."""
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -62,7 +62,7 @@
         self._placer = placer
         self._rows: dict[ids.RequestId, table.RequestRow] = {}
         self._shutdown_at_ms = math.inf
-        self._refuses_past_shutdown = False
+        self._refuse_from_ms = math.inf
 
     @property
     def in_flight(self) -> int:
@@ -95,7 +95,8 @@
         now_ms = self._context.now_ms()
         deadline_ms = min(head.deadline_ms, now_ms + route.timeout_ms)
         idempotent = head.method in route.idempotent_methods
-        if deadline_ms > self._shutdown_at_ms and (self._refuses_past_shutdown or not idempotent):
+        ends_too_late = deadline_ms > self._shutdown_at_ms
+        if ends_too_late and (now_ms >= self._refuse_from_ms or not idempotent):
             self._refuse_head(head, sink, refusals.host_shutting_down(head, may_have_run=False))
             return
         spec = self._records.workspace(workspace) if workspace else None
@@ -115,18 +116,23 @@
         self._rows[head.request] = row
         self._admit(row)
 
-    def cap_deadlines(self, at_ms: float) -> None:
+    def cap_deadlines(self, at_ms: float, *, refuse_from_ms: float = math.inf) -> None:
         """Cap the deadline of every request, present or future.
 
         A request that is not idempotent, has no attempt in flight and may take longer is refused at
-        once, now or when it begins: its server could still be at work when this host ends.
+        once, now or when it begins: its server could still be at work when this host ends. One that
+        is idempotent, may take longer and begins at ``refuse_from_ms`` or later is refused as well:
+        its connection has been announced as closing, so its caller retries on another host at once.
 
         Parameters
         ----------
         at_ms : float
             Monotonic time until which this host waits for answers before it shuts down.
+        refuse_from_ms : float
+            Monotonic time from which idempotent requests that may take longer are refused.
         """
         self._shutdown_at_ms = at_ms
+        self._refuse_from_ms = refuse_from_ms
         for row in list(self._rows.values()):
             if row.deadline_ms <= at_ms:
                 continue
@@ -135,14 +141,6 @@
             if not (row.idempotent or row.attempts or row.stage in _UNTIMED_STAGES):
                 self._refuse(row, refusals.host_shutting_down(row.head, row.may_have_run))
 
-    def refuse_past_shutdown(self) -> None:
-        """Refuse idempotent requests too if their deadline exceeds the cap of `cap_deadlines`.
-
-        Their connections have been announced as closing, so a refused caller retries on another
-        host at once.
-        """
-        self._refuses_past_shutdown = True
-
     def commit(
         self,
         request: ids.RequestId,
--- a/verbenadrum/placement/tests/test_lost_answers.py
+++ b/verbenadrum/placement/tests/test_lost_answers.py
@@ -81,8 +81,7 @@
     host = fleet.hosts[name]
     signal_ms = fleet.clock.now_ms()
     at_servers = {id(log) for log in fleet.logs if log.host == name and log.attempts}
-    host.pipeline.cap_deadlines(signal_ms + LIMIT_MS)
-    fleet.run_after(LINGER_MS, host.pipeline.refuse_past_shutdown)
+    host.pipeline.cap_deadlines(signal_ms + LIMIT_MS, refuse_from_ms=signal_ms + LINGER_MS)
     for number in range(200):
         delay_ms = number * LIMIT_MS / 200.0
         fleet.run_after(delay_ms, lambda: fleet.request(name, path="/late", method="POST"))
