--- a/verbenadrum/daemon/connection_pools.py
+++ b/verbenadrum/daemon/connection_pools.py
@@ -82,7 +82,8 @@
             connection = answers.BoundedConnection(ip, port, timeout=connect_timeout_s)
             connection.connect()
             self._connect_count += 1
-            connection.timeout = timeout_s
+        # urllib3 applies this value again before it sends and before it reads.
+        connection.timeout = timeout_s
         connection.sock.settimeout(timeout_s)
         connection.request_ids.append(request_id)
         return connection
--- a/verbenadrum/daemon/tests/test_upstream.py
+++ b/verbenadrum/daemon/tests/test_upstream.py
@@ -56,6 +56,7 @@
     max_idle_s=math.inf,
     body=None,
     budget=None,
+    request_id="",
     **fields,
 ):
     order = ports.DispatchOrder(
@@ -69,7 +70,11 @@
         **fields,
     )
     outgoing = upstream.OutgoingRequest(
-        method=method, target="/", headers=(("Host", "a"),), body=body
+        method=method,
+        target="/",
+        headers=(("Host", "a"),),
+        body=body,
+        caller_request_id=request_id,
     )
     return upstream.Attempt(
         pools=pools,
@@ -88,6 +93,32 @@
     return raised.value.outcome
 
 
+class SlowBackend(Backend):
+    """Backend server that waits before each answer; ``pauses_s`` are its waits, in order."""
+
+    def __init__(self, answers, pauses_s):
+        self.answers = list(zip(answers, pauses_s, strict=True))
+        super().__init__(b"")
+
+    def handle(self, sock, address):
+        while sock.recv(65_536):
+            answer, pause_s = self.answers.pop(0)
+            gevent.sleep(pause_s)
+            sock.sendall(answer)
+
+
+@pytest.mark.parametrize("first_s", [0.2, 5.0])
+def test_attempt_on_a_reused_connection_has_its_own_time_and_not_that_of_an_earlier_one(
+    pools, first_s
+):
+    answer = HEAD + b"Content-Length: 2\r\n\r\nok"
+    backend = SlowBackend([answer, answer.replace(b"q1", b"q2")], [0.0, 0.6])
+    attempt(pools, backend.address, timeout_s=first_s, request_id="q1").run()
+    second = attempt(pools, backend.address, timeout_s=3.0, request_id="q2")
+    assert second.run().prefetched == b"ok"
+    assert pools.connect_count == 1
+
+
 def test_whole_answer_and_warm_connection(pools):
     """Complete responses are prefetched, also when attempts follow one another."""
     backend = Backend(HEAD + b"Content-Length: 2\r\n\r\nok")
