A fault in a step of the shutdown no longer ends the process at once

What callers would see: a connection closed without an answer, of every request in flight at a host that has SIGTERM and meets an error of ours while it announces its end or closes its listener.

Cause: Host._shut_down went from any error straight to the end of the process.

Change: each step runs by itself; an error is logged (`a step of the shutdown failed`) and the next steps follow, so that requests in flight are finished up to the host's limit. Deadlines are capped before peers are told.

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -250,10 +250,12 @@
 
     def _shut_down(self, times: "_ShutdownTimes") -> None:
         try:
-            self._finish_requests(times)
-            self._close_ports()
+            # Keep accepting for a while: callers and load balancers notice the shutdown late.
+            self._sleep_until(times.linger_end_ms)
+            _run_shutdown_step("close listener", lambda: self._close_listener(times))
+            _run_shutdown_step("finish requests", lambda: self._finish_requests(times))
+            _run_shutdown_step("close ports", self._close_ports)
         finally:
-            # Even after an error, a process that accepts no requests must not keep running.
             self._stopped.set()
 
     def _announce_shutdown(self, times: "_ShutdownTimes") -> None:
@@ -269,20 +271,26 @@
                 "max_signal_age_ms": round(self._clock.now_ms() - times.since_ms, 1),
             },
         )
-        self._engine.start_shutdown(times.deadline_ms, refuse_from_ms=times.refuse_from_ms)
         self._caller_server.announce_close()
+        _run_shutdown_step(
+            "cap deadlines",
+            lambda: self._engine.cap_deadlines(
+                times.deadline_ms, refuse_from_ms=times.refuse_from_ms
+            ),
+        )
+        _run_shutdown_step("announce to peers", self._engine.announce_shutdown)
+
+    def _close_listener(self, times: "_ShutdownTimes") -> None:
+        late_ms = round(self._clock.now_ms() - times.linger_end_ms, 1)
+        self._caller_server.drain()
+        _log.info("listener closed", extra={**self._open_counts(), "late_ms": late_ms})
 
     def _finish_requests(self, times: "_ShutdownTimes") -> None:
-        """Close the listener after the linger time and drain the requests.
+        """Wait for the requests in flight, and close each connection that becomes idle.
 
         This method returns `_PEER_FLUSH_S` after all connections are closed, or halfway through the
         margin at the latest.
         """
-        # Keep accepting for a while: callers and load balancers notice the shutdown late.
-        self._sleep_until(times.linger_end_ms)
-        late_ms = round(self._clock.now_ms() - times.linger_end_ms, 1)
-        self._caller_server.drain()
-        _log.info("listener closed", extra={**self._open_counts(), "late_ms": late_ms})
         # A request may still arrive on a keep-alive connection until that is closed, and requests
         # that are refused at the deadline get their answers after it.
         while self._caller_server.connections and self._clock.now_ms() < times.close_by_ms:
@@ -558,6 +566,17 @@
             self._metrics.add_gauge(name, unit, description, read)
 
 
+def _run_shutdown_step(name: str, step: Callable[[], None]) -> None:
+    """Run one step of a shutdown; an error is logged, and the next steps follow all the same.
+
+    To end the process instead would cut the requests in flight.
+    """
+    try:
+        step()
+    except Exception:
+        _log.exception("a step of the shutdown failed", extra={"step": name})
+
+
 def _shutdown_times(table: types.ShutdownTable, since_ms: float) -> _ShutdownTimes:
     """Return the times of a shutdown that began at ``since_ms``."""
     margin_ms = max(table.margin_ms, _MIN_MARGIN_MS)
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -263,6 +263,30 @@
     assert clean
 
 
+@pytest.mark.parametrize(
+    ("owner", "step"),
+    [
+        (lambda running: running._engine.detector, "announce_shutdown"),
+        (lambda running: running._engine.pipeline, "cap_deadlines"),
+        (lambda running: running._caller_server, "drain"),
+    ],
+)
+def test_fault_in_a_step_of_the_shutdown_cuts_no_request(quick, monkeypatch, caplog, owner, step):
+    def fail(*arguments, **options):
+        raise KeyError("unexpected")
+
+    monkeypatch.setattr(owner(quick.host), step, fail)
+    quick.server.delay_s = 0.6
+    in_flight = quick.send_request()
+    wait_until(lambda: quick.server.heads)
+    quick.host.begin_shutdown()
+    data, clean = read_to_end(in_flight)
+    assert not quick.host._stopped.is_set()
+    assert data.startswith(b"HTTP/1.1 200 ") and clean
+    assert "a step of the shutdown failed" in [each.getMessage() for each in caplog.records]
+    quick.host.wait()
+
+
 def test_answer_that_arrived_before_the_deadline_is_delivered_by_a_host_that_is_late(stalled):
     stall = monkey.get_original("time", "sleep")
     with stalled.connect() as sock:
--- a/verbenadrum/engine/engine.py
+++ b/verbenadrum/engine/engine.py
@@ -214,8 +214,12 @@
         """Return the message to send to the seed peers while `ReadPlan.contact_seeds` is set."""
         return self.host_spread.list_request()
 
-    def start_shutdown(self, deadline_ms: float, *, refuse_from_ms: float = math.inf) -> None:
-        """Announce to the peers that this host is shutting down, and cap request deadlines.
+    def announce_shutdown(self) -> None:
+        """Announce to the peers that this host is shutting down."""
+        self.detector.announce_shutdown()
+
+    def cap_deadlines(self, deadline_ms: float, *, refuse_from_ms: float = math.inf) -> None:
+        """Cap the deadlines of requests, because this host is shutting down.
 
         Parameters
         ----------
@@ -225,7 +229,6 @@
             Monotonic time from which new requests are refused if their deadline is later than
             ``deadline_ms``; those that are not idempotent are refused at once.
         """
-        self.detector.announce_shutdown()
         self.pipeline.cap_deadlines(deadline_ms, refuse_from_ms=refuse_from_ms)
 
     def apply_records(self, records: list[types.Record]) -> int:
--- a/verbenadrum/membership/tests/test_detector.py
+++ b/verbenadrum/membership/tests/test_detector.py
@@ -1,6 +1,5 @@
 """Tests of the failure detector over lossy and partitioned channels, and of the host table."""
 
-import math
 
 import pytest
 
@@ -88,7 +87,7 @@
 def test_leaving_host_gets_no_new_work_until_it_restarts():
     fleet = ready_fleet(15)
     fleet.channel.conditions.loss = 0.05
-    fleet.hosts["h0102"].engine.start_shutdown(math.inf)
+    fleet.hosts["h0102"].engine.announce_shutdown()
     fleet.run(1_000)
     for name, host in fleet.hosts.items():
         members = host.engine.membership
