A host that took its signal late still gives requests in flight their time

Since the shutdown counts from the earliest time at which its signal may have been sent, a host that stood still before SIGTERM refused requests in flight earlier than the end of its time, with their servers at work: up to the length of the stall, so before the last sixth of the grace after one of 0.4 s and more.

Change: new requests go by the earlier time. Requests in flight have the time allowed from when the signal was handled, as far as 300 ms are left to refuse the rest and exit by the limit, counted from the earlier time.

Result: test_late_signal_leaves_requests_in_flight_their_time_and_the_host_its_limit at ages of 0, 150, 600 and 5,000 ms; without the change it fails for each age but 0 (the deadline was 5,400 ms less the age).

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -55,6 +55,8 @@
 # Covers the two ticks within which overdue requests are refused, as long again for writing the
 # refusals, and the last messages to other hosts.
 _MIN_MARGIN_MS = 400.0
+# The same for a host that handled its signal late: a tick, the refusals and the last messages.
+_LATE_MARGIN_MS = 300.0
 _MAX_IDLE_PER_SERVER = 8
 # Pool homes count an idle connection for 60 s after its last use, so it must be closed by then.
 _IDLE_CONNECTION_TIMEOUT_S = 45.0
@@ -203,8 +205,11 @@
         if self._stopping:
             return
         self._stopping = True
+        now_ms = self._clock.now_ms()
         times = _shutdown_times(
-            self._settings.shutdown, self._clock.now_ms() if since_ms is None else since_ms
+            self._settings.shutdown,
+            since_ms=now_ms if since_ms is None else since_ms,
+            handled_ms=now_ms,
         )
         gevent.spawn(self._shut_down, times)
         # Not in the new greenlet: requests that are read before that runs are subject to it.
@@ -577,18 +582,28 @@
         _log.exception("a step of the shutdown failed", extra={"step": name})
 
 
-def _shutdown_times(table: types.ShutdownTable, since_ms: float) -> _ShutdownTimes:
-    """Return the times of a shutdown that began at ``since_ms``."""
+def _shutdown_times(
+    table: types.ShutdownTable, *, since_ms: float, handled_ms: float
+) -> _ShutdownTimes:
+    """Return the times of a shutdown whose signal was sent between two monotonic times.
+
+    New requests are refused by the earlier time. Those in flight have the time allowed from the
+    later one, as far as the host can still end by its limit from the earlier one.
+    """
     margin_ms = max(table.margin_ms, _MIN_MARGIN_MS)
     allowed_ms = max(0.0, table.limit_ms - margin_ms)
     linger_ms = min(table.linger_ms, allowed_ms / 2.0)
-    deadline_ms = since_ms + allowed_ms
+    limit_ms = since_ms + table.limit_ms
+    deadline_ms = max(
+        since_ms + allowed_ms, min(handled_ms + allowed_ms, limit_ms - _LATE_MARGIN_MS)
+    )
+    flush_ms = _PEER_FLUSH_S * _MS_PER_S
     return _ShutdownTimes(
         since_ms=since_ms,
         refuse_from_ms=since_ms + linger_ms - min(_EARLY_REFUSAL_MS, linger_ms / 2.0),
         linger_end_ms=since_ms + linger_ms,
         deadline_ms=deadline_ms,
-        close_by_ms=deadline_ms + margin_ms / 2.0 - _PEER_FLUSH_S * _MS_PER_S,
+        close_by_ms=min(deadline_ms + margin_ms / 2.0, limit_ms - flush_ms) - flush_ms,
     )
 
 
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -16,6 +16,7 @@
 from verbenadrum.daemon.tests import test_command
 from verbenadrum.records import types
 from verbenadrum.settings import load
+from verbenadrum.settings import types as settings_types
 
 TIMEOUT_S = 10.0
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -429,3 +430,12 @@
             sock.sendall(smuggled)
             assert not sock.recv(65_536)
     assert not any(b"smuggled" in seen for seen in stalled.server.heads)
+
+
+@pytest.mark.parametrize("age_ms", [0.0, 150.0, 600.0, 5_000.0])
+def test_late_signal_leaves_requests_in_flight_their_time_and_the_host_its_limit(age_ms):
+    table = settings_types.ShutdownTable(linger_ms=3_000.0, limit_ms=6_000.0, margin_ms=600.0)
+    times = host._shutdown_times(table, since_ms=-age_ms, handled_ms=0.0)
+    assert times.deadline_ms == max(5_400.0 - age_ms, min(5_400.0, 5_700.0 - age_ms))
+    assert times.deadline_ms < times.close_by_ms <= 5_800.0 - age_ms
+    assert times.linger_end_ms == 2_700.0 - age_ms
--- a/verbenadrum/membership/tests/test_detector.py
+++ b/verbenadrum/membership/tests/test_detector.py
@@ -1,6 +1,5 @@
 """Tests of the failure detector over lossy and partitioned channels, and of the host table."""
 
-
 import pytest
 
 from standins import spreading
