--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -117,7 +117,7 @@
         request = ids.RequestId(uuid.uuid4().hex)
         started_ms = self._clock.now_ms()
         try:
-            head, outgoing = self._read_head(environ, request)
+            head, outgoing = self._read_head(environ, request, started_ms)
         except targets.BadRequestError as error:
             return self._problem_response(_bad_request(request, error))
         if head.method not in _SERVED_METHODS:
@@ -160,8 +160,10 @@
         return _passed_on(answer) if len(body) > _READ_BYTES else _copied(answer, body)
 
     def _read_head(
-        self, environ: dict, request: ids.RequestId
+        self, environ: dict, request: ids.RequestId, started_ms: float
     ) -> tuple[ports.RequestHead, upstream.OutgoingRequest]:
+        # The caller's time runs while its body is read.
+        deadline_ms = started_ms + self._parse_remaining_ms(environ)
         target = targets.parse_target(environ[http_server.TARGET_KEY], self._key_places)
         authority = target.authority or environ.get("HTTP_HOST", "")
         key = targets.find_key(environ, target, self._headers.key_scheme, self._key_places)
@@ -180,7 +182,7 @@
             query=target.query,
             api_key=key,
             idempotency_key=ids.IdempotencyKey(environ.get("HTTP_IDEMPOTENCY_KEY", "").strip()),
-            deadline_ms=self._parse_deadline_ms(environ),
+            deadline_ms=deadline_ms,
             body_length=length,
             body_buffered=body is None or isinstance(body, bytes),
             body_digest=xxhash.xxh3_64_hexdigest(body) if isinstance(body, bytes) else "",
@@ -257,7 +259,7 @@
             remaining -= len(piece) if remaining > 0 else 0
             yield piece
 
-    def _parse_deadline_ms(self, environ: dict) -> float:
+    def _parse_remaining_ms(self, environ: dict) -> float:
         text = environ.get(self._deadline_key)
         if text is None:
             return math.inf
@@ -268,7 +270,7 @@
             raise targets.BadRequestError(f"{name} is no number") from error
         if not remaining_ms > 0:
             raise targets.BadRequestError(f"{name} must be greater than 0")
-        return self._clock.now_ms() + remaining_ms
+        return remaining_ms
 
     def _wait_for_result(
         self, sink: exchange.Exchange, head: ports.RequestHead, environ: dict
--- a/verbenadrum/daemon/tests/test_callers.py
+++ b/verbenadrum/daemon/tests/test_callers.py
@@ -1,13 +1,18 @@
 """Tests of the callers' port with real sockets and the baseline implementation of each system."""
 
+import json
 import random
+import socket
 import ssl
+import time
 import tracemalloc
 
+import gevent
 import pytest
 import urllib3
 from gevent import server
 
+from standins import raw_answer
 from verbenadrum.core import context, ports
 from verbenadrum.daemon import callers, connection_pools, http_server, sockets
 from verbenadrum.daemon.tests import certificates
@@ -107,8 +112,8 @@
 def serve():
     running: list[server.BaseServer] = []
 
-    def start(tls=None):
-        backend = Backend()
+    def start(tls=None, backend=None):
+        backend = backend or Backend()
         core, time = make_engine(backend.address)
         port = callers.CallersPort(
             engine=core,
@@ -169,3 +174,72 @@
     assert answer.headers["X-Request-Id"] != "forged"
     assert b"HTTP_X_API_KEY" not in answer.data
     assert b"HTTP_X_WORKSPACE" in answer.data
+
+
+class DeadlineBackend(Backend):
+    """Backend server that responds with the deadline it was given; ``requests`` counts its runs."""
+
+    def __init__(self):
+        super().__init__()
+        self.requests = 0
+
+    def answer(self, environ, start_response):
+        self.requests += 1
+        while environ["wsgi.input"].read(50_000):
+            pass
+        body = environ["HTTP_X_DEADLINE_MS"].encode()
+        headers = [("X-Request-Id", environ["HTTP_X_REQUEST_ID"])]
+        start_response("200 OK", [*headers, ("Content-Length", str(len(body)))])
+        return [body]
+
+
+PAUSE_S = 0.6
+# Each with its framing, the part of the body before the pause and the part after it.
+SLOW_BODIES = {
+    "length": ("Content-Length: 6", b"abc", b"def"),
+    "chunks": ("Transfer-Encoding: chunked", b"3\r\nabc\r\n", b"3\r\ndef\r\n0\r\n\r\n"),
+    "streamed-chunks": (
+        "Transfer-Encoding: chunked",
+        b"3\r\nabc\r\n",
+        b"%x\r\n%s\r\n0\r\n\r\n" % (100_000, b"x" * 100_000),
+    ),
+}
+
+
+def post_slowly(address, case, deadline_ms):
+    """Send a request whose body pauses; return its answer, and the time left after the pause."""
+    framing, first, rest = SLOW_BODIES[case]
+    lines = ["POST /x HTTP/1.1", "Host: a", "X-Api-Key: secret", framing]
+    lines.append(f"X-Deadline-Ms: {deadline_ms}")
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port))) as sock:
+        sock.settimeout(20.0)
+        sock.sendall("\r\n".join([*lines, "", ""]).encode() + first)
+        sent_s = time.monotonic()
+        gevent.sleep(PAUSE_S)
+        left_ms = deadline_ms - (time.monotonic() - sent_s) * 1000.0
+        sock.sendall(rest)
+        reader = raw_answer.AnswerReader(sock=sock)
+        answer = reader.read_head()
+        reader.read_body(answer, iter(()))
+    return answer, left_ms
+
+
+# The time that a caller took to send its body was handed to the server once more.
+@pytest.mark.parametrize("case", SLOW_BODIES)
+def test_server_is_handed_no_more_time_than_a_slow_body_leaves(serve, case):
+    address = serve(backend=DeadlineBackend())
+    answer, left_ms = post_slowly(address, case, 10_000)
+    assert answer.status == 200
+    # The host may read the head a little later than it was sent.
+    assert int(answer.body) <= left_ms + PAUSE_S * 1000.0 / 2.0
+
+
+@pytest.mark.parametrize("case", SLOW_BODIES)
+def test_request_whose_body_comes_after_its_deadline_is_not_sent(serve, case):
+    backend = DeadlineBackend()
+    answer, left_ms = post_slowly(serve(backend=backend), case, 300)
+    assert left_ms < 0.0
+    refusal = json.loads(answer.body)
+    assert (refusal["code"], refusal["not_run"]) == ("deadline-passed", "true")
+    assert backend.requests == 0
