Soak of planned work: limits of a deployment, time budgets, slow answers, stalls, many hosts

Users lost requests around planned stops that the soak could not show: its hosts were killed three seconds after their limit, its requests had no time budget, its servers sent answers at once and its processes were always scheduled.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -2,8 +2,10 @@
 
 It handles HTTP/1.1 without a WSGI server, which would not let it send malformed answers. Two query
 parameters choose the answer: ``ms`` is the service time in milliseconds, ``size`` the length of the
-body in bytes. The first line of a body is the caller's ``X-Nonce`` header, or the path without one;
-``/echo`` adds the headers of the request as JSON. The start and the end of each run are printed to
+body in bytes. With ``pieces`` the body is sent in so many parts, each after a pause of ``pause``
+milliseconds, and with ``chunked=1`` it is sent in chunks. The first line of a body is the caller's
+``X-Nonce`` header, or the path without one; ``/echo`` adds the headers of the request as JSON. The
+start and the end of each run are printed to
 standard output as JSON lines, so that they survive a crash of the process. A run is one execution
 of a request that is no health probe. A request that gets no slot before its deadline, which is 60 s
 after its arrival without an ``X-Deadline-Ms`` header, is refused with 503 as not run.
@@ -20,7 +22,7 @@
 import socket
 import time
 import urllib.parse
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import gevent
 import msgspec
@@ -126,6 +128,13 @@
             yield block[:remaining_bytes]
             remaining_bytes -= _BLOCK_BYTES
 
+    def pieces(self, count: int) -> Iterator[bytes]:
+        """Yield the body in at most ``count`` pieces of about the same length."""
+        body = b"".join(self.blocks())
+        size = max(1, -(-len(body) // count))
+        for start in range(0, len(body), size):
+            yield body[start : start + size]
+
     def checksum(self) -> str:
         """Return the XXH3 64-bit checksum of the whole body, in hexadecimal."""
         digest = xxhash.xxh3_64()
@@ -134,6 +143,23 @@
         return digest.hexdigest()
 
 
+class _Delivery(msgspec.Struct, frozen=True, kw_only=True):
+    """How a body is sent: in chunks or with a length, and in pieces with pauses before them."""
+
+    chunked: bool
+    pieces: int
+    pause_s: float
+
+    @classmethod
+    def from_query(cls, query: dict[str, list[str]]) -> "_Delivery":
+        """Return what the query of a request asks for."""
+        return cls(
+            chunked=query.get("chunked") == ["1"],
+            pieces=int(query.get("pieces", ["0"])[0]),
+            pause_s=float(query.get("pause", ["0"])[0]) / 1000.0,
+        )
+
+
 class Backend:
     """State that all connections of one backend server share.
 
@@ -289,7 +315,7 @@
         if plan.status != 200:
             self._send_status(plan.status, not_run=False)
         else:
-            self._send_answer(plan, self._build_answer(run.request, query), body_checksum)
+            self._send_answer(plan, self._build_answer(run.request, query), body_checksum, query)
         return outcome
 
     def _build_answer(self, request: str, query: dict) -> Answer:
@@ -320,12 +346,17 @@
         except OSError:
             return True
 
-    def _send_answer(self, plan: behaviours.Plan, answer: Answer, body_checksum: str) -> None:
+    def _send_answer(
+        self, plan: behaviours.Plan, answer: Answer, body_checksum: str, query: dict
+    ) -> None:
         answer_to_send = self.server.last_answer if plan.crossed else answer
         self.server.last_answer = answer
         cut = plan.truncation is not behaviours.Truncation.NONE
         fields = behaviours.FRAMINGS.get(plan.framing, ())
-        chunked = plan.truncation is behaviours.Truncation.CHUNKED
+        delivery = _Delivery.from_query(query)
+        chunked = plan.truncation is behaviours.Truncation.CHUNKED or (
+            delivery.chunked and not cut and not fields
+        )
         self.send_response(200)
         self.send_header("X-Request-Id", answer_to_send.request)
         self.send_header("X-Checksum", answer_to_send.checksum())
@@ -346,7 +377,10 @@
         if self.command == "HEAD":
             return
         if any("chunked" in field for field in fields):
-            self._write_chunks(answer_to_send)
+            self._write_chunks(answer_to_send.blocks())
+            return
+        if not cut and (chunked or delivery.pieces):
+            self._write_pieces(answer_to_send, delivery, chunked=chunked)
             return
         if chunked:
             self.wfile.write(b"%x\r\n" % answer_to_send.body_bytes)
@@ -356,8 +390,26 @@
                 break
         self.close_connection = self.close_connection or cut
 
-    def _write_chunks(self, answer: Answer) -> None:
-        for block in answer.blocks():
+    def _write_pieces(self, answer: Answer, delivery: _Delivery, *, chunked: bool) -> None:
+        pieces = answer.pieces(delivery.pieces) if delivery.pieces else answer.blocks()
+        pieces = self._paused(pieces, delivery.pause_s)
+        if chunked:
+            self._write_chunks(pieces)
+            return
+        for piece in pieces:
+            self.wfile.write(piece)
+
+    def _paused(self, pieces: Iterable[bytes], pause_s: float) -> Iterator[bytes]:
+        """Yield the pieces, each after a pause that the caller's leaving ends."""
+        for piece in pieces:
+            end_s = time.monotonic() + pause_s
+            while (left_s := end_s - time.monotonic()) > 0:
+                if self._caller_disconnected(left_s):
+                    raise ConnectionResetError
+            yield piece
+
+    def _write_chunks(self, blocks: Iterable[bytes]) -> None:
+        for block in blocks:
             self.wfile.write(b"%x\r\n%s\r\n" % (len(block), block))
         self.wfile.write(b"0\r\n\r\n")
 
--- a/standins/planned_work.py
+++ b/standins/planned_work.py
@@ -14,7 +14,7 @@
 import msgspec
 from gevent import event
 
-from standins import child, fleet, soak_configuration
+from standins import child, fleet, soak_configuration, soak_stalls
 from verbenadrum.daemon import sockets
 from verbenadrum.utils import registry
 
@@ -25,8 +25,7 @@
 _STEP_GAP_S = (0.1, 0.9)
 _RESTART_PAUSE_S = (0.0, 0.3)
 _CHECK_INTERVAL_S = 0.005
-# A host that runs this much longer than its limit is killed.
-_KILL_GRACE_S = 3.0
+_SERIES_GAP_S = (0.02, 0.4)
 _START_TIMEOUT_S = 20.0
 _IDLE_TIMEOUTS_MS = (300.0, 1_000.0, 3_000.0, soak_configuration.INITIAL_IDLE_TIMEOUT_MS)
 _ROUTE_TIMEOUTS_MS = (1_500.0, 3_000.0, soak_configuration.INITIAL_ROUTE_TIMEOUT_MS)
@@ -37,13 +36,23 @@
     """Graceful shutdown of the hosts, in milliseconds; see `verbenadrum.settings.types`.
 
     A host that gets SIGTERM accepts connections for another ``linger_ms``, refuses requests still
-    in flight ``margin_ms`` before ``limit_ms``, and exits by ``limit_ms``.
+    in flight ``margin_ms`` before ``limit_ms``, and exits by ``limit_ms``, when it is killed.
     """
 
     linger_ms: float = 600.0
     limit_ms: float = 2_000.0
     margin_ms: float = 500.0
 
+    @property
+    def cutoff_ms(self) -> float:
+        """Time after SIGTERM at which requests still in flight are refused."""
+        return self.limit_ms - self.margin_ms
+
+    @property
+    def listening_ms(self) -> float:
+        """Time after SIGTERM for which a host accepts connections."""
+        return min(self.linger_ms, self.cutoff_ms / 2.0)
+
     @property
     def table(self) -> str:
         """``[shutdown]`` table of the settings file, as TOML."""
@@ -65,7 +74,11 @@
     exit_code : int or None
         Exit code after the shutdown; None before, and if the process had to be killed.
     killed_ms : float
-        When the process was killed by SIGKILL.
+        When the process was killed by SIGKILL, as an unplanned fault.
+    limit_kill_ms : float
+        When the process was killed by SIGKILL because it still ran at its limit.
+    stalls : list of Stall
+        When the process was not scheduled.
     sigterm_sent : Event
         Set when the first SIGTERM is sent.
     """
@@ -78,6 +91,8 @@
     ended_ms: float = 0.0
     exit_code: int | None = None
     killed_ms: float = 0.0
+    limit_kill_ms: float = 0.0
+    stalls: list[soak_stalls.Stall] = msgspec.field(default_factory=list)
     sigterm_sent: event.Event = msgspec.field(default_factory=event.Event)
 
     @property
@@ -85,6 +100,13 @@
         """Time of the first SIGTERM, or 0 if none was sent."""
         return self.signals_ms[0] if self.signals_ms else 0.0
 
+    @property
+    def sigterm_stall(self) -> soak_stalls.Stall | None:
+        """Stall during which the first SIGTERM was sent, or None."""
+        sent_ms = self.sigterm_ms
+        found = (stall for stall in self.stalls if stall.begun_ms <= sent_ms <= stall.ended_ms)
+        return next(found, None)
+
 
 class Step(msgspec.Struct, frozen=True, kw_only=True):
     """One operation of planned work.
@@ -107,12 +129,31 @@
     random_fraction: float
 
 
-actions: registry.Registry[Callable[["PlannedWork", Step], None]] = registry.Registry(kind="work")
+_Action = Callable[["PlannedWork", Step], None]
+actions: registry.Registry[_Action] = registry.Registry(kind="work")
+# Apart from the others, whose draws would change with their number.
+many_actions: registry.Registry[_Action] = registry.Registry(kind="work of many hosts")
+
 
+def draw_steps(
+    rng: random.Random, hosts: list[str], seconds: float, *, many: bool = False
+) -> Iterator[Step]:
+    """Yield steps at random times, in order, until a run of ``seconds`` ends.
 
-def draw_steps(rng: random.Random, hosts: list[str], seconds: float) -> Iterator[Step]:
-    """Yield steps at random times, in order, until a run of ``seconds`` ends."""
+    Parameters
+    ----------
+    rng : random.Random
+        Source of random numbers.
+    hosts : list of str
+        All hosts.
+    seconds : float
+        Length of the run.
+    many : bool
+        Whether one step in three ends many hosts.
+    """
     names = list(actions)
+    if many:
+        names += list(many_actions) * (len(names) // 2 // len(many_actions))
     at_s = rng.uniform(*_STEP_GAP_S)
     while at_s < seconds:
         yield Step(
@@ -135,6 +176,8 @@
         Shutdown settings of the hosts.
     rng : random.Random
         Source of random numbers.
+    stall_rng : random.Random or None
+        Source of the stalls of hosts that are shut down; None for no stalls.
 
     Attributes
     ----------
@@ -148,7 +191,14 @@
         Failures of the fleet that concern no single request.
     """
 
-    def __init__(self, *, running: fleet.Fleet, shutdown: Shutdown, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        running: fleet.Fleet,
+        shutdown: Shutdown,
+        rng: random.Random,
+        stall_rng: random.Random | None = None,
+    ) -> None:
         self.fleet = running
         self.shutdown = shutdown
         self.processes: list[HostProcess] = []
@@ -156,6 +206,7 @@
         self.performed: list[str] = []
         self.faults: list[str] = []
         self._rng = rng
+        self._stall_rng = stall_rng
         self._current_processes: dict[str, HostProcess] = {}
         self._restarting_hosts: set[str] = set()
         self._greenlets: list[gevent.Greenlet] = []
@@ -180,7 +231,8 @@
         start_s = time.monotonic()
         for step in steps:
             gevent.sleep(max(0.0, start_s + step.at_s - time.monotonic()))
-            actions.get(step.action)(self, step)
+            owner = many_actions if step.action in many_actions else actions
+            owner.get(step.action)(self, step)
         self.wait()
 
     def wait(self) -> None:
@@ -207,6 +259,15 @@
         free = [host for host in step.hosts if host not in self._restarting_hosts]
         return free[:count] if len(free) >= count + _MIN_SERVING_HOSTS else []
 
+    def choose_most_hosts(self, step: Step) -> list[str]:
+        """Return all hosts to shut down that may be, so that the minimum still serves."""
+        free = [host for host in step.hosts if host not in self._restarting_hosts]
+        return free[: max(0, len(free) - _MIN_SERVING_HOSTS)]
+
+    def spawn_series(self, step: Step) -> None:
+        """Shut down all hosts in the background, each as soon as enough others serve."""
+        self._greenlets.append(gevent.spawn(self._shut_down_in_series, step))
+
     def spawn_shutdown(
         self, step: Step, host: str, *, second_signal_s: float = -1.0, after_listen_s: float = -1.0
     ) -> None:
@@ -246,6 +307,13 @@
         self._greenlets.append(gevent.spawn(self._kill_and_restart, host))
         return True
 
+    def _shut_down_in_series(self, step: Step) -> None:
+        for host in step.hosts:
+            while host in self._restarting_hosts or not self.choose_hosts(step, 1):
+                gevent.sleep(_CHECK_INTERVAL_S)
+            self.spawn_shutdown(step, host)
+            gevent.sleep(self._rng.uniform(*_SERIES_GAP_S))
+
     def _kill_and_restart(self, host: str) -> None:
         process = self.newest_process(host)
         process.killed_ms = now_ms()
@@ -290,15 +358,45 @@
         self._restarting_hosts.discard(host)
 
     def _shut_down(self, process: HostProcess, second_signal_s: float) -> None:
+        gevent.sleep(self._spawn_stalls(process) / 1000.0)
         self._send_sigterm(process)
         if second_signal_s >= 0:
             gevent.spawn_later(second_signal_s, self._send_sigterm, process)
-        kill_at_ms = now_ms() + self.shutdown.limit_ms + _KILL_GRACE_S * 1000.0
+        kill_at_ms = now_ms() + self.shutdown.limit_ms
         while process.child_process.exit_code is None and now_ms() < kill_at_ms:
             gevent.sleep(_CHECK_INTERVAL_S)
-        process.ended_ms = now_ms()
         process.exit_code = process.child_process.exit_code
+        if process.exit_code is None:
+            process.limit_kill_ms = now_ms()
         process.child_process.kill()
+        process.ended_ms = now_ms()
+
+    def _spawn_stalls(self, process: HostProcess) -> float:
+        """Start the stalls of a shutdown; return the milliseconds from now to its SIGTERM."""
+        if self._stall_rng is None:
+            return 0.0
+        plans = soak_stalls.draw_plans(
+            self._stall_rng,
+            linger_ms=self.shutdown.listening_ms,
+            cutoff_ms=self.shutdown.cutoff_ms,
+            limit_ms=self.shutdown.limit_ms,
+        )
+        lead_ms = max([0.0, *(-plan.at_ms for plan in plans)])
+        for plan in plans:
+            delay_s = (lead_ms + plan.at_ms) / 1000.0
+            self._greenlets.append(gevent.spawn(self._stall, process, delay_s, plan.duration_ms))
+        return lead_ms
+
+    def _stall(self, process: HostProcess, delay_s: float, duration_ms: float) -> None:
+        gevent.sleep(delay_s)
+        if process.child_process.exit_code is not None:
+            return
+        process.child_process.send_signal(signal.SIGSTOP)
+        stall = soak_stalls.Stall(begun_ms=now_ms())
+        process.stalls.append(stall)
+        gevent.sleep(duration_ms / 1000.0)
+        stall.ended_ms = now_ms()
+        process.child_process.send_signal(signal.SIGCONT)
 
     def _send_sigterm(self, process: HostProcess) -> None:
         if process.child_process.exit_code is None:
@@ -385,6 +483,17 @@
     work.publish_change(step, weights=(_choose_value(step, _SERVICE_WEIGHTS), 1.0))
 
 
+@many_actions.register("end all but the minimum")
+def _shut_down_most(work: PlannedWork, step: Step) -> None:
+    for host in work.choose_most_hosts(step):
+        work.spawn_shutdown(step, host)
+
+
+@many_actions.register("end all in series")
+def _shut_down_all_in_series(work: PlannedWork, step: Step) -> None:
+    work.spawn_series(step)
+
+
 def _choose_value(step: Step, values: tuple[float, ...]) -> float:
     return values[int(step.random_fraction * len(values)) % len(values)]
 
--- a/standins/raw_caller.py
+++ b/standins/raw_caller.py
@@ -64,6 +64,8 @@
         XXH3 checksum of the body, as 16 hexadecimal digits.
     body_bytes : int
         Length of the body.
+    budget_ms : float
+        Time budget in the deadline header, in milliseconds; 0 without the header.
     read_pauses : int
         Number of pauses between the first reads of the answer.
     read_pause_s : float
@@ -78,6 +80,7 @@
     head_pieces: int
     body_checksum: str
     body_bytes: int
+    budget_ms: float = 0.0
     read_pauses: int = 0
     read_pause_s: float = 0.0
 
@@ -89,7 +92,7 @@
 
     Attributes
     ----------
-    request, target, once, body_bytes
+    request, target, once, body_bytes, budget_ms
         Those of the `Request`.
     host : str
         Host to which the connection leads.
@@ -130,6 +133,7 @@
     ended_ms: float = 0.0
     read_ms: float = 0.0
     body_bytes: int = 0
+    budget_ms: float = 0.0
     ending: Ending = Ending.CLOSED
     error: str = ""
     status: int = 0
@@ -221,6 +225,7 @@
             opened_ms=self.opened_ms,
             begun_ms=_now_ms() + request.pieces[0].pause_s * 1000.0,
             body_bytes=request.body_bytes,
+            budget_ms=request.budget_ms,
             read_ms=request.read_pauses * request.read_pause_s * 1000.0,
         )
         with gevent.Timeout(_ANSWER_TIMEOUT_S, False):
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -41,7 +41,7 @@
 EXIT_OK = 0
 EXIT_VIOLATIONS = 1
 EXIT_NOT_RUN = 2
-_SERVER_COUNT = 4
+_MIN_SERVERS = 4
 _MAX_ANSWER_TRIES = 100
 _RETRY_PAUSE_S = 0.1
 _FINAL_TRAFFIC_S = 0.5
@@ -80,6 +80,10 @@
         Whether servers name limits, ask for rests and leave meanwhile.
     faults : bool
         Whether servers send contradictory answers and interim heads, and hosts are killed.
+    stalls : bool
+        Whether hosts that are shut down are stopped for a while, as on a busy machine.
+    many : bool
+        Whether many hosts are shut down at once or one after the other.
     """
 
     seed: int
@@ -91,6 +95,8 @@
     keep_logs: str
     signals: bool
     faults: bool
+    stalls: bool
+    many: bool
 
 
 class StallMonitor:
@@ -147,7 +153,8 @@
     if options.faults:
         faults.start()
     rng = random.Random(f"{options.seed}/steps")
-    work.run(planned_work.draw_steps(rng, work.fleet.hosts, options.seconds))
+    steps = planned_work.draw_steps(rng, work.fleet.hosts, options.seconds, many=options.many)
+    work.run(steps)
     faults.stop()
     work.wait()
     gevent.sleep(_FINAL_TRAFFIC_S)
@@ -171,6 +178,7 @@
         running=running,
         shutdown=options.shutdown,
         rng=random.Random(f"{options.seed}/work"),
+        stall_rng=random.Random(f"{options.seed}/stalls") if options.stalls else None,
     )
     services = soak_configuration.SERVICES
     running.start_servers(
@@ -178,7 +186,7 @@
             fleet.ServerSpec(
                 server=f"s{number + 1}", service=services[number % 2], data_centre="d1"
             )
-            for number in range(_SERVER_COUNT)
+            for number in range(max(_MIN_SERVERS, options.hosts * 2 // 3))
         ],
         slots=soak_configuration.SLOTS,
     )
@@ -266,6 +274,8 @@
     flags.DEFINE_bool(
         "faults", False, "Whether servers contradict themselves and hosts are killed."
     )
+    flags.DEFINE_bool("stalls", False, "Whether hosts that are shut down are stopped for a while.")
+    flags.DEFINE_bool("many", False, "Whether many hosts are shut down at once or in series.")
     flags.DEFINE_string("keep_logs", "", "Folder to which the logs of a failed seed are copied.")
 
 
@@ -287,6 +297,8 @@
         keep_logs=values.keep_logs,
         signals=values.signals,
         faults=values.faults,
+        stalls=values.stalls,
+        many=values.many,
     )
     try:
         return _run_seed(options)
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -4,6 +4,14 @@
 runs at most once, (c) a request that is answered as not run has not run, (d) answers are intact,
 (e) the connection of an unanswered request that was not forwarded is closed within 200 ms, (f) a
 host exits within its limit and with code 0, and (g) hosts serve again after planned work.
+
+A stall of a host's process excuses only what no program could do. Time in which the process was
+stopped does not count for (e). For (a) and (f), a process that could run for less than
+`_MIN_RUNNING_MS` before it was killed at its limit could not pass an answer on, or exit, in time.
+Nor can a process know when in a stall its SIGTERM was sent. It has to exit by its limit, counted
+from the beginning of the stall, and to hold on to requests until the last sixth of its limit,
+counted from the end: so (a) is checked against that last sixth, and a stall that is too long for
+both excuses (f).
 """
 
 import collections
@@ -11,7 +19,7 @@
 
 import msgspec
 
-from standins import backend, planned_work, raw_caller
+from standins import backend, planned_work, raw_caller, soak_stalls
 from verbenadrum.daemon import callers
 
 __all__ = ["Checks", "Violation"]
@@ -27,6 +35,10 @@
 # Statuses with which a host ends a request that may have run.
 _HOST_FAILURE_STATUSES = (502, 504)
 _KILLED = "its host was killed"
+# A process needs this much running time to pass an answer on, or to refuse the rest and exit.
+_MIN_RUNNING_MS = 300.0
+# A request at which a server is still at work in this last part of the limit may be cut.
+_LAST_PART = 1.0 / 6.0
 # A server may run out of time this much earlier, as the deadline header is in whole milliseconds.
 _DEADLINE_RESOLUTION_MS = 1.0
 
@@ -125,6 +137,10 @@
             f" {self._describe_unforwarded()}"
         )
         lines.append(f"{len(shutdowns):6d}  ends of hosts, the longest {longest_ms:.0f} ms")
+        lines.append(
+            f"{sum(len(process.stalls) for process in shutdowns):6d}  stalls of hosts,"
+            f" {sum(process.limit_kill_ms > 0 for process in shutdowns)} killed at their limit"
+        )
         lines += [f"{count:6d}  work: {label}" for label, count in sorted(performed.items())]
         return "\n".join(lines)
 
@@ -173,7 +189,8 @@
     def _check_unforwarded(
         self, result: raw_caller.RequestResult, process: planned_work.HostProcess | None
     ) -> Iterator[Violation]:
-        waited_ms = result.ended_ms - result.sent_ms
+        stalls = process.stalls if process else []
+        waited_ms = soak_stalls.running_ms(stalls, result.sent_ms, result.ended_ms)
         self.unforwarded_ms.append(waited_ms)
         killed = process is not None and process.killed_ms > 0.0
         if waited_ms > _CLOSE_TOLERANCE_MS and not killed:
@@ -190,18 +207,15 @@
     ) -> str:
         """Return an accepted reason why a request that ran has no answer, or an empty string.
 
-        The reasons are the timeout of its route, and the time in its host's shutdown at which
-        requests still in flight are refused. The latter counts only for a request that was sent by
-        the end of the linger, and if its server or its caller was not done at that time.
+        The reasons are the timeout of its route, its time budget, and the time in its host's
+        shutdown at which requests still in flight are refused. The latter counts only for a request
+        that was sent by the end of the linger, and if its server or its caller was not done at that
+        time, or its host was stopped until it was killed.
         """
-        timeout_ms = self._work.configurations.min_timeout_ms(
-            result.begun_ms, result.ended_ms, _MAX_APPLY_MS
-        )
-        if result.ended_ms - result.begun_ms >= timeout_ms:
-            return "its route's timeout was reached"
-        if process is None or not process.sigterm_ms:
-            return ""
-        cutoff_ms = process.sigterm_ms + self._shutdown.limit_ms - self._shutdown.margin_ms
+        excuse = self._excuse_time(result)
+        if excuse or process is None or not process.sigterm_ms:
+            return excuse
+        cutoff_ms = process.sigterm_ms + self._cutoff_ms(process)
         forwardable_ms = (
             result.sent_ms if result.body_bytes <= _MAX_BUFFERED_BYTES else result.head_ms
         )
@@ -213,6 +227,41 @@
             return "its server was at work at the host's limit"
         if end.at_ms + result.read_ms >= cutoff_ms:
             return "its caller was still reading at the host's limit"
+        return _excuse_stopped(process, end.at_ms)
+
+    def _excuse_time(self, result: raw_caller.RequestResult) -> str:
+        taken_ms = result.ended_ms - result.begun_ms
+        timeout_ms = self._work.configurations.min_timeout_ms(
+            result.begun_ms, result.ended_ms, _MAX_APPLY_MS
+        )
+        if taken_ms >= timeout_ms:
+            return "its route's timeout was reached"
+        if 0.0 < result.budget_ms <= taken_ms:
+            return "its time budget was reached"
+        return ""
+
+    def _cutoff_ms(self, process: planned_work.HostProcess) -> float:
+        """Return the time from SIGTERM from which a request in flight may be refused."""
+        last_part_ms = self._shutdown.limit_ms * (1.0 - _LAST_PART)
+        cutoff_ms = self._shutdown.cutoff_ms
+        return cutoff_ms if process.sigterm_stall is None else min(cutoff_ms, last_part_ms)
+
+    def _is_end_unknown(self, process: planned_work.HostProcess) -> bool:
+        """Return whether a process could not know its limit well enough to exit by then."""
+        stall = process.sigterm_stall
+        known_ms = self._shutdown.limit_ms * _LAST_PART - _MIN_RUNNING_MS
+        return stall is not None and stall.ended_ms - stall.begun_ms > known_ms
+
+    def _excuse_end(self, process: planned_work.HostProcess) -> str:
+        """Return why no program would have exited by its limit, or an empty string."""
+        limit_ms = process.sigterm_ms + self._shutdown.limit_ms
+        cutoff_ms = process.sigterm_ms + self._shutdown.cutoff_ms
+        if process.stalls and (
+            soak_stalls.running_ms(process.stalls, cutoff_ms, limit_ms) < _MIN_RUNNING_MS
+        ):
+            return "a host was stopped until its limit"
+        if self._is_end_unknown(process):
+            return "a host could not know when its SIGTERM was sent"
         return ""
 
     def _check_process(self, process: planned_work.HostProcess) -> Iterator[Violation]:
@@ -226,6 +275,10 @@
             return
         shutdown_ms = process.ended_ms - process.sigterm_ms
         if process.exit_code is None or shutdown_ms > self._shutdown.limit_ms:
+            excuse = self._excuse_end(process)
+            if excuse:
+                self.excused[excuse] += 1
+                return
             yield self._process_violation(process, f"still ran {shutdown_ms:.0f} ms after SIGTERM")
         elif process.exit_code != 0 and self._served_requests(process):
             yield self._process_violation(process, f"ended with {process.exit_code}")
@@ -269,10 +322,11 @@
             if getattr(result, name + "_ms")
         )
         kind = "once" if result.once else "safe"
+        budget = f"{result.budget_ms:.0f} ms" if result.budget_ms else "none"
         lines = [
             f"{result.request} ({kind}) {description}",
             f"    times in ms from the request's first byte at {origin_ms:.1f}",
-            f"    caller  {result.target} on connection {result.connection}"
+            f"    caller  {result.target}, budget {budget}, on connection {result.connection}"
             f" (request {result.position}),"
             f" {times}, {result.ending.value} {result.status or ''} {result.code} {result.error}",
             "    host    "
@@ -285,8 +339,24 @@
         return Violation(check=check, text="\n".join(lines))
 
 
+def _excuse_stopped(process: planned_work.HostProcess, answered_ms: float) -> str:
+    """Return whether a process was stopped from an answer until its kill, as an excuse."""
+    killed_ms = process.limit_kill_ms
+    left_ms = soak_stalls.running_ms(process.stalls, answered_ms, killed_ms)
+    if process.stalls and killed_ms and left_ms < _MIN_RUNNING_MS:
+        return "its host was stopped until it was killed at its limit"
+    return ""
+
+
 def _describe_process(process: planned_work.HostProcess, origin_ms: float) -> str:
     signals = ", ".join(f"SIGTERM {each - origin_ms:+.1f}" for each in process.signals_ms)
     ended = f"ended {process.ended_ms - origin_ms:+.1f}" if process.ended_ms else "runs"
+    if process.limit_kill_ms:
+        ended = f"killed at its limit {process.limit_kill_ms - origin_ms:+.1f}"
     started = f"started {process.started_ms - origin_ms:+.1f}"
-    return f"{process.host} run {process.number} {started}, {signals or 'no signal'}, {ended}"
+    stalls = "".join(
+        f", stopped {stall.begun_ms - origin_ms:+.1f} to {stall.ended_ms - origin_ms:+.1f}"
+        for stall in process.stalls
+    )
+    signals = f"{signals or 'no signal'}{stalls}"
+    return f"{process.host} run {process.number} {started}, {signals}, {ended}"
