--- a/standins/backend.py
+++ b/standins/backend.py
@@ -5,10 +5,10 @@
 body in bytes. With ``pieces`` the body is sent in so many parts, each after a pause of ``pause``
 milliseconds, and with ``chunked=1`` it is sent in chunks. The first line of a body is the caller's
 ``X-Nonce`` header, or the path without one; ``/echo`` adds the headers of the request as JSON. The
-start and the end of each run are printed to
-standard output as JSON lines, so that they survive a crash of the process. A run is one execution
-of a request that is no health probe. A request that gets no slot before its deadline, which is 60 s
-after its arrival without an ``X-Deadline-Ms`` header, is refused with 503 as not run.
+start and the end of each run are printed to standard output as JSON lines, so that they survive a
+crash of the process. A run is one execution of a request that is no health probe. A request that
+gets no slot before its deadline, which is 60 s after its arrival without an ``X-Deadline-Ms``
+header, is refused with 503 as not run.
 
 A POST to ``/control/faults`` replaces the faults (a list of `behaviours.Fault`). A GET of
 ``/control/runs`` returns the `RunCounts`.
--- a/standins/planned_work.py
+++ b/standins/planned_work.py
@@ -153,7 +153,8 @@
     """
     names = list(actions)
     if many:
-        names += list(many_actions) * (len(names) // 2 // len(many_actions))
+        many_names = list(many_actions)
+        names += many_names * (len(names) // 2 // len(many_names))
     at_s = rng.uniform(*_STEP_GAP_S)
     while at_s < seconds:
         yield Step(
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from standins import behaviours, child, endless, fault_proxy, fleet, platform, serving
+from standins import backend, behaviours, child, endless, fault_proxy, fleet, platform, serving
 
 
 @pytest.fixture(scope="module")
@@ -229,3 +229,28 @@
         process.kill()
     events = [msgspec.json.decode(line, type=endless.Event) for line in lines]
     assert sum(event.name == "closed" for event in events) == 3 * count
+
+
+def test_answer_in_chunks_and_in_pieces_with_pauses_is_whole(clean_fleet):
+    plain = send_request(clean_fleet, "/x?size=5000", X_Nonce="n")
+    answer = send_request(clean_fleet, "/x?size=5000&chunked=1", X_Nonce="n")
+    assert answer.getheader("Transfer-Encoding") == "chunked"
+    assert answer.getheader("Content-Length") is None
+    whole = plain.read()
+    assert answer.read() == whole
+    started_s = time.monotonic()
+    slow = send_request(clean_fleet, "/x?size=5000&pieces=3&pause=60", X_Nonce="n")
+    assert (slow.getheader("Content-Length"), slow.read()) == ("5000", whole)
+    assert time.monotonic() - started_s >= 0.18
+    both = send_request(clean_fleet, "/x?size=5000&pieces=3&pause=10&chunked=1", X_Nonce="n")
+    assert both.read() == whole
+
+
+def test_caller_that_leaves_ends_a_slow_answer(clean_fleet):
+    answer = send_request(clean_fleet, "/x?pieces=2&pause=60000", X_Request_Id="left")
+    answer.close()
+    give_up_s = time.monotonic() + 5.0
+    while not (ends := [each for each in clean_fleet.run_ends() if each.request == "left"]):
+        assert time.monotonic() < give_up_s
+        time.sleep(0.02)
+    assert ends[0].outcome is backend.RunOutcome.CUT
