Soak: more late requests with long work, and longer stalls; its description

One request in five at a host that ends is now sent within a quarter of the limit after the linger, and three in ten work until about the limit.

--- a/standins/soak_callers.py
+++ b/standins/soak_callers.py
@@ -40,7 +40,11 @@
 _NEAR_BUDGET_PROBABILITY = 0.15
 _BUSY_PROBABILITY = 0.15
 _BUSY_PAUSE_S = 0.01
-_LATE_PROBABILITY = 0.1
+_LATE_PROBABILITY = 0.2
+# Late requests are sent within this fraction of the limit after the linger.
+_LATE_LIMIT_FRACTION = 0.25
+_LONG_WORK_PROBABILITY = 0.3
+_LIMIT_OFFSETS_MS = (-400.0, 200.0)
 _request_numbers = itertools.count(1)
 
 
@@ -102,7 +106,7 @@
     once = rng.random() < 0.4
     if work_ms is None:
         work_ms = rng.choice((rng.uniform(2, 20), rng.uniform(2, 300), rng.uniform(2, 1_400)))
-    work_ms = work_ms if extras.work_ms is None else extras.work_ms
+        work_ms = work_ms if extras.work_ms is None else extras.work_ms
     sizes = (256, rng.randint(20_000, 200_000), rng.randint(800_000, 2_500_000))
     size = rng.choices(sizes, (8, 1, 1))[0]
     target = f"/{'once' if once else 'safe'}/x?ms={work_ms:.0f}&size={size}{extras.query}"
@@ -345,7 +349,7 @@
             wait_s = _BUSY_PAUSE_S
         if wait_s > 0:
             self._stopped.wait(wait_s)
-        return self._draw_work_ms(process, rng)
+        return self._draw_work_ms(process, draws)
 
     def _since_sigterm_s(self, process: planned_work.HostProcess) -> float:
         return (planned_work.now_ms() - process.sigterm_ms) / _MS_PER_S
@@ -366,19 +370,23 @@
         )
         moment_s = rng.choices(moments, (6, 2, 1, 2, 4, 2))[0]
         if draws.extra.random() < _LATE_PROBABILITY:
-            return draws.extra.uniform(linger_s, cutoff_s)
+            late_s = shutdown.limit_ms / _MS_PER_S * _LATE_LIMIT_FRACTION
+            return linger_s + draws.extra.uniform(0.0, late_s)
         return moment_s
 
-    def _draw_work_ms(self, process: planned_work.HostProcess, rng: random.Random) -> float | None:
-        """Return a service time that ends about when the host refuses requests in flight.
+    def _draw_work_ms(self, process: planned_work.HostProcess, draws: _Draws) -> float | None:
+        """Return a service time that ends near the cutoff or the limit of the host's shutdown.
 
-        In four of five cases, and after that time, return None, which stands for a random one.
+        In other cases, and after the cutoff, return None, which stands for a random one.
         """
+        rng = draws.rng
         shutdown = self._work.shutdown
         remaining_ms = shutdown.cutoff_ms - self._since_sigterm_s(process) * _MS_PER_S
-        if rng.random() < 0.8 or remaining_ms < 0:
-            return None
-        return max(2.0, remaining_ms + rng.uniform(-150.0, 60.0))
+        near_cutoff = rng.random() >= 0.8 and remaining_ms >= 0
+        cutoff_work_ms = remaining_ms + rng.uniform(-150.0, 60.0) if near_cutoff else 0.0
+        if remaining_ms >= 0 and draws.extra.random() < _LONG_WORK_PROBABILITY:
+            return remaining_ms + shutdown.margin_ms + draws.extra.uniform(*_LIMIT_OFFSETS_MS)
+        return max(2.0, cutoff_work_ms) if near_cutoff else None
 
     def _watch_shutdowns(self, host: str, rng: random.Random) -> None:
         """Open connections around the time at which a host in shutdown closes its listener."""
--- a/standins/soak_stalls.py
+++ b/standins/soak_stalls.py
@@ -58,7 +58,7 @@
     plans = []
     if rng.random() < _SIGTERM_PROBABILITY:
         duration_ms = _draw_duration_ms(rng, longest_ms)
-        before_ms = min(duration_ms, max(_MIN_LEAD_MS, duration_ms * rng.uniform(0.0, 0.5)))
+        before_ms = min(duration_ms, max(_MIN_LEAD_MS, duration_ms * rng.uniform(0.0, 0.4)))
         plans.append(Plan(at_ms=-before_ms, duration_ms=duration_ms))
     for moment_ms in (linger_ms, cutoff_ms):
         if rng.random() < _LATER_PROBABILITY:
@@ -71,7 +71,7 @@
 def _draw_duration_ms(rng: random.Random, longest_ms: float) -> float:
     shortest_ms = min(_MIN_STALL_MS, longest_ms)
     short_ms = rng.uniform(shortest_ms, min(_SHORT_STALL_MS, longest_ms))
-    return rng.choice((short_ms, rng.uniform(shortest_ms, longest_ms)))
+    return rng.choices((short_ms, rng.uniform(shortest_ms, longest_ms)), (1, 2))[0]
 
 
 def _without_overlaps(plans: list[Plan]) -> list[Plan]:
