Configuration: a timeout of 0 costs its own entry, not the whole version

A route's timeout of 0, or one of 0 or an empty text in the callers' limits, kept a whole configuration from coming into force: records built by wire.py were held against the bounds of their types only when the envelope was decoded, as one document.

--- a/verbenadrum/platform/tests/test_wire.py
+++ b/verbenadrum/platform/tests/test_wire.py
@@ -55,7 +55,7 @@
     if value is None:
         del parent[last]
     else:
-        parent[last] = value
+        parent[int(last) if isinstance(parent, list) else last] = value
     return copy
 
 
@@ -191,6 +191,10 @@
         ("tenants.1.api_keys", [7], "tenants.1:"),
         ("tenants.1.api_keys", ["key2"], "keys."),
         ("limits", {"idle_timeout": "soon"}, "limits.0: 'soon'"),
+        ("limits", {"header_timeout": ""}, "limits.0: ''"),
+        ("limits", {"idle_timeout": "0s"}, "callers: "),
+        ("routes.1.timeout", "0ms", "routes.r1: "),
+        ("routes.1.timeout", "0s", "routes.r1: "),
     ],
 )
 def test_faulty_entry_is_left_out_alone_and_named(path, value, left_out):
@@ -208,6 +212,60 @@
     )
 
 
+ODD_VALUES = (
+    *("", "0ms", "-1s", "1e400s", "nans", "infs", "0.0001ms", "x" * 5_000, "/", "/a?b", "/\x00"),
+    *("\ud7ff", "*", "a.example:80", 0, -1, 1, 0.5, 1e308, 10**30, 2**53 + 1, 2**63, 2**64),
+    *(True, False, [], {}, [None], [""], [{}], ["a"]),
+)
+FULL = {
+    **CONFIGURATION,
+    "routes": [
+        {**ROUTE, "public": False, "backends": [{"service": "svc", "weight": 90}]},
+        {**ROUTE, "name": "r2", "prefix": "/b/"},
+    ],
+    "services": [*CONFIGURATION["services"], {"name": "svc2"}],
+    "tenants": [
+        {**CONFIGURATION["tenants"][0], "priority": 1},
+        {"name": "t2", "api_keys": ["key2"]},
+    ],
+}
+
+
+def field_paths(value, path):
+    yield path
+    pairs = value.items() if isinstance(value, dict) else ()
+    pairs = enumerate(value) if isinstance(value, list) else pairs
+    for name, inner in pairs:
+        yield from field_paths(inner, f"{path}.{name}")
+
+
+# A timeout of 0 kept the whole configuration from coming into force.
+@pytest.mark.parametrize(
+    "path",
+    [
+        *(
+            path
+            for group in ("routes", "services", "tenants")
+            for path in field_paths(FULL[group][0], f"{group}.0")
+        ),
+        *(
+            f"limits.{name}"
+            for name in ("max_header_bytes", "max_body_bytes", "header_timeout", "idle_timeout")
+        ),
+    ],
+)
+def test_odd_value_of_a_field_costs_its_own_entry_at_most(path):
+    for value in ODD_VALUES:
+        spec = decode(wire.CONFIGURATION_KEY, with_field(FULL, path, value)).spec
+        group = path.partition(".")[0]
+        assert spec.routes[-1].name == "r2"
+        assert spec.pools[-1].name == "svc2"
+        assert spec.keys[-1].spec.workspace == "t2"
+        assert len(spec.routes) == 2 or group == "routes"
+        assert len(spec.pools) == 2 or group == "services"
+        assert len(spec.workspaces) == 2 or group == "tenants"
+
+
 @pytest.mark.parametrize(
     ("path", "value"),
     [
--- a/verbenadrum/platform/wire.py
+++ b/verbenadrum/platform/wire.py
@@ -344,9 +344,9 @@
     configured = {
         "max_head_bytes": limits.max_header_bytes,
         "max_body_bytes": limits.max_body_bytes,
-        "head_timeout_ms": limits.header_timeout and duration_ms(limits.header_timeout),
-        "idle_timeout_ms": limits.idle_timeout and duration_ms(limits.idle_timeout),
     }
+    timeouts = {"head_timeout_ms": limits.header_timeout, "idle_timeout_ms": limits.idle_timeout}
+    configured |= {name: duration_ms(text) for name, text in timeouts.items() if text is not None}
     return types.CallerLimits(
         **{name: value for name, value in configured.items() if value is not None}
     )
--- a/verbenadrum/records/partial.py
+++ b/verbenadrum/records/partial.py
@@ -22,10 +22,10 @@
 def without_faulty_entries(
     spec: types.ConfigurationSpec, faults: Iterable[str] = ()
 ) -> types.ConfigurationSpec:
-    """Return a configuration without the entries that the checks refuse.
+    """Return a configuration without the entries that their types or the checks refuse.
 
-    Of entries with the same name the first one stays. What was left out stands in ``faults`` of
-    the result, after the given faults.
+    Of entries with the same name the first one stays, and faulty limits of callers give way to the
+    default ones. What was left out stands in ``faults`` of the result, after the given faults.
 
     Examples
     --------
@@ -40,13 +40,17 @@
         group: tuple(_sound_entries(group, kind, getattr(spec, group), found))
         for group, kind in _KINDS.items()
     }
+    if fault := _type_fault(spec.callers):
+        found.append(f"callers: {fault}")
+        kept["callers"] = types.CallerLimits()
     return msgspec.structs.replace(spec, **kept, faults=_limited(found))
 
 
 def _sound_entries(group: str, kind: types.RecordKind, entries: tuple, found: list[str]):
     names = set()
     for entry in entries:
-        faults = list(checks.faults(kind, entry.name, entry.spec))
+        fault = _type_fault(entry)
+        faults = [fault] if fault else list(checks.faults(kind, entry.name, entry.spec))
         if entry.name in names:
             faults.append("the name is listed before")
         if faults:
@@ -56,6 +60,15 @@
         yield entry
 
 
+def _type_fault(value: msgspec.Struct) -> str:
+    """Return what breaks the bounds of a value's type, which its construction does not check."""
+    try:
+        msgspec.json.decode(msgspec.json.encode(value), type=type(value))
+    except msgspec.ValidationError as error:
+        return str(error)
+    return ""
+
+
 def _limited(faults: list[str]) -> tuple[str, ...]:
     limited = [fault[:_MAX_FAULT_CHARS] for fault in faults[:MAX_FAULTS]]
     if len(faults) > MAX_FAULTS:
