LOST: a request that may run only once outlasts a late second copy of an earlier answer

What callers saw: 502 `crossed` at once, while the server that had the request was at work on it. The connection was closed, so the server dropped the work.

Cause: a faulty server may write the answer to an earlier request once more, after the next request was sent on the connection. The attempt took it for its answer, found another request's identifier and ended. An idempotent request is then sent to another server; one that may run only once cannot be.

Change: for a request that is not idempotent, an answer with the identifier of an earlier request of the same connection is read to its end and passed over, each once, and the connection is not used again afterwards. Answers with any other identifier or none, and copies whose end is not certain, end the attempt as before, and so does any copy for an idempotent request. A server that repeats the earlier answer in place of its own now holds the request until its deadline.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -7,7 +7,9 @@
 import collections
 import http.client
 import io
+import re
 import socket
+from collections.abc import Iterable, Mapping
 
 import gevent
 import urllib3
@@ -20,6 +22,7 @@
     "BodyTooLongError",
     "BoundedConnection",
     "BoundedPool",
+    "EarlierAnswers",
     "MAX_LINE_BYTES",
     "make_pool_manager",
     "read_body",
@@ -35,6 +38,7 @@
 _READ_BYTES = 65_536
 # A request is tried again within seconds, and a connection carries a few requests a second.
 _MAX_REQUEST_IDS = 64
+_CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,15}")
 
 
 class BodyTooLongError(exceptions.HTTPError):
@@ -160,16 +164,28 @@
 class _BoundedResponse(http.client.HTTPResponse):
     """Response that is read through a `_BoundedReader`.
 
+    Parameters
+    ----------
+    earlier : EarlierAnswers or None
+        Answers to pass over; None for none.
+
     Attributes
     ----------
     framing : BodyFraming or None
         Framing of the body; None before the head is read.
     """
 
-    def __init__(self, sock: socket.socket, *args: object, **kwargs: object) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        *args: object,
+        earlier: "EarlierAnswers | None" = None,
+        **kwargs: object,
+    ) -> None:
         super().__init__(sock, *args, **kwargs)
         self.fp = _BoundedReader(_YieldingReader(raw=self.fp.detach(), sock=sock))
         self.framing: framing.BodyFraming | None = None
+        self._earlier = earlier
 
     def begin(self) -> None:
         """Read the head, after any interim heads, and decide how the body is framed.
@@ -181,6 +197,18 @@
         """
         if self.headers is not None:
             return
+        self._read_head()
+        passed_over = False
+        while (
+            not self.will_close and self._earlier is not None and self._earlier.take(self.headers)
+        ):
+            passed_over = True
+            self._discard_body()
+            self._read_head()
+        # A server that repeats answers may do so again.
+        self.will_close = self.will_close or passed_over
+
+    def _read_head(self) -> None:
         version, status, reason = self._read_final_status()
         if not version.startswith("HTTP/1."):
             raise http.client.UnknownProtocol(version)
@@ -208,6 +236,29 @@
             lines.append(line)
         return lines
 
+    def _discard_body(self) -> None:
+        if self.framing.kind is framing.FramingKind.LENGTH:
+            self._discard(self.framing.length)
+        elif self.framing.kind is framing.FramingKind.CHUNKED:
+            while size := self._read_chunk_size():
+                self._discard(size)
+                if self.fp.read(2) != b"\r\n":
+                    raise http.client.HTTPException("a chunk is longer than its size")
+            self._read_field_lines()
+
+    def _read_chunk_size(self) -> int:
+        text = self.fp.readline(MAX_LINE_BYTES + 1).partition(b";")[0].strip()
+        if not _CHUNK_SIZE_PATTERN.fullmatch(text):
+            raise http.client.HTTPException("the size of a chunk is invalid")
+        return int(text, 16)
+
+    def _discard(self, size: int) -> None:
+        while size:
+            data = self.fp.read(min(size, _READ_BYTES))
+            if not data:
+                raise http.client.IncompleteRead(b"", size)
+            size -= len(data)
+
     def _apply_framing(self) -> None:
         found = self.framing = framing.frame_body(
             self._method, self.status, self.headers, http_1_0=self.version == 10
@@ -221,6 +272,36 @@
         self.will_close = not found.reusable or self._check_close()
 
 
+class EarlierAnswers:
+    """Answers to earlier requests of a connection, which a server may write once more.
+
+    Parameters
+    ----------
+    header : str
+        Name of the header with the identifier of an answer's request.
+    request_ids : iterable of str
+        Identifiers of the earlier requests.
+
+    Examples
+    --------
+    >>> earlier = EarlierAnswers(header="X-Request-Id", request_ids=["q1"])
+    >>> [earlier.take({"X-Request-Id": each}) for each in ("q2", "q1", "q1")]
+    [False, True, False]
+    """
+
+    def __init__(self, *, header: str, request_ids: Iterable[str]) -> None:
+        self._header = header
+        self._request_ids = set(request_ids)
+
+    def take(self, headers: Mapping[str, str]) -> bool:
+        """Return whether an answer with these headers is one of them; each is taken once."""
+        request_id = headers.get(self._header, "")
+        if request_id not in self._request_ids:
+            return False
+        self._request_ids.remove(request_id)
+        return True
+
+
 class BoundedConnection(connection.HTTPConnection):
     """HTTP connection whose responses are read through a `_BoundedReader`.
 
@@ -232,6 +313,7 @@
 
     _reader: _BoundedReader | None = None
     _response: _BoundedResponse | None = None
+    _earlier: EarlierAnswers | None = None
 
     def __init__(self, *args: object, **kwargs: object) -> None:
         super().__init__(*args, **kwargs)
@@ -247,6 +329,20 @@
         """Whether data follows the last response that was read. It belongs to no request."""
         return self._reader is not None and self._reader.has_unread_bytes
 
+    def pass_over_earlier(self, header: str) -> None:
+        """Pass over answers to earlier requests when the next response is read.
+
+        That holds for whole answers on a connection that stays open, each of them once. Whatever
+        else comes before the response is taken for it. The connection is not reusable afterwards.
+
+        Parameters
+        ----------
+        header : str
+            Name of the response header with the identifier of the request.
+        """
+        earlier = [each for each in self.request_ids if each not in ("", self.request_ids[-1])]
+        self._earlier = EarlierAnswers(header=header, request_ids=earlier) if earlier else None
+
     def _encode_request(self, request: str) -> bytes:
         # The target holds one character for each byte that the caller sent.
         return request.encode("latin-1")
@@ -255,7 +351,8 @@
         self, sock: socket.socket, *args: object, **kwargs: object
     ) -> http.client.HTTPResponse:
         """Return a response that reads from ``sock``; urllib3 calls this for each request."""
-        response = _BoundedResponse(sock, *args, **kwargs)
+        earlier, self._earlier = self._earlier, None
+        response = _BoundedResponse(sock, *args, earlier=earlier, **kwargs)
         self._reader = response.fp
         self._response = response
         return response
