--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -55,6 +55,8 @@
 # Covers the two ticks within which overdue requests are refused, as long again for writing the
 # refusals, and the last messages to other hosts.
 _MIN_MARGIN_MS = 400.0
+# The same for a host that handled its signal late: a tick, the refusals and the last messages.
+_LATE_MARGIN_MS = 300.0
 _MAX_IDLE_PER_SERVER = 8
 # Pool homes count an idle connection for 60 s after its last use, so it must be closed by then.
 _IDLE_CONNECTION_TIMEOUT_S = 45.0
@@ -203,8 +205,11 @@
         if self._stopping:
             return
         self._stopping = True
+        now_ms = self._clock.now_ms()
         times = _shutdown_times(
-            self._settings.shutdown, self._clock.now_ms() if since_ms is None else since_ms
+            self._settings.shutdown,
+            since_ms=now_ms if since_ms is None else since_ms,
+            handled_ms=now_ms,
         )
         gevent.spawn(self._shut_down, times)
         # Not in the new greenlet: requests that are read before that runs are subject to it.
@@ -250,10 +255,12 @@
 
     def _shut_down(self, times: "_ShutdownTimes") -> None:
         try:
-            self._finish_requests(times)
-            self._close_ports()
+            # Keep accepting for a while: callers and load balancers notice the shutdown late.
+            self._sleep_until(times.linger_end_ms)
+            _run_shutdown_step("close listener", lambda: self._close_listener(times))
+            _run_shutdown_step("finish requests", lambda: self._finish_requests(times))
+            _run_shutdown_step("close ports", self._close_ports)
         finally:
-            # Even after an error, a process that accepts no requests must not keep running.
             self._stopped.set()
 
     def _announce_shutdown(self, times: "_ShutdownTimes") -> None:
@@ -269,20 +276,26 @@
                 "max_signal_age_ms": round(self._clock.now_ms() - times.since_ms, 1),
             },
         )
-        self._engine.start_shutdown(times.deadline_ms, refuse_from_ms=times.refuse_from_ms)
         self._caller_server.announce_close()
+        _run_shutdown_step(
+            "cap deadlines",
+            lambda: self._engine.cap_deadlines(
+                times.deadline_ms, refuse_from_ms=times.refuse_from_ms
+            ),
+        )
+        _run_shutdown_step("announce to peers", self._engine.announce_shutdown)
+
+    def _close_listener(self, times: "_ShutdownTimes") -> None:
+        late_ms = round(self._clock.now_ms() - times.linger_end_ms, 1)
+        self._caller_server.drain()
+        _log.info("listener closed", extra={**self._open_counts(), "late_ms": late_ms})
 
     def _finish_requests(self, times: "_ShutdownTimes") -> None:
-        """Close the listener after the linger time and drain the requests.
+        """Wait for the requests in flight, and close each connection that becomes idle.
 
         This method returns `_PEER_FLUSH_S` after all connections are closed, or halfway through the
         margin at the latest.
         """
-        # Keep accepting for a while: callers and load balancers notice the shutdown late.
-        self._sleep_until(times.linger_end_ms)
-        late_ms = round(self._clock.now_ms() - times.linger_end_ms, 1)
-        self._caller_server.drain()
-        _log.info("listener closed", extra={**self._open_counts(), "late_ms": late_ms})
         # A request may still arrive on a keep-alive connection until that is closed, and requests
         # that are refused at the deadline get their answers after it.
         while self._caller_server.connections and self._clock.now_ms() < times.close_by_ms:
@@ -558,18 +571,39 @@
             self._metrics.add_gauge(name, unit, description, read)
 
 
-def _shutdown_times(table: types.ShutdownTable, since_ms: float) -> _ShutdownTimes:
-    """Return the times of a shutdown that began at ``since_ms``."""
+def _run_shutdown_step(name: str, step: Callable[[], None]) -> None:
+    """Run one step of a shutdown; an error is logged, and the next steps follow all the same.
+
+    To end the process instead would cut the requests in flight.
+    """
+    try:
+        step()
+    except Exception:
+        _log.exception("a step of the shutdown failed", extra={"step": name})
+
+
+def _shutdown_times(
+    table: types.ShutdownTable, *, since_ms: float, handled_ms: float
+) -> _ShutdownTimes:
+    """Return the times of a shutdown whose signal was sent between two monotonic times.
+
+    New requests are refused by the earlier time. Those in flight have the time allowed from the
+    later one, as far as the host can still end by its limit from the earlier one.
+    """
     margin_ms = max(table.margin_ms, _MIN_MARGIN_MS)
     allowed_ms = max(0.0, table.limit_ms - margin_ms)
     linger_ms = min(table.linger_ms, allowed_ms / 2.0)
-    deadline_ms = since_ms + allowed_ms
+    limit_ms = since_ms + table.limit_ms
+    deadline_ms = max(
+        since_ms + allowed_ms, min(handled_ms + allowed_ms, limit_ms - _LATE_MARGIN_MS)
+    )
+    flush_ms = _PEER_FLUSH_S * _MS_PER_S
     return _ShutdownTimes(
         since_ms=since_ms,
         refuse_from_ms=since_ms + linger_ms - min(_EARLY_REFUSAL_MS, linger_ms / 2.0),
         linger_end_ms=since_ms + linger_ms,
         deadline_ms=deadline_ms,
-        close_by_ms=deadline_ms + margin_ms / 2.0 - _PEER_FLUSH_S * _MS_PER_S,
+        close_by_ms=min(deadline_ms + margin_ms / 2.0, limit_ms - flush_ms) - flush_ms,
     )
 
 
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -16,6 +16,7 @@
 from verbenadrum.daemon.tests import test_command
 from verbenadrum.records import types
 from verbenadrum.settings import load
+from verbenadrum.settings import types as settings_types
 
 TIMEOUT_S = 10.0
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -263,6 +264,30 @@
     assert clean
 
 
+@pytest.mark.parametrize(
+    ("owner", "step"),
+    [
+        (lambda running: running._engine.detector, "announce_shutdown"),
+        (lambda running: running._engine.pipeline, "cap_deadlines"),
+        (lambda running: running._caller_server, "drain"),
+    ],
+)
+def test_fault_in_a_step_of_the_shutdown_cuts_no_request(quick, monkeypatch, caplog, owner, step):
+    def fail(*arguments, **options):
+        raise KeyError("unexpected")
+
+    monkeypatch.setattr(owner(quick.host), step, fail)
+    quick.server.delay_s = 0.6
+    in_flight = quick.send_request()
+    wait_until(lambda: quick.server.heads)
+    quick.host.begin_shutdown()
+    data, clean = read_to_end(in_flight)
+    assert not quick.host._stopped.is_set()
+    assert data.startswith(b"HTTP/1.1 200 ") and clean
+    assert "a step of the shutdown failed" in [each.getMessage() for each in caplog.records]
+    quick.host.wait()
+
+
 def test_answer_that_arrived_before_the_deadline_is_delivered_by_a_host_that_is_late(stalled):
     stall = monkey.get_original("time", "sleep")
     with stalled.connect() as sock:
@@ -405,3 +430,12 @@
             sock.sendall(smuggled)
             assert not sock.recv(65_536)
     assert not any(b"smuggled" in seen for seen in stalled.server.heads)
+
+
+@pytest.mark.parametrize("age_ms", [0.0, 150.0, 600.0, 5_000.0])
+def test_late_signal_leaves_requests_in_flight_their_time_and_the_host_its_limit(age_ms):
+    table = settings_types.ShutdownTable(linger_ms=3_000.0, limit_ms=6_000.0, margin_ms=600.0)
+    times = host._shutdown_times(table, since_ms=-age_ms, handled_ms=0.0)
+    assert times.deadline_ms == max(5_400.0 - age_ms, min(5_400.0, 5_700.0 - age_ms))
+    assert times.deadline_ms < times.close_by_ms <= 5_800.0 - age_ms
+    assert times.linger_end_ms == 2_700.0 - age_ms
