Placement: a late answer to a probe does not undo what a server said after it

What could happen: a server whose start time is not known says that it leaves, a probe of it was under way, and the home hands it requests again.

Cause: ServerSignals.record_staying took the answer to a probe as newer than any word of the server because it was handled later. The probe may have been ordered, and answered, before.

Change: the time at which the probe was ordered decides; a word heard after it stands until a later probe. The answer to a probe whose lease has lapsed does not end the word either.

Result: test_probe_that_was_sent_before_a_server_said_that_it_leaves... failed before (no signal in force after the late answer) and passes; the tests of leaving servers, pool homes and rests pass. No run of a fleet showed it.

--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -375,8 +375,8 @@
         )
         if outcome.draining:
             self._mark_leaving(order.server, self._started_wall_ms(order.server))
-        elif passed:
-            self._signals.record_staying(order.server)
+        elif passed and lease is not None:
+            self._signals.record_staying(order.server, asked_ms=lease.started_ms)
             self._servers.apply_signals()
         self._ejector.probed(order.server, passed)
         self._grant_free_slots()
--- a/verbenadrum/placement/signals.py
+++ b/verbenadrum/placement/signals.py
@@ -119,10 +119,19 @@
             return entry.started_wall_ms <= row.started_wall_ms
         return self._now_ms() - row.heard_ms < _UNKNOWN_START_TTL_MS
 
-    def record_staying(self, server: ids.ServerId) -> None:
-        """Record a probe's answer without the word; it counts if the start time is not known."""
+    def record_staying(self, server: ids.ServerId, *, asked_ms: float) -> None:
+        """Record a probe's answer without the word; it counts if the start time is not known.
+
+        Parameters
+        ----------
+        server : ServerId
+            The server.
+        asked_ms : float
+            Monotonic time, in ms, at which the probe was ordered. A word that was heard later
+            stands, although the answer to the probe is handled after it.
+        """
         row = self._leaving.get(server)
-        if row is not None and not row.started_wall_ms:
+        if row is not None and not row.started_wall_ms and row.heard_ms <= asked_ms:
             del self._leaving[server]
 
     def record_limit(
--- a/verbenadrum/placement/tests/test_leaving.py
+++ b/verbenadrum/placement/tests/test_leaving.py
@@ -156,6 +156,28 @@
     assert server.received > before
 
 
+def test_probe_that_was_sent_before_a_server_said_that_it_leaves_tells_nothing_of_it():
+    """The answer to the probe may be handled late, after that of a request."""
+    fleet = stepped_fleet.Fleet(hosts=stepped_fleet.two_regions(1)[:1], servers={LEAVING: "r1a"})
+    (host,) = fleet.hosts.values()
+    orders = []
+    fleet._probe = lambda host, order: orders.append(order)
+    fleet.load(workspace="w", per_s=5.0, path=lambda: "/")
+    fleet.run(1_000.0)
+    fleet.servers[LEAVING].draining = True
+    while not orders:
+        fleet.run(50.0)
+    fleet.run(50.0)
+    host.placer._signals.record_leaving(LEAVING, 0.0)
+    passed = ports.Outcome(kind=ports.OutcomeKind.OK, latency_ms=60.0, bytes_sent=True)
+    host.placer.record_probe(orders.pop(), passed)
+    assert [each.signal for each in host.placer.server_signals()] == ["leaving"]
+    while not orders:
+        fleet.run(50.0)
+    host.placer.record_probe(orders.pop(), passed)
+    assert host.placer.server_signals() == ()
+
+
 def test_grant_on_a_server_that_only_the_entry_host_knows_to_leave_keeps_the_home():
     rows = stepped_fleet.two_regions(4)[:8]
     fleet = stepped_fleet.Fleet(hosts=rows, servers={f"s{index}": "r1a" for index in range(6)})
