Answers: a head's fields count with the memory that they take

A server's head was limited in bytes alone: 150 answers of 16,000 short fields each, whose bodies stalled, grew one process by 160 MB, of a smallest machine's 200. Each field now counts with 32 bytes more, as in RFC 9113, section 6.5.2, which leaves room for some 1,800.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -28,6 +28,8 @@
 # Maximum total size of the lines of a head, or of consecutive chunk sizes and trailers;
 # `http.client` allows as much for a single line.
 MAX_LINE_BYTES = 65_536
+# Memory that a header field takes beside its bytes, as HTTP/2 counts it (RFC 9113, section 6.5.2).
+_FIELD_OVERHEAD_BYTES = 32
 # Maximum number of interim heads (1xx) before the head of an answer.
 _MAX_INTERIM_HEADS = 1_000
 # After this many reads from a socket other greenlets run, even if more data is available.
@@ -202,9 +204,19 @@
         raise http.client.HTTPException(f"more than {_MAX_INTERIM_HEADS} interim heads")
 
     def _read_field_lines(self) -> list[bytes]:
-        """Return the lines up to the empty one, which is left out."""
+        """Return the lines up to the empty one, which is left out.
+
+        Raises
+        ------
+        http.client.LineTooLong
+            If the lines exceed `MAX_LINE_BYTES`, each with `_FIELD_OVERHEAD_BYTES` added.
+        """
         lines = []
+        size = 0
         while (line := self.fp.readline(MAX_LINE_BYTES + 1)) not in (b"\r\n", b"\n", b""):
+            size += len(line) + _FIELD_OVERHEAD_BYTES
+            if size > MAX_LINE_BYTES:
+                raise http.client.LineTooLong("head")
             lines.append(line)
         return lines
 
--- a/verbenadrum/daemon/tests/test_answer_memory.py
+++ b/verbenadrum/daemon/tests/test_answer_memory.py
@@ -8,7 +8,7 @@
 import pytest
 
 from verbenadrum.core import ports
-from verbenadrum.daemon import buffers, connection_pools, upstream
+from verbenadrum.daemon import answers, buffers, connection_pools, upstream
 from verbenadrum.daemon.tests import test_endless_callers, test_upstream
 
 start = test_endless_callers.start
@@ -72,6 +72,32 @@
     assert peak < MEMORY_LIMIT_BYTES
 
 
+def head_in_short_lines(count):
+    fields = b"a:\r\n" * count + b"Content-Length: 780000\r\n\r\n"
+    return StallingBackend(test_upstream.HEAD + fields)
+
+
+def test_head_takes_a_small_multiple_of_its_limit_while_its_body_stalls():
+    budget = buffers.BufferBudget(max_bytes=0)
+    # The first attempt of a process fills caches.
+    run_attempt(head_in_short_lines(100).address, budget)
+    tracemalloc.start()
+    try:
+        answer = run_attempt(head_in_short_lines(1_700).address, budget)
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert answer.status == 200
+    assert held < 6 * answers.MAX_LINE_BYTES
+
+
+# A head of 64 KiB in short lines took 2 MB for as long as the body of its answer stalled.
+def test_head_in_more_short_lines_than_its_limit_holds_is_no_answer():
+    backend = head_in_short_lines(16_000)
+    pools = connection_pools.ConnectionPools(max_idle_per_server=2)
+    assert test_upstream.outcome_of(pools, backend).kind is ports.OutcomeKind.RESET
+
+
 def run_attempt(address, budget, names=upstream.DEFAULT_HEADER_NAMES):
     pools = connection_pools.ConnectionPools(max_idle_per_server=2)
     return test_upstream.attempt(pools, address, names=names, budget=budget).run()
