--- a/verbenadrum/daemon/tests/test_late_signals.py
+++ b/verbenadrum/daemon/tests/test_late_signals.py
@@ -54,11 +54,26 @@
 stall(0.8)
 print_answer()
 """
+# Limits of a deployment; the answer comes 4.8 s after SIGTERM and in time for its caller.
+LONG_LIMITS = """
+test_host.SETTINGS = (
+    test_host.SETTINGS.replace("linger_ms = 400", "linger_ms = 3000")
+    .replace("limit_ms = 1300", "limit_ms = 6000")
+    .replace("margin_ms = 300", "margin_ms = 600")
+)
+"""
+STALL_BEFORE_SIGNAL = """
+stall(1.0)
+os.kill(os.getpid(), signal.SIGTERM)
+gevent.sleep(0.5)
+send("GET", 4400)
+print_answer()
+"""
 
 
-def run(program):
+def run(program, prefix=PREFIX):
     completed = subprocess.run(
-        [sys.executable, "-c", PREFIX + program],
+        [sys.executable, "-c", prefix + program],
         capture_output=True,
         text=True,
         timeout=60,
@@ -79,3 +94,9 @@
 
 def test_answer_that_arrived_is_delivered_by_a_host_that_was_late_for_its_own_end():
     assert run(LATE_END) == ["200", "clean", "1"]
+
+
+def test_request_after_a_signal_that_ended_a_stall_is_refused_or_has_its_time():
+    before, after = PREFIX.replace("delay_s=30.0", "delay_s=4.3").split("hosted = ")
+    answer = run(STALL_BEFORE_SIGNAL, f"{before}{LONG_LIMITS}hosted = {after}")
+    assert answer in (["200", "clean", "1"], ["503", "clean", "0"])
