Tests: times of one use that stay on a connection, and the reckoned age of signals

The client of the platform's store gives each call on a reused connection its own time. The checks of a caller's and a server's connection leave the socket's time as it was.

--- a/verbenadrum/daemon/tests/test_callers.py
+++ b/verbenadrum/daemon/tests/test_callers.py
@@ -243,3 +243,19 @@
     refusal = json.loads(answer.body)
     assert (refusal["code"], refusal["not_run"]) == ("deadline-passed", "true")
     assert backend.requests == 0
+
+
+@pytest.mark.parametrize("timeout_s", [None, 30.0])
+def test_checks_of_a_connection_leave_its_time_as_it_was(timeout_s):
+    """A time of 0 that stayed on the socket would end the next read or write at once."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.settimeout(timeout_s)
+        assert not callers._caller_disconnected(ours)
+        assert not sockets.is_unusable(ours)
+        theirs.sendall(b"x")
+        assert not callers._caller_disconnected(ours)
+        theirs.close()
+        assert ours.recv(1) == b"x"
+        assert callers._caller_disconnected(ours)
+        assert ours.gettimeout() == timeout_s
--- a/verbenadrum/daemon/tests/test_late_signals.py
+++ b/verbenadrum/daemon/tests/test_late_signals.py
@@ -69,6 +69,52 @@
 send("GET", 4400)
 print_answer()
 """
+# Signals at random times, from a thread of its own, to a loop that is often busy.
+SENT_AND_RECKONED = """
+from gevent import monkey
+monkey.patch_all()
+import os, pathlib, random, signal, time
+import gevent
+from verbenadrum.daemon import command, heartbeat
+from verbenadrum.utils import clock
+
+rng = random.Random(1)
+stall = monkey.get_original("time", "sleep")
+now_ms = clock.SystemClock().now_ms
+beats = heartbeat.LoopHeartbeat(clock=clock.SystemClock())
+handlers = command._SignalHandlers(path=pathlib.Path("unused"), beats=beats)
+sent, reckoned = [], []
+
+class Host:
+    def begin_shutdown(self, since_ms):
+        reckoned.append(since_ms)
+        handlers._shutdown_ms = None
+
+def run_ticks():
+    while True:
+        gevent.sleep(0.02)
+        gevent.sleep(0)
+        beats.beat()
+
+def be_busy():
+    while True:
+        gevent.sleep(rng.random() * 0.1)
+        stall(rng.random() * 0.15)
+
+def send_signals():
+    for _ in range(20):
+        stall(rng.random() * 0.1)
+        sent.append(now_ms())
+        os.kill(os.getpid(), signal.SIGTERM)
+        while len(reckoned) < len(sent):
+            stall(0.001)
+
+handlers.attach(Host())
+gevent.spawn(run_ticks)
+gevent.spawn(be_busy)
+gevent.get_hub().threadpool.spawn(send_signals).get()
+print(len(sent), sum(since > at for since, at in zip(reckoned, sent, strict=True)))
+"""
 
 
 def run(program, prefix=PREFIX):
@@ -100,3 +146,7 @@
     before, after = PREFIX.replace("delay_s=30.0", "delay_s=4.3").split("hosted = ")
     answer = run(STALL_BEFORE_SIGNAL, f"{before}{LONG_LIMITS}hosted = {after}")
     assert answer in (["200", "clean", "1"], ["503", "clean", "0"])
+
+
+def test_no_signal_is_reckoned_from_after_its_sending_by_a_busy_loop():
+    assert run(SENT_AND_RECKONED, "") == ["20", "0"]
--- a/verbenadrum/platform/tests/test_store.py
+++ b/verbenadrum/platform/tests/test_store.py
@@ -4,10 +4,13 @@
 import json
 import urllib.parse
 
+import gevent
 import pytest
+from gevent import server
+from urllib3 import exceptions
 
 from standins import canned
-from verbenadrum.daemon import sources
+from verbenadrum.daemon import sockets, sources
 from verbenadrum.dissemination import duty
 from verbenadrum.platform import store
 from verbenadrum.platform.tests import test_wire
@@ -139,6 +142,43 @@
     assert names(poll(fake_store, 0)) == []
 
 
+class PausingStore:
+    """Store on one socket that waits before each answer; ``pauses_s`` are its waits, in order."""
+
+    def __init__(self, pauses_s):
+        self.pauses_s = list(pauses_s)
+        self.connections = 0
+        self.listener = sockets.listen("127.0.0.1:0")
+        self.url = f"http://127.0.0.1:{self.listener.getsockname()[1]}"
+        self.server = server.StreamServer(self.listener, self.handle)
+        self.server.start()
+
+    def handle(self, sock, address):
+        self.connections += 1
+        body = b'{"events": [], "current_rev": 9}'
+        while sock.recv(65_536):
+            gevent.sleep(self.pauses_s.pop(0))
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+@pytest.mark.parametrize("waits_ms", [(0.0, 2_000.0), (2_000.0, 0.0)])
+def test_call_on_a_reused_connection_has_its_own_time_and_not_that_of_an_earlier_one(waits_ms):
+    pausing = PausingStore([0.0, 0.6])
+    source = store.StoreSource(
+        options=sources.SourceOptions(
+            host="h1", urls=(pausing.url,), connect_timeout_s=0.2, read_timeout_s=0.3
+        )
+    )
+    first, second = (duty.PollOrder(after=9, wait_ms=wait_ms, delay_ms=0.0) for wait_ms in waits_ms)
+    source.poll(pausing.url, duty.Stream.RECORDS, first)
+    if second.wait_ms:
+        assert source.poll(pausing.url, duty.Stream.RECORDS, second).revision == 9
+    else:
+        with pytest.raises((exceptions.TimeoutError, gevent.Timeout)):
+            source.poll(pausing.url, duty.Stream.RECORDS, second)
+    assert pausing.connections == 1
+
+
 def test_error_status_raises_source_error(fake_store):
     fake_store.kv_key = lambda query: (429, {})
     with pytest.raises(sources.SourceError):
