A host without time for what it takes after a late signal refuses that at once

What callers saw: 504 `host-ended` from a host that had stood still for a second before SIGTERM, 4.6 s after it, with a server at work on an idempotent request that came after SIGTERM.

Cause: such a host ends by the earliest time at which its signal may have been sent, so what it takes now has less than the time allowed; it went on taking requests that may outlive it until the refusals began.

Change: where the time from handling the signal is shorter than the time allowed, new requests that may outlive the host are refused from then on.

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -588,7 +588,8 @@
     """Return the times of a shutdown whose signal was sent between two monotonic times.
 
     New requests are refused by the earlier time. Those in flight have the time allowed from the
-    later one, as far as the host can still end by its limit from the earlier one.
+    later one, as far as the host can still end by its limit from the earlier one. Where that is
+    less than the time allowed, new requests that may outlive the host are refused at once.
     """
     margin_ms = max(table.margin_ms, _MIN_MARGIN_MS)
     allowed_ms = max(0.0, table.limit_ms - margin_ms)
@@ -597,10 +598,11 @@
     deadline_ms = max(
         since_ms + allowed_ms, min(handled_ms + allowed_ms, limit_ms - _LATE_MARGIN_MS)
     )
+    refuse_from_ms = since_ms + linger_ms - min(_EARLY_REFUSAL_MS, linger_ms / 2.0)
     flush_ms = _PEER_FLUSH_S * _MS_PER_S
     return _ShutdownTimes(
         since_ms=since_ms,
-        refuse_from_ms=since_ms + linger_ms - min(_EARLY_REFUSAL_MS, linger_ms / 2.0),
+        refuse_from_ms=(refuse_from_ms if deadline_ms >= handled_ms + allowed_ms else handled_ms),
         linger_end_ms=since_ms + linger_ms,
         deadline_ms=deadline_ms,
         close_by_ms=min(deadline_ms + margin_ms / 2.0, limit_ms - flush_ms) - flush_ms,
