--- a/verbenadrum/membership/seeded.py
+++ b/verbenadrum/membership/seeded.py
@@ -209,6 +209,7 @@
             incarnation=row.incarnation,
             removed_ms=self._context.now_ms() if row.removed else 0.0,
         )
+        self._membership.clear_earlier_leaving(host, row.incarnation)
         return True
 
     def _refute(self, row: messages.RosterRow) -> bool:
--- a/verbenadrum/membership/tests/test_seeded.py
+++ b/verbenadrum/membership/tests/test_seeded.py
@@ -1,6 +1,7 @@
 """Tests of the seeded host list: cold starts, mass restarts and network partitions."""
 
 import itertools
+import math
 
 import pytest
 
@@ -71,3 +72,17 @@
     for host in fleet.hosts.values():
         host.engine.host_spread.use_seeds(SEEDS[:1])
     assert time_to_agree(fleet) <= 8_000.0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_restarted_host_is_no_longer_taken_for_leaving_within_3_s(seed):
+    fleet = make_fleet(seed)
+    assert time_to_agree(fleet) <= 2_000.0
+    fleet.hosts["h0105"].engine.start_shutdown(math.inf)
+    fleet.run(2_500.0)
+    fleet.stop("h0105")
+    fleet.run(1_300.0)
+    fleet.start("h0105")
+    fleet.run(3_000.0)
+    marked = [name for name, host in fleet.hosts.items() if host.engine.membership.leaving()]
+    assert not marked
