--- /dev/null
+++ b/benchmarks/limits_restarts.py
@@ -0,0 +1,307 @@
+"""Benchmark of the metered limiter while hosts restart and their views of the fleet differ.
+
+Run ``python -m benchmarks.limits_restarts`` for a table of 44, 110 and 890 hosts. Each scenario
+states the most requests that were admitted in any 5 s, as a fraction of what the users' bound
+allows, for seeds 1 to 3; what was admitted less than one bucket would, in percent; and the messages
+per second and host.
+"""
+
+import bisect
+import random
+import sys
+from collections.abc import Callable
+
+import msgspec
+
+from benchmarks import limits_fleet
+from verbenadrum.core import ports
+from verbenadrum.limits import bucket, metered
+from verbenadrum.records import types
+
+__all__ = ["SCENARIOS", "Result", "layout", "run_scenario"]
+
+_WINDOW_S = 5.0
+_OVERSHOOT = 0.25
+_SLACK = 20.0
+# Rate of each workspace, which equals its burst; callers usually send `_USUAL_LOAD` of it.
+_RATES = {"w42": 42.0, "w17": 17.0, "w14": 14.0, "w4": 4.0}
+_USUAL_LOAD = 1.0 / 1.6
+_HOT_FACTOR = 7.5
+_SETTLING_MS = 3_000.0
+_LAYOUTS = {44: (2, 2, 11), 110: (2, 5, 11), 890: (2, 5, 89)}
+# Time until a restarted host has the list, until another host suspects a dead one, and until it
+# clears the mark of one that is back.
+_JOIN_MS = (20.0, 300.0)
+_COLD_JOIN_MS = (100.0, 1_000.0)
+_SUSPECT_MS = (300.0, 2_000.0)
+_CLEAR_MS = (100.0, 1_000.0)
+_DOWN_MS = (300.0, 1_300.0)
+
+
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures of one run.
+
+    Attributes
+    ----------
+    used : float
+        Most requests of a workspace admitted in any window, as a fraction of the bound; the
+        greatest of all workspaces.
+    lost : float
+        What the limiter admitted less than one bucket for the whole fleet would have, as a fraction
+        of the latter; the mean of all workspaces, weighted by their requests.
+    messages_per_s : float
+        Mean number of messages per second and host.
+    """
+
+    used: float
+    lost: float
+    messages_per_s: float
+
+
+def layout(hosts: int) -> list[ports.HostRow]:
+    """Return the rows of a fleet of 44, 110 or 890 hosts in two regions."""
+    return limits_fleet.layout(*_LAYOUTS[hosts])
+
+
+class _Run:
+    """One fleet whose hosts have views of their own, and the callers of its workspaces."""
+
+    def __init__(self, *, hosts: int, seed: int) -> None:
+        self.rows = layout(hosts)
+        self.rng = random.Random(seed)
+        self.fleet = limits_fleet.Fleet(seed=seed, limiter=metered.MeteredLimiter)
+        for name, rate_per_s in _RATES.items():
+            spec = types.WorkspaceSpec(rate_per_s=rate_per_s, burst=rate_per_s)
+            self.fleet.publish(types.RecordKind.WORKSPACE, name, spec)
+        self.factors: dict[str, float] = dict.fromkeys(_RATES, 0.0)
+        for row in self.rows:
+            self.start(row, (0.0, 0.0))
+        self.wait(_SETTLING_MS)
+
+    def start(self, row: ports.HostRow, join_ms: tuple[float, float]) -> None:
+        """Start a host that lists only itself at first, and all hosts after its join time."""
+        host = self.fleet.add(row)
+        host.membership.replace(1, (row,))
+        full = tuple(self.rows)
+        self.later(self.rng.uniform(*join_ms), lambda: host.membership.replace(2, full))
+
+    def kill(self, row: ports.HostRow, join_ms: tuple[float, float] = _JOIN_MS) -> None:
+        """Kill a host; the others suspect it after a while, and it starts again."""
+        self.fleet.remove(row.host)
+        for name in self.fleet.names:
+            self.mark(name, row.host, True, self.rng.uniform(*_SUSPECT_MS))
+        self.later(self.rng.uniform(*_DOWN_MS), lambda: self._restart(row, join_ms))
+
+    def _restart(self, row: ports.HostRow, join_ms: tuple[float, float]) -> None:
+        self.start(row, join_ms)
+        for name in self.fleet.names:
+            self.mark(name, row.host, False, self.rng.uniform(*_CLEAR_MS))
+
+    def mark(self, name: str, other: str, suspected: bool, delay_ms: float) -> None:
+        """Let a host suspect another one, or trust it again, after a delay."""
+        host = self.fleet.hosts[name]
+
+        def apply() -> None:
+            running = other in self.fleet.hosts
+            if host.row.host != other and suspected != running:
+                host.membership.set_suspected(other, suspected)
+
+        self.later(delay_ms, apply)
+
+    def pass_over_homes(self, fraction: float) -> None:
+        """Let some hosts take the homes of all workspaces for leaving, from now on."""
+        for name in self.fleet.names:
+            if self.rng.random() < fraction:
+                membership = self.fleet.hosts[name].membership
+                homes = {
+                    membership.ranked_hosts(f"limit/{workspace}", membership.hosts(), 1)[0]
+                    for workspace in _RATES
+                }
+                for home in homes - {name}:
+                    membership.mark_leaving(home, 1)
+
+    def later(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Run an action after a delay."""
+        self.fleet.at(self.fleet.now_ms + delay_ms, action)
+
+    def load(self, factor: float) -> None:
+        """Send each workspace ``factor`` times its usual load from now on."""
+        for workspace, rate_per_s in _RATES.items():
+            self.factors[workspace] = factor
+            self._send_next(workspace, rate_per_s * _USUAL_LOAD * factor, factor)
+
+    def _send_next(self, workspace: str, per_s: float, factor: float) -> None:
+        def send() -> None:
+            if self.factors[workspace] != factor:
+                return
+            if self.fleet.hosts:
+                self.fleet.request(self.rng.choice(self.fleet.names), workspace)
+            self._send_next(workspace, per_s, factor)
+
+        self.later(self.rng.expovariate(per_s / 1000.0), send)
+
+    def wait(self, duration_ms: float) -> None:
+        """Advance the simulated time."""
+        self.fleet.run(self.fleet.now_ms + duration_ms)
+
+    def result(self, sent_before: int, started_ms: float) -> Result:
+        """Return the figures since ``started_ms``, when ``sent_before`` messages had been sent."""
+        duration_s = (self.fleet.now_ms - started_ms) / 1000.0
+        messages = sum(self.fleet.sent.values()) - sent_before
+        return Result(
+            used=max(self.used(name) for name in _RATES),
+            lost=self.lost(),
+            messages_per_s=messages / duration_s / len(self.rows),
+        )
+
+    def used(self, workspace: str) -> float:
+        """Return the most that a window admitted of a workspace, as a fraction of the bound."""
+        at_ms = sorted(self.fleet.admitted(workspace))
+        most = max(
+            bisect.bisect_right(at_ms, start + _WINDOW_S * 1000.0) - index
+            for index, start in enumerate(at_ms)
+        )
+        limit = _RATES[workspace] * (_WINDOW_S + 1.0)
+        return most / (limit * (1.0 + _OVERSHOOT) + _SLACK)
+
+    def lost(self) -> float:
+        """Return the fraction of what one bucket would admit that was not admitted."""
+        owed = lost = 0
+        for workspace, rate_per_s in _RATES.items():
+            ideal = bucket.TokenBucket(
+                now_ms=0.0, tokens=rate_per_s, rate_per_s=rate_per_s, burst=rate_per_s
+            )
+            logs = [
+                log
+                for log in self.fleet.log
+                if log.workspace == workspace and log.granted is not None
+            ]
+            in_rate = sum(ideal.take(now_ms=log.at_ms) for log in logs)
+            owed += in_rate
+            lost += max(0, in_rate - sum(bool(log.granted) for log in logs))
+        return lost / owed
+
+
+def _calm(run: _Run) -> None:
+    run.load(1.0)
+    run.wait(20_000.0)
+
+
+def _roll(run: _Run) -> None:
+    run.load(1.0)
+    run.wait(3_000.0)
+    for row in run.rng.sample(run.rows, len(run.rows)):
+        run.kill(row)
+        run.wait(20_000.0 / len(run.rows))
+    run.wait(5_000.0)
+
+
+def _cold(run: _Run) -> None:
+    run.load(1.0)
+    run.wait(3_000.0)
+    for row in run.rows:
+        run.kill(row, _COLD_JOIN_MS)
+    run.wait(17_000.0)
+
+
+def _two_views(run: _Run) -> None:
+    run.load(1.0)
+    run.wait(3_000.0)
+    run.pass_over_homes(0.5)
+    run.wait(17_000.0)
+
+
+def _roll_hot(run: _Run) -> None:
+    run.load(1.0)
+    run.wait(3_000.0)
+    for row in run.rng.sample(run.rows, len(run.rows)):
+        run.kill(row)
+        run.wait(10_000.0 / len(run.rows))
+    run.load(_HOT_FACTOR)
+    run.wait(7_000.0)
+
+
+def _hot_roll(run: _Run) -> None:
+    run.load(1.0)
+    run.wait(3_000.0)
+    run.load(_HOT_FACTOR)
+    for row in run.rng.sample(run.rows, len(run.rows)):
+        run.kill(row)
+        run.wait(10_000.0 / len(run.rows))
+
+
+def _homes_in_turn_hot(run: _Run) -> None:
+    run.load(1.0)
+    run.wait(3_000.0)
+    run.load(_HOT_FACTOR)
+    rows = {row.host: row for row in run.rows}
+    for _ in range(25):
+        view = run.fleet.hosts[run.rng.choice(run.fleet.names)].membership
+        homes = {view.ranked_hosts(f"limit/{name}", view.hosts(), 1)[0] for name in _RATES}
+        for home in homes & set(run.fleet.hosts):
+            run.kill(rows[home])
+        run.wait(300.0)
+
+
+def _cold_hot(run: _Run) -> None:
+    run.load(1.0)
+    run.wait(4_000.0)
+    for row in run.rows:
+        run.kill(row, _COLD_JOIN_MS)
+    run.wait(300.0)
+    run.load(_HOT_FACTOR)
+    run.wait(8_000.0)
+
+
+def _two_views_hot(run: _Run) -> None:
+    run.load(1.0)
+    run.wait(3_000.0)
+    run.pass_over_homes(0.5)
+    run.wait(4_000.0)
+    run.load(_HOT_FACTOR)
+    run.wait(7_000.0)
+
+
+def _two_views_steady(run: _Run) -> None:
+    run.load(1.0)
+    run.wait(1_000.0)
+    run.pass_over_homes(0.5)
+    run.load(1.9 / _USUAL_LOAD)
+    run.wait(12_000.0)
+
+
+SCENARIOS = {
+    "calm": _calm,
+    "all hosts in turn": _roll,
+    "all hosts at once": _cold,
+    "two views": _two_views,
+    "all in turn, then hot": _roll_hot,
+    "hot while all in turn": _hot_roll,
+    "homes in turn while hot": _homes_in_turn_hot,
+    "all at once, hot": _cold_hot,
+    "two views, hot": _two_views_hot,
+    "two views, 1.9 times the rate": _two_views_steady,
+}
+
+
+def run_scenario(name: str, *, hosts: int, seed: int) -> Result:
+    """Run one scenario on a fleet of 44, 110 or 890 hosts."""
+    run = _Run(hosts=hosts, seed=seed)
+    sent_before, started_ms = sum(run.fleet.sent.values()), run.fleet.now_ms
+    SCENARIOS[name](run)
+    return run.result(sent_before, started_ms)
+
+
+def main(arguments: list[str]) -> None:
+    """Print a table; the arguments are the fleet sizes, by default all."""
+    for name in SCENARIOS:
+        for hosts in [int(each) for each in arguments] or list(_LAYOUTS):
+            rows = [run_scenario(name, hosts=hosts, seed=seed) for seed in range(1, 4)]
+            used = " ".join(f"{row.used:.2f}" for row in rows)
+            lost = 100.0 * sum(row.lost for row in rows) / len(rows)
+            messages = sum(row.messages_per_s for row in rows) / len(rows)
+            print(f"| {name} | {hosts} | {used} | {lost:.2f} | {messages:.2f} |", flush=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
