--- a/verbenadrum/limits/messages.py
+++ b/verbenadrum/limits/messages.py
@@ -131,9 +131,14 @@
 
 @base.register
 class UsageReport(base.Message, frozen=True, tag="lU"):
-    """Report of an entry host on admissions of workspaces of which the receiver is home."""
+    """Report of an entry host on admissions of workspaces of which the receiver is home.
+
+    A report is ``forwarded`` by a host that was told of the admissions, or granted tokens for them,
+    and takes the receiver for the home, or for a host that may act as the home as well.
+    """
 
     usages: tuple[WorkspaceUsage, ...]
+    forwarded: bool = False
 
 
 @base.register
--- a/verbenadrum/limits/metered.py
+++ b/verbenadrum/limits/metered.py
@@ -18,15 +18,12 @@
 
 from verbenadrum import ids
 from verbenadrum.core import context, ports, system
-from verbenadrum.limits import bucket, messages, meters, registry
+from verbenadrum.limits import bucket, messages, meters, registry, usage
 from verbenadrum.messages import base
 from verbenadrum.records import types
 
 __all__ = ["MeteredLimiter"]
 
-# An admission is reported to the home at once if the last report is at least this old; later
-# admissions are batched until then.
-_REPORT_INTERVAL_MS = 250.0
 # The home repeats AskFirst at this interval. Entry hosts leave ask-first mode when no repetition
 # arrives within the lifetime.
 _RENEWAL_INTERVAL_MS = 2_000.0
@@ -52,8 +49,6 @@
         Limits what this host admits outside ask-first mode to the whole rate and burst.
     last_used_ms : float
         Monotonic time of the last access to this account.
-    unreported : int
-        Local admissions since the last usage report.
     ask_first_until_ms : float
         Monotonic time at which ask-first mode ends.
     refuse_until_ms : float
@@ -64,7 +59,6 @@
 
     local_bucket: bucket.TokenBucket
     last_used_ms: float
-    unreported: int = 0
     ask_first_until_ms: float = 0.0
     refuse_until_ms: float = 0.0
     extra_retry_ms: float = 0.0
@@ -101,9 +95,9 @@
         self._request_numbers = context.numbers()
         # Granted requests, each with the monotonic time at which its token becomes valid.
         self._delayed_grants: list[tuple[float, Callable[[ports.Admission], None]]] = []
-        # Workspaces with unreported admissions, and the time of the last report, by home.
-        self._unreported: dict[ids.HostId, set[ids.WorkspaceId]] = {}
-        self._reported_ms: dict[ids.HostId, float] = {}
+        # Admissions of this host, and usage that was reported to it and concerns another home too.
+        self._reports = usage.UsageBatches()
+        self._forwards = usage.UsageBatches()
         self._avoided_until_ms: dict[ids.HostId, float] = {}
         self._local_handlers = dict(self.handlers())
         self._next_renewal_ms = context.now_ms() + context.rng.random() * _RENEWAL_INTERVAL_MS
@@ -135,7 +129,6 @@
         elif now_ms < account.ask_first_until_ms:
             self._request_token(workspace, deadline_ms, done)
         elif account.local_bucket.take(now_ms=now_ms):
-            account.unreported += 1
             self._record_admission(workspace, now_ms)
             done(_GRANTED)
         else:
@@ -144,9 +137,7 @@
     def on_tick(self) -> None:
         """Send due reports, complete delayed grants, handle timeouts and renew ask-first mode."""
         now_ms = self._context.now_ms()
-        for home in list(self._unreported):
-            if now_ms - self._reported_ms.get(home, -_REPORT_INTERVAL_MS) >= _REPORT_INTERVAL_MS:
-                self._report(home, now_ms)
+        self._send_reports(now_ms)
         due = [done for at_ms, done in self._delayed_grants if at_ms <= now_ms]
         self._delayed_grants = [row for row in self._delayed_grants if row[0] > now_ms]
         for done in due:
@@ -167,15 +158,20 @@
         """Charge an entry host's admissions to the buckets.
 
         If that makes a bucket low, all hosts are switched to ask-first mode. If the mode was on
-        already, only the sender is told again.
+        already, only the sender is told again. A host that is not the home only passes the usage
+        on, and so does a home that a better-ranked host may replace.
         """
         low = []
-        for usage in message.usages:
-            workspace = ids.WorkspaceId(usage.workspace)
+        for row in message.usages:
+            workspace = ids.WorkspaceId(row.workspace)
             spec = self._records.workspace(workspace)
             if spec is None or not spec.limited:
                 continue
-            meter, newly_low = self._meters.charge(workspace, spec, usage.admitted)
+            meter, newly_low = self._meters.charge(workspace, spec, row.admitted)
+            if not message.forwarded:
+                self._forward(workspace, row.admitted)
+            if not self._meters.is_home(workspace):
+                continue
             if newly_low:
                 self._broadcast_ask_first((workspace,))
             elif meter.ask_first:
@@ -193,6 +189,7 @@
             if spec is not None and spec.limited:
                 account = self._account(workspace, spec, now_ms)
                 account.ask_first_until_ms = now_ms + _ASK_FIRST_LIFETIME_MS
+                self._meters.add_claim(workspace, sender)
 
     @system.handles(messages.TokenAsk)
     def on_token_ask(self, sender: ids.HostId, message: messages.TokenAsk) -> None:
@@ -203,6 +200,8 @@
             self._send(sender, messages.TokenAnswer(message.number, False))
             return
         decision = self._meters.take_token(workspace, spec)
+        if decision.granted:
+            self._forward(workspace, 1)
         answer = messages.TokenAnswer(
             message.number,
             decision.granted,
@@ -225,9 +224,10 @@
         now_ms = self._context.now_ms()
         account = self._accounts.get(pending.workspace)
         if account is not None:
-            account.ask_first_until_ms = (
-                now_ms + _ASK_FIRST_LIFETIME_MS if message.ask_first else 0.0
-            )
+            if message.ask_first:
+                account.ask_first_until_ms = now_ms + _ASK_FIRST_LIFETIME_MS
+            elif sender == self._meters.home(pending.workspace):
+                account.ask_first_until_ms = 0.0
             if not message.granted:
                 account.refuse_until_ms = now_ms + message.wait_ms
                 account.extra_retry_ms = max(0.0, message.retry_after_ms - message.wait_ms)
@@ -254,23 +254,20 @@
         return account
 
     def _record_admission(self, workspace: ids.WorkspaceId, now_ms: float) -> None:
-        homes = meters.candidate_homes(self._membership, workspace)
-        if not homes:
-            return
-        self._unreported.setdefault(homes[0], set()).add(workspace)
-        if now_ms - self._reported_ms.get(homes[0], -_REPORT_INTERVAL_MS) >= _REPORT_INTERVAL_MS:
-            self._report(homes[0], now_ms)
-
-    def _report(self, home: ids.HostId, now_ms: float) -> None:
-        self._reported_ms[home] = now_ms
-        usages = []
-        for workspace in sorted(self._unreported.pop(home)):
-            account = self._accounts.get(workspace)
-            if account is not None and account.unreported:
-                usages.append(messages.WorkspaceUsage(workspace, account.unreported))
-                account.unreported = 0
-        if usages:
-            self._send(home, messages.UsageReport(tuple(usages)))
+        home = self._meters.home(workspace)
+        if home is not None:
+            self._reports.add(home, workspace, 1)
+            self._send_reports(now_ms)
+
+    def _forward(self, workspace: ids.WorkspaceId, count: int) -> None:
+        for host in self._meters.other_homes(workspace):
+            self._forwards.add(host, workspace, count)
+
+    def _send_reports(self, now_ms: float) -> None:
+        for home, usages in self._reports.pop_due(now_ms):
+            self._send(home, messages.UsageReport(usages))
+        for home, usages in self._forwards.pop_due(now_ms):
+            self._send(home, messages.UsageReport(usages, forwarded=True))
 
     def _request_token(
         self,
@@ -280,6 +277,9 @@
     ) -> None:
         now_ms = self._context.now_ms()
         homes = list(meters.candidate_homes(self._membership, workspace))
+        home = self._meters.home(workspace)
+        if home is not None:
+            homes = [home, *(host for host in homes if host != home)]
         homes.sort(key=lambda host: self._avoided_until_ms.get(host, 0.0) > now_ms)
         pending = _PendingRequest(
             workspace=workspace,
@@ -314,12 +314,13 @@
             self._broadcast_ask_first(tuple(workspaces))
         self._meters.remove_idle()
         for workspace, account in list(self._accounts.items()):
-            if now_ms - account.last_used_ms > _IDLE_EXPIRY_MS and not account.unreported:
+            if now_ms - account.last_used_ms > _IDLE_EXPIRY_MS:
                 del self._accounts[workspace]
-        for table in (self._reported_ms, self._avoided_until_ms):
-            for host, at_ms in list(table.items()):
-                if now_ms - at_ms > _IDLE_EXPIRY_MS:
-                    del table[host]
+        for host, until_ms in list(self._avoided_until_ms.items()):
+            if now_ms > until_ms:
+                del self._avoided_until_ms[host]
+        for batches in (self._reports, self._forwards):
+            batches.forget_reports_before(now_ms - _IDLE_EXPIRY_MS)
 
     def _send(self, host: ids.HostId, message: base.Message) -> None:
         if host != self._context.host:
--- a/verbenadrum/limits/meters.py
+++ b/verbenadrum/limits/meters.py
@@ -6,6 +6,7 @@
 from verbenadrum.core import context, ports
 from verbenadrum.decisions import ring
 from verbenadrum.records import types
+from verbenadrum.utils import hashing
 
 __all__ = ["Meter", "MeterTable", "TokenDecision", "candidate_homes"]
 
@@ -14,13 +15,17 @@
 # the burst.
 _ASK_FIRST_START_LEVEL = 0.7
 _ASK_FIRST_END_LEVEL = 0.9
-# Initial bucket level as a fraction of the burst. A new home has no record of its predecessor's
-# admissions. A low initial level keeps what several successive homes add to one window within
-# the permitted overshoot of a quarter of the limit.
+# Bucket level of a new home as a fraction of the burst, and the most that a host holds that is not
+# the home. A new home has no record of its predecessor's admissions. A low level keeps what several
+# homes add to one window within the permitted overshoot of a quarter of the limit.
 _INITIAL_LEVEL = 0.25
-# Fraction of the rate that the second candidate grants while the first one does not reply.
+# Fraction of the rate that a host grants that is not the home, as the home does not reply.
 _SUBSTITUTE_SHARE = 0.2
 _CANDIDATE_COUNT = 2
+# Number of better-ranked hosts that a home reports its usage to while it passes them over.
+_MAX_PASSED_OVER = 2
+# The home announces ask-first mode every 2 s; a claim lapses after one announcement is missed.
+_CLAIM_LIFETIME_MS = 4_500.0
 # A request waits for a token that accrues within this time; otherwise it is refused.
 _MAX_TOKEN_WAIT_MS = 250.0
 _IDLE_EXPIRY_MS = 10_000.0
@@ -50,6 +55,38 @@
     next_retry_ms: float = 0.0
 
 
+class _View(msgspec.Struct, frozen=True, kw_only=True):
+    """What this host list says about one workspace.
+
+    Attributes
+    ----------
+    change_count : int
+        State of the host list that it was derived from.
+    home : HostId or None
+        Host that the list makes the home.
+    reachable_share : float
+        Fraction of the listed hosts that this host can reach, itself included.
+    passed_over : tuple of HostId
+        Hosts that rank before this one, but are suspected or leaving; the best first.
+    """
+
+    change_count: int
+    home: ids.HostId | None
+    reachable_share: float
+    passed_over: tuple[ids.HostId, ...]
+
+
+class _Claim(msgspec.Struct, frozen=True, kw_only=True):
+    """Another host's announcement of ask-first mode, by which it acts as the home.
+
+    ``was_passed_over`` is whether this host took it for unreachable or leaving at that time.
+    """
+
+    host: ids.HostId
+    heard_ms: float
+    was_passed_over: bool
+
+
 class TokenDecision(msgspec.Struct, frozen=True, kw_only=True):
     """Result of a request for one token.
 
@@ -70,7 +107,15 @@
 
     The tuple is shorter, possibly empty, if fewer hosts are listed.
     """
-    return membership.ranked_hosts(f"limit/{workspace}", membership.hosts(), _CANDIDATE_COUNT)
+    return membership.ranked_hosts(_key(workspace), membership.hosts(), _CANDIDATE_COUNT)
+
+
+def _key(workspace: ids.WorkspaceId) -> str:
+    return f"limit/{workspace}"
+
+
+def _ranks_before(workspace: ids.WorkspaceId, host: ids.HostId, other: ids.HostId) -> bool:
+    return host != other and hashing.top(_key(workspace), (host, other)) == host
 
 
 class MeterTable:
@@ -88,7 +133,43 @@
         self._context = context
         self._membership = membership
         self._meters: dict[ids.WorkspaceId, Meter] = {}
-        self._cached_shares: dict[ids.WorkspaceId, tuple[int, float]] = {}
+        self._views: dict[ids.WorkspaceId, _View] = {}
+        self._claims: dict[ids.WorkspaceId, _Claim] = {}
+
+    def add_claim(self, workspace: ids.WorkspaceId, host: ids.HostId) -> None:
+        """Record that another host acts as the home; of several, the best-ranked one counts."""
+        known = self._claim(workspace)
+        if host == self._context.host or (
+            known is not None and _ranks_before(workspace, known.host, host)
+        ):
+            return
+        self._claims[workspace] = _Claim(
+            host=host,
+            heard_ms=self._context.now_ms(),
+            was_passed_over=self._passes_over(host),
+        )
+
+    def home(self, workspace: ids.WorkspaceId) -> ids.HostId | None:
+        """Return the home: the host that the list names, or a better one that acts as the home.
+
+        Hosts whose lists differ agree on the home in this way once it has announced ask-first mode.
+        """
+        own, listed = self._context.host, self._view(workspace).home
+        claim = self._claim(workspace)
+        if claim is None or (listed == own and _ranks_before(workspace, own, claim.host)):
+            return listed
+        return claim.host
+
+    def is_home(self, workspace: ids.WorkspaceId) -> bool:
+        """Return whether this host is the home of a workspace, as far as it knows."""
+        return self.home(workspace) == self._context.host
+
+    def other_homes(self, workspace: ids.WorkspaceId) -> tuple[ids.HostId, ...]:
+        """Return the hosts that may act as the home as well and must know of all usage."""
+        if not self.is_home(workspace):
+            home = self.home(workspace)
+            return () if home is None else (home,)
+        return self._view(workspace).passed_over
 
     def charge(
         self, workspace: ids.WorkspaceId, spec: types.WorkspaceSpec, count: int
@@ -134,20 +215,28 @@
 
     def ask_first_workspaces(self) -> list[ids.WorkspaceId]:
         """Return the workspaces in ask-first mode of which this host is the home."""
-        own = self._context.host
         return [
             workspace
             for workspace, meter in self._meters.items()
-            if meter.ask_first and candidate_homes(self._membership, workspace)[:1] == (own,)
+            if meter.ask_first and self.is_home(workspace)
         ]
 
     def remove_idle(self) -> None:
-        """Remove the meters that have been idle for longer than `_IDLE_EXPIRY_MS`."""
+        """Remove lapsed claims, and meters that have been idle for `_IDLE_EXPIRY_MS`."""
         now_ms = self._context.now_ms()
         for workspace, meter in list(self._meters.items()):
             if now_ms - meter.last_used_ms > _IDLE_EXPIRY_MS:
                 del self._meters[workspace]
-                self._cached_shares.pop(workspace, None)
+        self._claims = {
+            workspace: claim
+            for workspace, claim in self._claims.items()
+            if now_ms - claim.heard_ms < _CLAIM_LIFETIME_MS
+        }
+        self._views = {
+            workspace: view
+            for workspace, view in self._views.items()
+            if workspace in self._meters or workspace in self._claims
+        }
 
     def _refilled_meter(self, workspace: ids.WorkspaceId, spec: types.WorkspaceSpec) -> Meter:
         now_ms = self._context.now_ms()
@@ -157,7 +246,8 @@
             self._meters[workspace] = meter
         rate_per_s = spec.rate_per_s * self._rate_share(workspace)
         accrued = rate_per_s * (now_ms - meter.updated_ms) / _MS_PER_S
-        meter.level = min(spec.burst, meter.level + accrued)
+        most = spec.burst * (1.0 if self.is_home(workspace) else _INITIAL_LEVEL)
+        meter.level = min(most, meter.level + accrued)
         meter.updated_ms = meter.last_used_ms = now_ms
         return meter
 
@@ -188,15 +278,40 @@
         Each side of a network partition has its own home, which grants the rate in proportion to
         the listed hosts that it can reach.
         """
+        share = self._view(workspace).reachable_share
+        return share if self.is_home(workspace) else share * _SUBSTITUTE_SHARE
+
+    def _claim(self, workspace: ids.WorkspaceId) -> _Claim | None:
+        """Return the claim of another host, unless it lapsed or the host was lost after it."""
+        claim = self._claims.get(workspace)
+        if claim is None or self._context.now_ms() - claim.heard_ms >= _CLAIM_LIFETIME_MS:
+            return None
+        if not claim.was_passed_over and self._passes_over(claim.host):
+            return None
+        return claim
+
+    def _passes_over(self, host: ids.HostId) -> bool:
+        return not (self._membership.reachable(host) and self._membership.accepts_work(host))
+
+    def _view(self, workspace: ids.WorkspaceId) -> _View:
         change_count = self._membership.change_count
-        cached = self._cached_shares.get(workspace)
-        if cached is not None and cached[0] == change_count:
-            return cached[1]
-        listed = self._membership.hosts()
+        cached = self._views.get(workspace)
+        if cached is not None and cached.change_count == change_count:
+            return cached
         own = self._context.host
-        reachable = sum(row.host == own or self._membership.reachable(row.host) for row in listed)
-        share = reachable / max(1, len(listed))
-        if candidate_homes(self._membership, workspace)[:1] != (own,):
-            share *= _SUBSTITUTE_SHARE
-        self._cached_shares[workspace] = (change_count, share)
-        return share
+        listed = [row.host for row in self._membership.hosts()]
+        reachable = sum(host == own or self._membership.reachable(host) for host in listed)
+        passed_over = [
+            host
+            for host in listed
+            if self._passes_over(host) and _ranks_before(workspace, host, own)
+        ]
+        homes = candidate_homes(self._membership, workspace)
+        view = _View(
+            change_count=change_count,
+            home=homes[0] if homes else None,
+            reachable_share=reachable / max(1, len(listed)),
+            passed_over=tuple(hashing.rank(_key(workspace), passed_over)[:_MAX_PASSED_OVER]),
+        )
+        self._views[workspace] = view
+        return view
