--- a/verbenadrum/limits/metered.py
+++ b/verbenadrum/limits/metered.py
@@ -24,6 +24,9 @@
 
 __all__ = ["MeteredLimiter"]
 
+_REPORT_INTERVAL_MS = 250.0
+# Usage is forwarded only where hosts disagree on the home; it has been delayed once already.
+_FORWARD_INTERVAL_MS = 50.0
 # The home repeats AskFirst at this interval. Entry hosts leave ask-first mode when no repetition
 # arrives within the lifetime.
 _RENEWAL_INTERVAL_MS = 2_000.0
@@ -96,8 +99,8 @@
         # Granted requests, each with the monotonic time at which its token becomes valid.
         self._delayed_grants: list[tuple[float, Callable[[ports.Admission], None]]] = []
         # Admissions of this host, and usage that was reported to it and concerns another home too.
-        self._reports = usage.UsageBatches()
-        self._forwards = usage.UsageBatches()
+        self._reports = usage.UsageBatches(interval_ms=_REPORT_INTERVAL_MS)
+        self._forwards = usage.UsageBatches(interval_ms=_FORWARD_INTERVAL_MS)
         self._avoided_until_ms: dict[ids.HostId, float] = {}
         self._local_handlers = dict(self.handlers())
         self._next_renewal_ms = context.now_ms() + context.rng.random() * _RENEWAL_INTERVAL_MS
--- a/verbenadrum/limits/usage.py
+++ b/verbenadrum/limits/usage.py
@@ -7,16 +7,18 @@
 
 __all__ = ["UsageBatches"]
 
-# The first usage is due at once, later ones are collected until the last report is this old.
-_REPORT_INTERVAL_MS = 250.0
-
-
 class UsageBatches:
     """Unreported admissions of workspaces, by the host that they are to be reported to.
 
+    Parameters
+    ----------
+    interval_ms : float
+        The first admission is due at once, later ones are collected until the last report to the
+        host is this old.
+
     Examples
     --------
-    >>> batches = UsageBatches()
+    >>> batches = UsageBatches(interval_ms=250.0)
     >>> batches.add("h", "w", 1)
     >>> batches.pop_due(1_000.0)
     [('h', (WorkspaceUsage(workspace='w', admitted=1),))]
@@ -27,7 +29,8 @@
     [('h', (WorkspaceUsage(workspace='w', admitted=2),))]
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, interval_ms: float) -> None:
+        self._interval_ms = interval_ms
         self._counts: dict[ids.HostId, collections.Counter[ids.WorkspaceId]] = {}
         self._reported_ms: dict[ids.HostId, float] = {}
 
@@ -41,7 +44,7 @@
         """Remove and return the usages of each host whose last report is old enough."""
         due = []
         for host in list(self._counts):
-            if now_ms - self._reported_ms.get(host, -_REPORT_INTERVAL_MS) < _REPORT_INTERVAL_MS:
+            if now_ms - self._reported_ms.get(host, -self._interval_ms) < self._interval_ms:
                 continue
             self._reported_ms[host] = now_ms
             counts = self._counts.pop(host)
