--- a/verbenadrum/limits/messages.py
+++ b/verbenadrum/limits/messages.py
@@ -143,9 +143,14 @@
 
 @base.register
 class AskFirst(base.Message, frozen=True, tag="lf"):
-    """Instruction of a home to request a token before each admission for some workspaces."""
+    """Instruction to request a token before each admission for some workspaces.
+
+    ``acts_as_home`` tells for each workspace whether the sender takes itself for its home; it is
+    empty if the sender does for all. Another host sends it if it is told of usage all the same.
+    """
 
     workspaces: tuple[str, ...]
+    acts_as_home: tuple[bool, ...] = ()
 
 
 @base.register
--- a/verbenadrum/limits/metered.py
+++ b/verbenadrum/limits/metered.py
@@ -12,7 +12,7 @@
 hard bound, at the cost of a token for every request and of leases between all hosts.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -167,8 +167,8 @@
         """Charge an entry host's admissions to the buckets.
 
         If that makes a bucket low, all hosts are switched to ask-first mode. If the mode was on
-        already, only the sender is told again. A host that is not the home only passes the usage
-        on, and so does a home that a better-ranked host may replace.
+        already, only the sender is told again. A host that is not the home passes the usage on,
+        and so does a home while it passes over a better-ranked host.
         """
         low = []
         for row in message.usages:
@@ -179,26 +179,28 @@
             meter, newly_low = self._meters.charge(workspace, spec, row.admitted)
             if not message.forwarded:
                 self._forward(workspace, row.admitted)
-            if not self._meters.is_home(workspace):
+            elif not self._meters.is_home(workspace):
                 continue
             if newly_low:
                 self._broadcast_ask_first((workspace,))
             elif meter.ask_first:
                 low.append(workspace)
         if low:
-            self._send(sender, messages.AskFirst(tuple(low)))
+            self._send(sender, self._ask_first(low))
 
     @system.handles(messages.AskFirst)
     def on_ask_first(self, sender: ids.HostId, message: messages.AskFirst) -> None:
         """Start or extend ask-first mode for the listed workspaces."""
         now_ms = self._context.now_ms()
-        for name in message.workspaces:
+        acts_as_home = message.acts_as_home or (True,) * len(message.workspaces)
+        for name, is_home in zip(message.workspaces, acts_as_home, strict=False):
             workspace = ids.WorkspaceId(name)
             spec = self._records.workspace(workspace)
             if spec is not None and spec.limited:
                 account = self._account(workspace, spec, now_ms)
                 account.ask_first_until_ms = now_ms + _ASK_FIRST_LIFETIME_MS
-                self._meters.add_claim(workspace, sender)
+                if is_home:
+                    self._meters.add_claim(workspace, sender)
 
     @system.handles(messages.TokenAsk)
     def on_token_ask(self, sender: ids.HostId, message: messages.TokenAsk) -> None:
@@ -318,10 +320,14 @@
         self._try_next_home(pending, now_ms)
 
     def _broadcast_ask_first(self, workspaces: tuple[ids.WorkspaceId, ...]) -> None:
-        message = messages.AskFirst(workspaces)
+        message = self._ask_first(workspaces)
         for row in self._membership.hosts():
             self._send(row.host, message)
 
+    def _ask_first(self, workspaces: Iterable[ids.WorkspaceId]) -> messages.AskFirst:
+        names = tuple(workspaces)
+        return messages.AskFirst(names, tuple(self._meters.is_home(name) for name in names))
+
     def _housekeep(self, now_ms: float) -> None:
         workspaces = self._meters.ask_first_workspaces()
         if workspaces:
--- a/verbenadrum/limits/meters.py
+++ b/verbenadrum/limits/meters.py
@@ -173,9 +173,9 @@
 
         Hosts whose lists differ agree on the home in this way once it has announced ask-first mode.
         """
-        own, listed = self._context.host, self._view(workspace).home
+        listed = self._view(workspace).home
         claim = self._claim(workspace)
-        if claim is None or (listed == own and _ranks_before(workspace, own, claim.host)):
+        if claim is None or (listed and _ranks_before(workspace, listed, claim.host)):
             return listed
         return claim.host
 
--- a/verbenadrum/limits/tests/test_restarts.py
+++ b/verbenadrum/limits/tests/test_restarts.py
@@ -82,3 +82,19 @@
     assert log.granted is None
     fleet.run(3_200.0)
     assert log.granted
+
+
+def test_hosts_that_still_trust_a_dead_home_are_told_to_ask_first():
+    fleet = make_fleet(5)
+    fleet.publish_hosts()
+    fleet.run(3_000.0)
+    membership = fleet.hosts[fleet.names[0]].membership
+    home, _, suspecting, trusting, _ = membership.ranked_hosts("limit/w", membership.hosts(), 5)
+    fleet.remove(home)
+    fleet.hosts[suspecting].membership.set_suspected(home, True)
+    fleet.request(suspecting, "w")
+    fleet.run(3_100.0)
+    log = fleet.request(trusting, "w")
+    assert log.granted is None
+    fleet.run(3_500.0)
+    assert log.granted
