--- a/verbenadrum/limits/messages.py
+++ b/verbenadrum/limits/messages.py
@@ -131,16 +131,26 @@
 
 @base.register
 class UsageReport(base.Message, frozen=True, tag="lU"):
-    """Report of an entry host on admissions of workspaces of which the receiver is home."""
+    """Report of an entry host on admissions of workspaces of which the receiver is home.
+
+    A report is ``forwarded`` by a host that was told of the admissions, or granted tokens for them,
+    and takes the receiver for the home, or for a host that may act as the home as well.
+    """
 
     usages: tuple[WorkspaceUsage, ...]
+    forwarded: bool = False
 
 
 @base.register
 class AskFirst(base.Message, frozen=True, tag="lf"):
-    """Instruction of a home to request a token before each admission for some workspaces."""
+    """Instruction to request a token before each admission for some workspaces.
+
+    ``acts_as_home`` tells for each workspace whether the sender takes itself for its home; it is
+    empty if the sender does for all. Another host sends it if it is told of usage all the same.
+    """
 
     workspaces: tuple[str, ...]
+    acts_as_home: tuple[bool, ...] = ()
 
 
 @base.register
