A host that takes its signal as late as usual goes on serving during the linger

Cause: a host refused idempotent requests at once when its signal's age was over the margin less 300 ms. With `margin_ms` of 400 or less that is the 100 to 150 ms of any host, so every planned stop refused them from SIGTERM on.

Change: it does so where requests in flight lose more than 300 ms of their time.

--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -589,7 +589,7 @@
 
     New requests are refused by the earlier time. Those in flight have the time allowed from the
     later one, as far as the host can still end by its limit from the earlier one. Where that is
-    less than the time allowed, new requests that may outlive the host are refused at once.
+    less by more than `_LATE_MARGIN_MS`, new requests that may outlive the host are refused at once.
     """
     margin_ms = max(table.margin_ms, _MIN_MARGIN_MS)
     allowed_ms = max(0.0, table.limit_ms - margin_ms)
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -439,3 +439,12 @@
     assert times.deadline_ms == max(5_400.0 - age_ms, min(5_400.0, 5_700.0 - age_ms))
     assert times.deadline_ms < times.close_by_ms <= 5_800.0 - age_ms
     assert times.linger_end_ms == 2_700.0 - age_ms
+
+
+@pytest.mark.parametrize("margin_ms", [0.0, 400.0, 600.0])
+def test_host_that_takes_its_signal_as_late_as_usual_serves_during_the_linger(margin_ms):
+    table = settings_types.ShutdownTable(linger_ms=3_000.0, limit_ms=6_000.0, margin_ms=margin_ms)
+    times = host._shutdown_times(table, since_ms=-150.0, handled_ms=0.0)
+    assert times.refuse_from_ms == times.linger_end_ms - 250.0
+    late = host._shutdown_times(table, since_ms=-1_000.0, handled_ms=0.0)
+    assert late.refuse_from_ms == 0.0
