Tests: probes of servers that send interim heads or contradict themselves

Probes share the reading of heads with requests, and no test held them to it: interim heads before the answer, too many of them, a switch of protocols, 300 fields, two lengths, a length beside chunks.

--- a/verbenadrum/daemon/tests/test_prober.py
+++ b/verbenadrum/daemon/tests/test_prober.py
@@ -86,3 +86,24 @@
     backend = test_upstream.Backend(test_upstream.HEAD + answer, after=after)
     outcome = outcome_of(backend.address)
     assert (outcome.kind, outcome.status) == (kind, 200 if kind is Kind.OK else 0)
+
+
+# Probes read heads as requests do: else a server that is sound would be taken out of service.
+@pytest.mark.parametrize(
+    ("first", "fields", "kind"),
+    [
+        (b"HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n", b"Content-Length: 2\r\n\r\nok", Kind.OK),
+        (b"HTTP/1.1 102 Wait\r\n\r\n" * 1_001, b"Content-Length: 2\r\n\r\nok", None),
+        (b"HTTP/1.1 101 Other\r\n\r\n", b"Content-Length: 2\r\n\r\nok", None),
+        (b"", b"X-Field: 1\r\n" * 300 + b"Content-Length: 2\r\n\r\nok", Kind.OK),
+        (b"", b"Content-Length: 2, 2\r\n\r\nok", None),
+        (
+            b"",
+            b"Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            Kind.OK,
+        ),
+    ],
+)
+def test_probe_reads_heads_as_requests_do(first, fields, kind):
+    backend = test_upstream.Backend(first + test_upstream.HEAD + fields)
+    assert outcome_of(backend.address).kind is (kind or Kind.CONNECT_FAILED)
