LOST: any request on its last try outlasts a late second copy of an earlier answer

What callers saw: 502 `crossed`, with the server at work, also for an idempotent request that has no attempt left on its route.

Cause: the second copy was passed over only for requests that may run only once.

Change: it is passed over wherever the request will not be sent again (DispatchOrder.pass_errors), which includes every request that may run only once.

--- a/verbenadrum/daemon/tests/test_second_copies.py
+++ b/verbenadrum/daemon/tests/test_second_copies.py
@@ -63,7 +63,7 @@
                 sock.sendall(self.own)
 
 
-def send(pools, address, request, *, method="GET", idempotent=True):
+def send(pools, address, request, *, method="GET", last_try=False):
     order = ports.DispatchOrder(
         request=request,
         attempt=0,
@@ -72,8 +72,8 @@
         address=address,
         workspace="w",
         deadline_ms=0.0,
-        pass_errors=True,
-        idempotent=idempotent,
+        pass_errors=last_try,
+        idempotent=True,
     )
     outgoing = upstream.OutgoingRequest(
         method=method,
@@ -85,10 +85,10 @@
     return upstream.Attempt(pools=pools, order=order, outgoing=outgoing, timeout_s=1.0).run()
 
 
-def own_answer_or_error(pools, address, *, method="GET", idempotent=True):
+def own_answer_or_error(pools, address, *, method="GET", last_try=False):
     """Return the body of the second request's answer, or None if the attempt failed."""
     try:
-        answer = send(pools, address, "q2", method=method, idempotent=idempotent)
+        answer = send(pools, address, "q2", method=method, last_try=last_try)
     except upstream.AttemptError:
         return None
     assert answer.headers_by_name["X-Request-Id"] == "q2"
@@ -113,30 +113,30 @@
     return connection_pools.ConnectionPools(max_idle_per_server=2)
 
 
-@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("last_try", [False, True])
 @pytest.mark.parametrize(("copy", "place"), itertools.product(COPIES, PLACES))
-def test_second_copy_is_never_the_answer_to_the_next_request(pools, copy, place, idempotent):
+def test_second_copy_is_never_the_answer_to_the_next_request(pools, copy, place, last_try):
     parts = [COPIES[copy] if each == place else b"" for each in PLACES]
     copying = CopyingServer(answer_of(b"q1", COPY_BODY), parts)
     assert send(pools, copying.address, "q1").prefetched == COPY_BODY
     gevent.sleep(2 * PAUSE_S if place == "later" else 0)
-    body = own_answer_or_error(pools, copying.address, idempotent=idempotent)
-    # An idempotent request is sent again at once. Another one has no second try, and its server is
-    # at work: what is known as an answer to an earlier request is passed over.
-    passed_over = copy not in UNKNOWN_COPIES and not idempotent
+    body = own_answer_or_error(pools, copying.address, last_try=last_try)
+    # A request that may be sent again is sent again at once. Another one has no second try, and its
+    # server is at work: what is known as an answer to an earlier request is passed over.
+    passed_over = copy not in UNKNOWN_COPIES and last_try
     if place == "before-own" and not passed_over:
         assert body is None
     else:
         assert body == OWN_BODY
 
 
-def test_request_that_may_run_once_keeps_its_server_after_a_late_copy_of_an_earlier_answer(pools):
+def test_request_on_its_last_try_keeps_its_server_after_a_late_copy_of_an_earlier_answer(pools):
     """The copy comes while the server works; the connection is not used again afterwards."""
     copying = SlowCopyingServer(
         answer_of(b"q1", COPY_BODY), (b"", b"", answer_of(b"q1", COPY_BODY), b"")
     )
     send(pools, copying.address, "q1")
-    assert own_answer_or_error(pools, copying.address, idempotent=False) == OWN_BODY
+    assert own_answer_or_error(pools, copying.address, last_try=True) == OWN_BODY
     assert pools.idle_count == 0
 
 
@@ -160,36 +160,36 @@
 def test_copy_whose_end_or_request_is_not_known_ends_the_attempt(pools, copies):
     copying = CopyingServer(answer_of(b"q1", COPY_BODY), (b"", b"", copies, b""))
     send(pools, copying.address, "q1")
-    assert own_answer_or_error(pools, copying.address, idempotent=False) is None
+    assert own_answer_or_error(pools, copying.address, last_try=True) is None
 
 
-@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("last_try", [False, True])
 @pytest.mark.parametrize("method", ["GET", "HEAD"])
 @pytest.mark.parametrize("first", ["length", "chunked", "no-content", "not-modified"])
-def test_copy_that_is_cut_by_the_next_request_is_not_its_answer(pools, method, first, idempotent):
+def test_copy_that_is_cut_by_the_next_request_is_not_its_answer(pools, method, first, last_try):
     """The first bytes of the copy come before the second request is sent, the others after it."""
     copy = answer_of(b"q1", COPY_BODY)
     for length in range(1, len(copy), 7):
         copying = CopyingServer(COPIES[first], (b"", copy[:length], copy[length:], b""))
         send(pools, copying.address, "q1", method=method)
         # The second request is sent while the copy is on its way.
-        body = own_answer_or_error(pools, copying.address, method=method, idempotent=idempotent)
+        body = own_answer_or_error(pools, copying.address, method=method, last_try=last_try)
         copying.server.stop()
         assert body in (None, OWN_BODY, b"")
 
 
-@pytest.mark.parametrize("idempotent", [True, False])
-def test_copy_in_the_middle_of_a_chunked_body_breaks_it(pools, idempotent):
+@pytest.mark.parametrize("last_try", [False, True])
+def test_copy_in_the_middle_of_a_chunked_body_breaks_it(pools, last_try):
     whole = answer_of(b"q2", OWN_BODY, framing="chunked")
     middle = whole.index(OWN_BODY) + len(OWN_BODY) + 2
     own = whole[:middle] + answer_of(b"q1", COPY_BODY) + whole[middle:]
     copying = CopyingServer(answer_of(b"q1", COPY_BODY), (b"", b"", b"", b""), own=own)
     send(pools, copying.address, "q1")
-    assert own_answer_or_error(pools, copying.address, idempotent=idempotent) is None
+    assert own_answer_or_error(pools, copying.address, last_try=last_try) is None
 
 
-@pytest.mark.parametrize("idempotent", [True, False])
-def test_body_behind_an_answer_that_has_none_is_not_taken_for_the_next(pools, idempotent):
+@pytest.mark.parametrize("last_try", [False, True])
+def test_body_behind_an_answer_that_has_none_is_not_taken_for_the_next(pools, last_try):
     """A server that sends a body with 204, 304 or to HEAD leaves bytes on the connection."""
     for first, method in (
         (answer_of(b"q1", b"", status=b"204 No Content") + b"body", "GET"),
@@ -198,5 +198,5 @@
     ):
         copying = CopyingServer(first, (b"", b"", b"", b""))
         send(pools, copying.address, "q1", method=method)
-        assert own_answer_or_error(pools, copying.address, idempotent=idempotent) == OWN_BODY
+        assert own_answer_or_error(pools, copying.address, last_try=last_try) == OWN_BODY
         copying.server.stop()
--- a/verbenadrum/daemon/upstream.py
+++ b/verbenadrum/daemon/upstream.py
@@ -450,8 +450,8 @@
                     raise OSError("the attempt was cancelled")
                 self._bytes_sent = True
                 self._send()
-                if not self._order.idempotent:
-                    # Its server is at work on it, and it cannot be sent again.
+                if self._order.pass_errors:
+                    # Its server is at work on it, and it will not be sent again.
                     self._connection.pass_over_earlier(self._names.request_id)
                 self._response = self._connection.getresponse()
             self._keep_alive_s = _parse_keep_alive_s(self._response.headers)
