Soak: a linger of over half the limit excuses no request sent later than that

The users excuse a request only if it was sent within half of the limit after SIGTERM; the check took the setting linger_ms, which may be longer. It takes the lesser of both now.

--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -37,6 +37,8 @@
 _KILLED = "its host was killed"
 # A process needs this much running time to pass an answer on, or to refuse the rest and exit.
 _MIN_RUNNING_MS = 300.0
+# A request that is sent later than in this first part of the limit may not be cut.
+_LATEST_PART = 0.5
 # A request at which a server is still at work in this last part of the limit may be cut.
 _LAST_PART = 1.0 / 6.0
 # A server may run out of time this much earlier, as the deadline header is in whole milliseconds.
@@ -219,7 +221,8 @@
         forwardable_ms = (
             result.sent_ms if result.body_bytes <= _MAX_BUFFERED_BYTES else result.head_ms
         )
-        in_time = forwardable_ms <= process.sigterm_ms + self._shutdown.linger_ms
+        linger_ms = min(self._shutdown.linger_ms, self._shutdown.limit_ms * _LATEST_PART)
+        in_time = forwardable_ms <= process.sigterm_ms + linger_ms
         if not in_time or result.ended_ms < cutoff_ms - _DEADLINE_RESOLUTION_MS:
             return ""
         end = server_runs.ends.get(server_runs.runs[-1].server)
--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -237,3 +237,10 @@
     share = sum(each.action in planned_work.many_actions for each in many) / len(few)
     assert not set(few) & set(planned_work.many_actions)
     assert 0.2 < share < 0.5
+
+
+@pytest.mark.parametrize(("broken", "sent_ms"), [("", 13_000.0), ("a", 13_001.0)])
+def test_linger_of_over_half_the_limit_excuses_no_later_request(broken, sent_ms):
+    shutdown = planned_work.Shutdown(linger_ms=4_000.0, limit_ms=6_000.0, margin_ms=600.0)
+    times = {"begun_ms": sent_ms, "sent_ms": sent_ms, "ended_ms": 15_600.0, "gone_ms": 15_900.0}
+    assert check(shutdown=shutdown, server_ends_ms=15_500.0, **times) == broken
