--- a/benchmarks/limits_restarts.py
+++ b/benchmarks/limits_restarts.py
@@ -244,7 +244,7 @@
     for _ in range(25):
         view = run.fleet.hosts[run.rng.choice(run.fleet.names)].membership
         homes = {view.ranked_hosts(f"limit/{name}", view.hosts(), 1)[0] for name in _RATES}
-        for home in homes & set(run.fleet.hosts):
+        for home in sorted(homes & set(run.fleet.hosts)):
             run.kill(rows[home])
         run.wait(300.0)
 
