--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -599,10 +599,11 @@
         since_ms + allowed_ms, min(handled_ms + allowed_ms, limit_ms - _LATE_MARGIN_MS)
     )
     refuse_from_ms = since_ms + linger_ms - min(_EARLY_REFUSAL_MS, linger_ms / 2.0)
+    is_short_of_time = deadline_ms < handled_ms + allowed_ms - _LATE_MARGIN_MS
     flush_ms = _PEER_FLUSH_S * _MS_PER_S
     return _ShutdownTimes(
         since_ms=since_ms,
-        refuse_from_ms=(refuse_from_ms if deadline_ms >= handled_ms + allowed_ms else handled_ms),
+        refuse_from_ms=handled_ms if is_short_of_time else refuse_from_ms,
         linger_end_ms=since_ms + linger_ms,
         deadline_ms=deadline_ms,
         close_by_ms=min(deadline_ms + margin_ms / 2.0, limit_ms - flush_ms) - flush_ms,
