The age of a signal is bounded by the polls of the event loop, not by ticks

Cause: the bound was the oldest of the last three ticks. It is safe, but on a busy machine each tick is late by itself: the host took its signal for 0.4 s old, and a limit of 2 s has no room for that.

Change: the host records when the polls of its event loop return, and a signal that is handled now was sent after the last but one.

--- a/verbenadrum/daemon/command.py
+++ b/verbenadrum/daemon/command.py
@@ -48,7 +48,7 @@
     writer = logs.configure(settings.log.level)
     gevent.get_hub().print_exception = _log_unhandled_error
     try:
-        new_host = host.Host(settings=settings, writer=writer, beats=beats)
+        new_host = host.Host(settings=settings, writer=writer)
         new_host.start()
     except (errors.VerbenadrumError, OSError) as error:
         writer.flush()
@@ -77,7 +77,7 @@
     path : Path
         The settings file that SIGHUP reloads.
     beats : LoopHeartbeat
-        Ticks of the host, which bound when a signal was sent.
+        Bounds when a signal was sent; it follows the event loop from now on.
     """
 
     def __init__(self, *, path: pathlib.Path, beats: heartbeat.LoopHeartbeat) -> None:
@@ -87,8 +87,9 @@
         self._reload_requested = False
         self._shutdown_ms: float | None = None
         gevent.signal_handler(signal.SIGHUP, self._on_reload)
-        # A greenlet of `gevent.signal_handler` could start only after further ticks.
+        # A greenlet of `gevent.signal_handler` could start only after further iterations.
         loop = gevent.get_hub().loop
+        beats.follow(loop)
         self._watchers = [
             loop.signal(number, ref=False) for number in (signal.SIGTERM, signal.SIGINT)
         ]
--- a/verbenadrum/daemon/heartbeat.py
+++ b/verbenadrum/daemon/heartbeat.py
@@ -6,13 +6,13 @@
 
 __all__ = ["LoopHeartbeat"]
 
-# A signal that is pending when the loop polls is handled in that iteration. Each tick runs in an
-# iteration of its own, and the callbacks that precede it there may have taken long.
-_KEPT_BEATS = 3
+# A signal that is pending when a poll returns is handled in that iteration, and it may be handled
+# before the iteration is recorded.
+_KEPT_ITERATIONS = 2
 
 
 class LoopHeartbeat:
-    """Times of the last ticks of the event loop, which bound the age of a signal.
+    """Times at which the last polls of the event loop returned, which bound the age of a signal.
 
     A process that was not scheduled, or whose event loop was busy, handles a signal late.
 
@@ -30,18 +30,24 @@
     ...     stepped.advance(50.0)
     ...     heartbeat.beat()
     >>> heartbeat.earliest_signal_ms
-    200.0
+    250.0
     """
 
     def __init__(self, *, clock: clock.Clock) -> None:
         self._clock = clock
-        self._beats_ms = collections.deque([clock.now_ms()], maxlen=_KEPT_BEATS)
+        self._beats_ms = collections.deque([clock.now_ms()], maxlen=_KEPT_ITERATIONS)
+        self._watcher: object = None
 
     @property
     def earliest_signal_ms(self) -> float:
         """Earliest monotonic time, in ms, at which a signal that is handled now was sent."""
         return self._beats_ms[0]
 
+    def follow(self, loop: object) -> None:
+        """Record each iteration of a gevent event loop from now on."""
+        self._watcher = loop.check(ref=False)
+        self._watcher.start(self.beat)
+
     def beat(self) -> None:
-        """Record that the event loop runs; called at each tick."""
+        """Record that a poll of the event loop has returned."""
         self._beats_ms.append(self._clock.now_ms())
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -17,7 +17,6 @@
 from verbenadrum.daemon import (
     callers,
     connection_pools,
-    heartbeat,
     http_server,
     log_limits,
     log_writer,
@@ -110,8 +109,6 @@
         Validated settings.
     writer : LineWriter or None
         Queue of log lines, flushed with each batch of decisions.
-    beats : LoopHeartbeat or None
-        Records each tick of this host; None for one of its own.
 
     Raises
     ------
@@ -123,15 +120,10 @@
     """
 
     def __init__(
-        self,
-        *,
-        settings: types.Settings,
-        writer: log_writer.LineWriter | None = None,
-        beats: heartbeat.LoopHeartbeat | None = None,
+        self, *, settings: types.Settings, writer: log_writer.LineWriter | None = None
     ) -> None:
         self._settings = settings
         self._clock = clock.SystemClock()
-        self._beats = beats or heartbeat.LoopHeartbeat(clock=self._clock)
         self._stopped = event.Event()
         self._stopping = False
         self._greenlets: list[gevent.Greenlet] = []
@@ -448,7 +440,6 @@
             # more, so that an answer that arrived before its deadline is handled before the tick
             # that expires the request.
             gevent.sleep(0)
-            self._beats.beat()
             for system in self._engine.systems:
                 self._run_guarded(type(system).__name__, system.on_tick)
             self._run_guarded(type(self._prober).__name__, self._prober.start_due_probes)
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -78,10 +78,9 @@
 class HostWithServer:
     """A host in this process, with one backend server that has one slot."""
 
-    def __init__(self, delay_s, beats=None):
+    def __init__(self, delay_s):
         self.server = DelayedServer(delay_s)
-        settings = load.parse_settings(SETTINGS, source="test")
-        self.host = host.Host(settings=settings, beats=beats)
+        self.host = host.Host(settings=load.parse_settings(SETTINGS, source="test"))
         entry = types.ServerEntry(server="s1", address=self.server.address)
         specs = (
             (
--- a/verbenadrum/daemon/tests/test_late_signals.py
+++ b/verbenadrum/daemon/tests/test_late_signals.py
@@ -18,7 +18,7 @@
 stall = monkey.get_original("time", "sleep")
 beats = heartbeat.LoopHeartbeat(clock=clock.SystemClock())
 handlers = command._SignalHandlers(path=pathlib.Path("unused"), beats=beats)
-hosted = test_host.HostWithServer(delay_s=30.0, beats=beats)
+hosted = test_host.HostWithServer(delay_s=30.0)
 handlers.attach(hosted.host)
 gevent.sleep(0.3)
 kept = hosted.connect()
@@ -93,8 +93,6 @@
 def run_ticks():
     while True:
         gevent.sleep(0.02)
-        gevent.sleep(0)
-        beats.beat()
 
 def be_busy():
     while True:
