The age of a signal reaches back one more poll of the event loop

Cause: a poll that a signal interrupts returns before the loop sees the signal, so of two polls kept the older one may be later than its sending. Three are kept now.

--- a/verbenadrum/daemon/heartbeat.py
+++ b/verbenadrum/daemon/heartbeat.py
@@ -6,9 +6,9 @@
 
 __all__ = ["LoopHeartbeat"]
 
-# A signal that is pending when a poll returns is handled in that iteration, and it may be handled
-# before the iteration is recorded.
-_KEPT_ITERATIONS = 2
+# A poll that a signal interrupts returns before the loop sees the signal, which is handled in the
+# next iteration, before or after that is recorded.
+_KEPT_ITERATIONS = 3
 
 
 class LoopHeartbeat:
@@ -30,7 +30,7 @@
     ...     stepped.advance(50.0)
     ...     heartbeat.beat()
     >>> heartbeat.earliest_signal_ms
-    250.0
+    200.0
     """
 
     def __init__(self, *, clock: clock.Clock) -> None:
