--- a/review/bed2.py
+++ b/review/bed2.py
@@ -598,10 +598,12 @@
 
     async def guarded():
         bed = Bed(case_folder)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await bed.start_store()
             return await asyncio.wait_for(main(bed), limit_s)
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # An error of the case itself says nothing about the rule.
             bed.record.add(f"the case could not run: {error!r}")
             print(f"the case could not run: {error!r}")
             return CANNOT_RUN
