An answer without a length is no whole one if the request met a reset

Callers saw: an upload whose server answered at once with a 200 that had no length, sent a part of the body and reset the connection got that part, with a Content-Length of its own, as a success. A refusal that was cut the same way counted as "not run".

Cause: the attempt goes on to read the answer if writing the body fails, since a server may answer before it has read a long body. The write takes the error of the socket; the reads that follow return what had arrived and then the end of the stream, as after an orderly close. A body without a length ends there, so that the part looked whole.

Change: a connection records that a send failed, and its response is then a framing error if its body would end with the connection (RFC 9112, section 8: such a body is complete unless an error was indicated by the connection). The attempt ends as truncated, so that the request may have run: it is not repeated if it must not be, and its caller is told 502, outcome unknown. The record is kept by the connection, so that it holds for every client that uses it: attempts, probes and the sources of records, with TLS as well. Answers with a length, in chunks or without a body tell their own end and are read as before.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -168,6 +168,8 @@
 
     Parameters
     ----------
+    request_sent : bool
+        Whether the whole request was sent.
     earlier : EarlierAnswers or None
         Answers to pass over; None for none.
 
@@ -181,12 +183,14 @@
         self,
         sock: socket.socket,
         *args: object,
+        request_sent: bool = True,
         earlier: "EarlierAnswers | None" = None,
         **kwargs: object,
     ) -> None:
         super().__init__(sock, *args, **kwargs)
         self.fp = _BoundedReader(_YieldingReader(raw=self.fp.detach(), sock=sock))
         self.framing: framing.BodyFraming | None = None
+        self._request_sent = request_sent
         self._earlier = earlier
 
     def begin(self) -> None:
@@ -275,6 +279,9 @@
         found = self.framing = framing.frame_body(
             self._method, self.status, self.headers, http_1_0=self.version == 10
         )
+        if found.kind is framing.FramingKind.CLOSE and not self._request_sent:
+            # A write that meets a reset takes the error, and the next read finds an orderly end.
+            raise framing.FramingError("the connection broke under an answer without a length")
         # What reads the body, and whoever gets the headers, goes by the framing that was found.
         del self.headers["Content-Length"]
         if found.length is not None:
@@ -314,7 +321,41 @@
         return True
 
 
-class BoundedConnection(connection.HTTPConnection):
+class _BoundedResponses(http.client.HTTPConnection):
+    """Mixin of connections whose responses are read through a `_BoundedReader`."""
+
+    _reader: _BoundedReader | None = None
+    _response: _BoundedResponse | None = None
+    _earlier: EarlierAnswers | None = None
+    _send_failed = False
+
+    def connect(self) -> None:
+        """Open the connection; urllib3 also does so for a request after the last one has ended."""
+        self._send_failed = False
+        super().connect()
+
+    def send(self, data: object) -> None:
+        """Send a part of a request."""
+        try:
+            super().send(data)
+        except OSError:
+            self._send_failed = True
+            raise
+
+    def response_class(
+        self, sock: socket.socket, *args: object, **kwargs: object
+    ) -> http.client.HTTPResponse:
+        """Return a response that reads from ``sock``; urllib3 calls this for each request."""
+        earlier, self._earlier = self._earlier, None
+        response = _BoundedResponse(
+            sock, *args, request_sent=not self._send_failed, earlier=earlier, **kwargs
+        )
+        self._reader = response.fp
+        self._response = response
+        return response
+
+
+class BoundedConnection(_BoundedResponses, connection.HTTPConnection):
     """HTTP connection whose responses are read through a `_BoundedReader`.
 
     Attributes
@@ -323,10 +364,6 @@
         Identifiers of the last requests that were sent on it.
     """
 
-    _reader: _BoundedReader | None = None
-    _response: _BoundedResponse | None = None
-    _earlier: EarlierAnswers | None = None
-
     def __init__(self, *args: object, **kwargs: object) -> None:
         super().__init__(*args, **kwargs)
         self.request_ids: collections.deque[str] = collections.deque(maxlen=_MAX_REQUEST_IDS)
@@ -359,16 +396,6 @@
         # The target holds one character for each byte that the caller sent.
         return request.encode("latin-1")
 
-    def response_class(
-        self, sock: socket.socket, *args: object, **kwargs: object
-    ) -> http.client.HTTPResponse:
-        """Return a response that reads from ``sock``; urllib3 calls this for each request."""
-        earlier, self._earlier = self._earlier, None
-        response = _BoundedResponse(sock, *args, earlier=earlier, **kwargs)
-        self._reader = response.fp
-        self._response = response
-        return response
-
 
 class BoundedPool(urllib3.HTTPConnectionPool):
     """Pool of `BoundedConnection` objects to one server."""
@@ -376,11 +403,9 @@
     ConnectionCls = BoundedConnection
 
 
-class _BoundedTlsConnection(connection.HTTPSConnection):
+class _BoundedTlsConnection(_BoundedResponses, connection.HTTPSConnection):
     """HTTPS connection whose responses are read through a `_BoundedReader`."""
 
-    response_class = _BoundedResponse
-
 
 class _BoundedTlsPool(urllib3.HTTPSConnectionPool):
     """Pool of `_BoundedTlsConnection` objects to one server."""
