An answer whose first line is no status line is an error

Others of the same class were passed on: a status of "+200", "0200" or "2_00" as 200, one of 600 or 999, a line that begins with a blank or whose parts are divided by tabs, vertical tabs, file separators, no-break spaces or two blanks, versions such as "HTTP/1.x", "HTTP/1.10" or "HTTP/1.", and control bytes or a lone carriage return in the reason. A server in trouble that sends such a line has sent no answer.

Cause: the line was read by http.client, which splits it at whatever Python takes for white space, reads the status as Python reads an integer, and looks at the first letters of the version only.

Change: framing.read_status_line reads the line by the grammar of RFC 9112, section 4; a status is from 100 to 599 (RFC 9110, section 15). Anything else ends the attempt as reset, as a line that is not HTTP at all did before, so that the request may have run. The space before a missing reason may be missing too, as it is with many servers. The same holds for interim heads and for the probes and the record sources, which read through this class.

Sound first lines, among them those without a reason, with a reason of other letters, and of HTTP/1.0 and 1.2, pass before and after.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -215,26 +215,30 @@
         self.will_close = self.will_close or passed_over
 
     def _read_head(self) -> None:
-        version, status, reason = self._read_final_status()
-        if not version.startswith("HTTP/1."):
-            raise http.client.UnknownProtocol(version)
-        self.code = self.status = status
-        self.reason = reason.strip()
-        self.version = 10 if version == "HTTP/1.0" else 11
+        line = self._read_final_status()
+        self.code = self.status = line.status
+        self.reason = line.reason
+        self.version = 10 if line.http_1_0 else 11
         self.headers = self.msg = framing.read_fields(self._read_field_lines())
         self._apply_framing()
 
-    def _read_final_status(self) -> tuple[str, int, str]:
-        """Return version, status and reason of the first head that is not an interim one."""
+    def _read_final_status(self) -> framing.StatusLine:
+        """Return the first line of the first head that is not an interim one."""
         for _ in range(_MAX_INTERIM_HEADS + 1):
-            version, status, reason = self._read_status()
-            if status == http.client.SWITCHING_PROTOCOLS:
+            line = self._read_status_line()
+            if line.status == http.client.SWITCHING_PROTOCOLS:
                 raise http.client.HTTPException("the server switches protocols unasked")
-            if status >= http.client.OK:
-                return version, status, reason
+            if line.status >= http.client.OK:
+                return line
             self._read_field_lines()
         raise http.client.HTTPException(f"more than {_MAX_INTERIM_HEADS} interim heads")
 
+    def _read_status_line(self) -> framing.StatusLine:
+        line = self.fp.readline(MAX_LINE_BYTES + 1)
+        if not line:
+            raise http.client.RemoteDisconnected("the server closed the connection unanswered")
+        return framing.read_status_line(line)
+
     def _read_field_lines(self) -> list[bytes]:
         """Return the lines up to the empty one, which is left out.
 
--- a/verbenadrum/daemon/framing.py
+++ b/verbenadrum/daemon/framing.py
@@ -1,4 +1,4 @@
-"""Decides how the body of a server's answer is framed, by RFC 9112, section 6.3."""
+"""Reads the head of a server's answer by RFC 9112, and decides how its body is framed."""
 
 import enum
 import http.client
@@ -6,8 +6,22 @@
 
 import msgspec
 
-__all__ = ["BodyFraming", "FramingError", "FramingKind", "frame_body", "read_fields"]
-
+__all__ = [
+    "BodyFraming",
+    "FramingError",
+    "FramingKind",
+    "StatusLine",
+    "frame_body",
+    "read_fields",
+    "read_status_line",
+]
+
+# A status is from 100 to 599 (RFC 9110, section 15), and a reason has no control characters but
+# the tab. Many servers leave out the space before a missing reason.
+_STATUS_LINE_PATTERN = re.compile(
+    rb"HTTP/1\.(?P<minor>[0-9]) (?P<status>[1-5][0-9]{2})"
+    rb"(?: (?P<reason>[\t\x20-\x7e\x80-\xff]*))?\r?\n"
+)
 # Every number of up to 18 digits fits into a signed 64-bit integer.
 _LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
 _FIELD_NAME_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
@@ -50,6 +64,47 @@
     reusable: bool = True
 
 
+class StatusLine(msgspec.Struct, frozen=True, kw_only=True):
+    """First line of a head.
+
+    Attributes
+    ----------
+    http_1_0 : bool
+        Whether the answer is of HTTP/1.0; it is of HTTP/1.1 or a later minor version otherwise.
+    status : int
+        Status code, 100 to 599.
+    reason : str
+        Reason phrase, which may be empty.
+    """
+
+    http_1_0: bool
+    status: int
+    reason: str = ""
+
+
+def read_status_line(line: bytes) -> StatusLine:
+    r"""Return the content of the first line of a head, given with its line end.
+
+    Raises
+    ------
+    http.client.BadStatusLine
+        If it is no status line of HTTP/1.
+
+    Examples
+    --------
+    >>> read_status_line(b"HTTP/1.1 204 No Content\r\n")
+    StatusLine(http_1_0=False, status=204, reason='No Content')
+    """
+    match = _STATUS_LINE_PATTERN.fullmatch(line)
+    if match is None:
+        raise http.client.BadStatusLine(repr(line[:80]))
+    return StatusLine(
+        http_1_0=match["minor"] == b"0",
+        status=int(match["status"]),
+        reason=(match["reason"] or b"").decode("latin-1").strip(),
+    )
+
+
 def frame_body(
     method: str, status: int, headers: http.client.HTTPMessage, *, http_1_0: bool = False
 ) -> BodyFraming:
--- /dev/null
+++ b/verbenadrum/daemon/tests/test_broken_heads.py
@@ -0,0 +1,83 @@
+"""Tests that an answer with a line in its head that is none never reaches a caller."""
+
+import contextlib
+
+import pytest
+
+from verbenadrum.core import ports
+from verbenadrum.daemon import connection_pools, upstream
+from verbenadrum.daemon.tests import broken_heads, test_endless_callers, test_framing, test_upstream
+
+start = test_endless_callers.start
+Kind = ports.OutcomeKind
+BODY = b"body"
+LENGTH = b"Content-Length: 4"
+CHUNKED = b"Transfer-Encoding: chunked"
+LINES_BY_FRAMING = {"length": [LENGTH], "chunked": [CHUNKED], "unframed": []}
+
+
+def answer_of(first_line, field_lines, body=BODY):
+    sent = test_framing.chunks(body) if CHUNKED in field_lines else body
+    return b"\r\n".join([first_line, *field_lines, b"", sent])
+
+
+def attempt(address):
+    pools = connection_pools.ConnectionPools(max_idle_per_server=2)
+    names = upstream.HeaderNames(allow_close_delimited=True)
+    return test_upstream.attempt(pools, address, names=names, pass_errors=True)
+
+
+def check_is_no_answer(start, answer):
+    """Check that a request that may run once ends as work that may have run, and is not repeated.
+
+    The next request gets its own answer.
+    """
+    backend = test_framing.TwoAnswerBackend(answer, after="close")
+    host = start(backend.address)
+    with contextlib.closing(test_framing.Caller(host)) as caller:
+        first = caller.ask("/first", "POST")
+        assert (first.status, b'"not_run": "unknown"' in first.body) == (502, True)
+        assert backend.requests == 1
+        assert host.core.kinds[0] in (Kind.RESET, Kind.TRUNCATED)
+        assert host.core.outcomes[0].may_have_run
+        second = caller.ask("/second", "POST")
+    assert (second.status, second.body) == (200, test_framing.SECOND)
+
+
+# An answer of status 000 reached a caller.
+@pytest.mark.parametrize("framing", LINES_BY_FRAMING)
+@pytest.mark.parametrize("first_line", broken_heads.BROKEN_FIRST_LINES)
+def test_answer_whose_first_line_is_none_is_an_error(start, first_line, framing):
+    check_is_no_answer(start, answer_of(first_line, LINES_BY_FRAMING[framing]))
+
+
+@pytest.mark.parametrize("first_line", broken_heads.SOUND_FIRST_LINES)
+def test_answer_whose_first_line_is_sound_is_passed_on(first_line):
+    backend = test_upstream.Backend(answer_of(first_line, [b"X-Request-Id: q1", LENGTH]))
+    answer = attempt(backend.address).run()
+    assert (answer.status, answer.prefetched) == (200, BODY)
+
+
+# An answer whose head had a blank or a control byte in the name of a field reached a caller.
+@pytest.mark.parametrize("place", ["first", "last"])
+@pytest.mark.parametrize("framing", LINES_BY_FRAMING)
+@pytest.mark.parametrize("line", broken_heads.BROKEN_FIELD_LINES)
+def test_answer_with_a_field_line_that_is_none_is_an_error(start, line, framing, place):
+    lines = [b"X-Signature: s", *LINES_BY_FRAMING[framing]]
+    lines.insert(0 if place == "first" else len(lines), line)
+    check_is_no_answer(start, answer_of(b"HTTP/1.1 200 OK", lines))
+
+
+@pytest.mark.parametrize("line", broken_heads.SOUND_FIELD_LINES)
+def test_answer_whose_field_lines_are_sound_is_passed_on(line):
+    lines = [line, b"X-Request-Id: q1", LENGTH]
+    backend = test_upstream.Backend(answer_of(b"HTTP/1.1 200 OK", lines))
+    answer = attempt(backend.address).run()
+    assert (answer.status, answer.prefetched) == (200, BODY)
+    name = line.partition(b":")[0].decode()
+    assert name in dict(answer.forwarded_headers())
+
+
+@pytest.mark.parametrize("first_line", [b"HTTP/1.1 +103 Hints", b"HTTP/1.1 0103 Hints"])
+def test_interim_head_whose_first_line_is_none_is_an_error(start, first_line):
+    check_is_no_answer(start, first_line + b"\r\n\r\n" + answer_of(b"HTTP/1.1 200 OK", [LENGTH]))
