An answer with a control character in the value of a field is an error

Callers saw: a field line whose value held a control character other than NUL, CR and LF was passed on, and one that ended with two carriage returns was passed on without them. Neither is a field line (RFC 9110, section 5.5), and a strict caller gets bytes that are no answer.

Cause: only the three characters that can end a line were looked for, and all carriage returns at the end of a line were taken for its end.

Change: a value may hold no control character but the tab, and one CR LF or LF ends a line. The attempt ends as truncated, as with any other line that is no field.

--- a/verbenadrum/daemon/framing.py
+++ b/verbenadrum/daemon/framing.py
@@ -25,7 +25,8 @@
 # Every number of up to 18 digits fits into a signed 64-bit integer.
 _LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
 _FIELD_NAME_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_FORBIDDEN_VALUE_BYTES = re.compile(rb"[\x00\r\n]")
+# RFC 9110, section 5.5; the tab is the one control character that is allowed.
+_FORBIDDEN_VALUE_BYTES = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _BODILESS_STATUSES = (204, 304)
 
 
@@ -155,11 +156,11 @@
     Raises
     ------
     FramingError
-        If a line is no header field, or a value contains a NUL or a lone carriage return.
+        If a line is no header field, or a value contains a control character.
     """
     fields: list[tuple[bytes, bytes]] = []
     for line in lines:
-        text = line.rstrip(b"\r\n")
+        text = line.removesuffix(b"\n").removesuffix(b"\r")
         if text[:1] in (b" ", b"\t"):
             if not fields:
                 raise FramingError("the head begins with a folded line")
--- a/verbenadrum/daemon/tests/broken_heads.py
+++ b/verbenadrum/daemon/tests/broken_heads.py
@@ -74,7 +74,11 @@
     b": 1",
     b"junk",
     b"X-Bad: a\x00b",
+    b"X-Bad: a\x01b",
+    b"X-Bad: a\x1bb",
+    b"X-Bad: a\x7fb",
     b"X-Bad: a\rb",
+    b"X-Bad: 1\r",
     b"\r",
 ]
 SOUND_FIELD_LINES = [
