An interim head with a line that is no field makes the answer an error

Callers saw: the answer behind an interim head (1xx) was passed on whatever the lines of that head were, though a server that sends such lines frames its heads otherwise than they are read here, and what follows may be any bytes.

Cause: the lines of interim heads were read over, not read as fields.

Change: they are read as those of the final head are, and dropped as before.

Evidence: 25 of the 319 tests of test_broken_heads.py fail without the change, none with it; test_interim_heads.py shows that sound interim heads are passed over as before.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -230,7 +230,7 @@
                 raise http.client.HTTPException("the server switches protocols unasked")
             if line.status >= http.client.OK:
                 return line
-            self._read_field_lines()
+            framing.read_fields(self._read_field_lines())
         raise http.client.HTTPException(f"more than {_MAX_INTERIM_HEADS} interim heads")
 
     def _read_status_line(self) -> framing.StatusLine:
--- a/verbenadrum/daemon/tests/test_broken_heads.py
+++ b/verbenadrum/daemon/tests/test_broken_heads.py
@@ -78,6 +78,12 @@
     assert name in dict(answer.forwarded_headers())
 
 
+@pytest.mark.parametrize("line", broken_heads.BROKEN_FIELD_LINES)
+def test_interim_head_with_a_field_line_that_is_none_is_an_error(start, line):
+    interim = b"\r\n".join([b"HTTP/1.1 103 Hints", b"Link: a", line, b"", b""])
+    check_is_no_answer(start, interim + answer_of(b"HTTP/1.1 200 OK", [LENGTH]))
+
+
 @pytest.mark.parametrize("first_line", [b"HTTP/1.1 +103 Hints", b"HTTP/1.1 0103 Hints"])
 def test_interim_head_whose_first_line_is_none_is_an_error(start, first_line):
     check_is_no_answer(start, first_line + b"\r\n\r\n" + answer_of(b"HTTP/1.1 200 OK", [LENGTH]))
