A body in chunks with a broken size, end or trailer is no whole one

Callers saw: sizes such as "-0", "+0", "0x0" or "0_0" ended a body, so that a broken answer looked whole, "+4", "0x4", "0_4" or " 4" passed as sizes, whatever two bytes stood in place of the end of a chunk were dropped, and a trailer could be any line.

Cause: urllib3 reads the sizes as Python reads an integer, reads over the line end of a chunk and drops trailers unread. The strict reading of sizes that this project had was used for answers that are passed over only.

Change: the reader that urllib3 reads through checks each size, line end and trailer of a body in chunks as it passes; the trailers must be field lines. A broken one ends the body as a break of the connection does: a small answer is 502, outcome unknown, and a streamed one is cut. Answers that are passed over go the same way. Trailers are bounded as heads are, short lines too.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -7,7 +7,6 @@
 import collections
 import http.client
 import io
-import re
 import socket
 from collections.abc import Iterable, Mapping
 
@@ -40,7 +39,7 @@
 _READ_BYTES = 65_536
 # A request is tried again within seconds, and a connection carries a few requests a second.
 _MAX_REQUEST_IDS = 64
-_CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,15}")
+_EMPTY_LINES = (b"\r\n", b"\n")
 
 
 class BodyTooLongError(exceptions.HTTPError):
@@ -108,11 +107,62 @@
         )
 
 
+class _ChunkChecker:
+    """Checks the lines and ends of the chunks of one body while urllib3 reads them."""
+
+    def __init__(self) -> None:
+        self._unread_bytes = 0
+        self._trailers: list[bytes] | None = None
+        self._trailer_bytes = 0
+
+    def check_line(self, line: bytes) -> None:
+        """Check the next line, which is a chunk size, a trailer or the last line of the body.
+
+        Raises
+        ------
+        FramingError
+            If the line is none of these.
+        http.client.LineTooLong
+            If the trailers exceed `MAX_LINE_BYTES`, each with `_FIELD_OVERHEAD_BYTES` added.
+        """
+        if self._trailers is None:
+            self._unread_bytes = framing.read_chunk_size(line)
+            if not self._unread_bytes:
+                self._trailers = []
+        elif line in _EMPTY_LINES:
+            framing.read_fields(self._trailers)
+        else:
+            self._trailer_bytes += len(line) + _FIELD_OVERHEAD_BYTES
+            if self._trailer_bytes > MAX_LINE_BYTES:
+                raise http.client.LineTooLong("trailers")
+            self._trailers.append(line)
+
+    def check_data(self, data: bytes) -> None:
+        """Check the next bytes, which are a part of a chunk or the line end behind it.
+
+        Raises
+        ------
+        FramingError
+            If another byte than a line end follows a chunk.
+        """
+        if self._unread_bytes:
+            self._unread_bytes -= len(data)
+        elif not b"\r\n".startswith(data):
+            raise framing.FramingError("a chunk is longer than its size")
+
+
 class _BoundedReader(io.BufferedReader):
-    """Buffered reader of one response that bounds heads, chunk sizes and trailers."""
+    """Buffered reader of one response that bounds heads, chunk sizes and trailers.
+
+    Attributes
+    ----------
+    chunk_checker : _ChunkChecker or None
+        Checks what is read while it is the body of an answer in chunks.
+    """
 
     def __init__(self, raw: _YieldingReader) -> None:
         super().__init__(raw)
+        self.chunk_checker: _ChunkChecker | None = None
         self._raw_reader = raw
         self._consumed_bytes = 0
         self._line_bytes = 0
@@ -135,16 +185,20 @@
         http.client.IncompleteRead
             If the connection ends inside a line, or before the empty line that ends a head or the
             trailers. `http.client` itself takes such an end for the empty line.
+        FramingError
+            If the line is not what the chunks of a body require.
         """
         line = super().readline(size)
         cut = not line.endswith(b"\n") and len(line) != size
         if cut and (line or self._expects_line):
             raise http.client.IncompleteRead(line)
-        self._expects_line = line not in (b"\r\n", b"\n")
+        self._expects_line = line not in _EMPTY_LINES
         self._consumed_bytes += len(line)
         self._line_bytes += len(line)
         if self._line_bytes > MAX_LINE_BYTES:
             raise http.client.LineTooLong("head or trailers")
+        if self.chunk_checker is not None:
+            self.chunk_checker.check_line(line)
         return line
 
     def read(self, size: int | None = -1) -> bytes:
@@ -153,13 +207,17 @@
         Raises
         ------
         http.client.HTTPException
-            If ``size`` is None or negative, which happens after a negative chunk size.
+            If ``size`` is None or negative.
+        FramingError
+            If another byte than a line end follows a chunk of the body.
         """
         if size is None or size < 0:
             raise http.client.HTTPException("the size of a body part is missing or negative")
         self._line_bytes = 0
         data = super().read(size)
         self._consumed_bytes += len(data)
+        if self.chunk_checker is not None:
+            self.chunk_checker.check_data(data)
         return data
 
 
@@ -215,6 +273,7 @@
         self.will_close = self.will_close or passed_over
 
     def _read_head(self) -> None:
+        self.fp.chunk_checker = None
         line = self._read_final_status()
         self.code = self.status = line.status
         self.reason = line.reason
@@ -249,7 +308,7 @@
         """
         lines = []
         size = 0
-        while (line := self.fp.readline(MAX_LINE_BYTES + 1)) not in (b"\r\n", b"\n", b""):
+        while (line := self.fp.readline(MAX_LINE_BYTES + 1)) not in (*_EMPTY_LINES, b""):
             size += len(line) + _FIELD_OVERHEAD_BYTES
             if size > MAX_LINE_BYTES:
                 raise http.client.LineTooLong("head")
@@ -262,15 +321,11 @@
         elif self.framing.kind is framing.FramingKind.CHUNKED:
             while size := self._read_chunk_size():
                 self._discard(size)
-                if self.fp.read(2) != b"\r\n":
-                    raise http.client.HTTPException("a chunk is longer than its size")
+                self._discard(len(b"\r\n"))
             self._read_field_lines()
 
     def _read_chunk_size(self) -> int:
-        text = self.fp.readline(MAX_LINE_BYTES + 1).partition(b";")[0].strip()
-        if not _CHUNK_SIZE_PATTERN.fullmatch(text):
-            raise http.client.HTTPException("the size of a chunk is invalid")
-        return int(text, 16)
+        return framing.read_chunk_size(self.fp.readline(MAX_LINE_BYTES + 1))
 
     def _discard(self, size: int) -> None:
         while size:
@@ -291,6 +346,7 @@
         if found.length is not None:
             self.headers["Content-Length"] = str(found.length)
         self.chunked = found.kind is framing.FramingKind.CHUNKED
+        self.fp.chunk_checker = _ChunkChecker() if self.chunked else None
         self.length = 0 if found.kind is framing.FramingKind.NONE else found.length
         self.will_close = not found.reusable or self._check_close()
 
--- a/verbenadrum/daemon/framing.py
+++ b/verbenadrum/daemon/framing.py
@@ -12,6 +12,7 @@
     "FramingKind",
     "StatusLine",
     "frame_body",
+    "read_chunk_size",
     "read_fields",
     "read_status_line",
 ]
@@ -27,6 +28,8 @@
 _FIELD_NAME_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # RFC 9110, section 5.5; the tab is the one control character that is allowed.
 _FORBIDDEN_VALUE_BYTES = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+# Some servers pad the size with blanks, to a field of fixed width.
+_CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\x00\r\n]*)?\r?\n")
 _BODILESS_STATUSES = (204, 304)
 
 
@@ -163,7 +166,7 @@
         text = line.removesuffix(b"\n").removesuffix(b"\r")
         if text[:1] in (b" ", b"\t"):
             if not fields:
-                raise FramingError("the head begins with a folded line")
+                raise FramingError("the first field line is folded")
             name, value = fields.pop()
             fields.append((name, (value + b" " + text).strip(b" \t")))
             continue
@@ -179,6 +182,25 @@
     return message
 
 
+def read_chunk_size(line: bytes) -> int:
+    r"""Return the size that the first line of a chunk names, in bytes.
+
+    Raises
+    ------
+    FramingError
+        If the line does not begin with a plain hexadecimal number.
+
+    Examples
+    --------
+    >>> read_chunk_size(b"1f;name=value\r\n")
+    31
+    """
+    match = _CHUNK_SIZE_PATTERN.fullmatch(line)
+    if match is None:
+        raise FramingError(f"{line[:80]!r} is not the size of a chunk")
+    return int(match[1], 16)
+
+
 def _content_length(headers: http.client.HTTPMessage) -> int | None:
     """Return the value of Content-Length, or None without one; it must not be repeated."""
     values = headers.get_all("Content-Length", [])
