The command line reads answers of operators' ports as strictly as hosts do

An operator would see the status or the decisions in a broken answer as those of the host: a line of the head that is no field ended the head, and what followed was taken for the body; statuses such as "+200" and "2_00" for 200; two lengths, a length with a sign and a broken last chunk for sound.

Cause: the command line asked through a plain urllib3 pool, which reads heads as http.client does, while the daemon's clients read through daemon.answers.

Change: it asks through a pool of daemon.answers, too, and no longer reads an answer of any size into memory: 64 MiB is the maximum. That module yields to other greenlets after a few reads; where sockets are not gevent's, as here, it has none to yield to, and does not create an event loop for each thread that asks.

--- a/verbenadrum/cli/operators.py
+++ b/verbenadrum/cli/operators.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from verbenadrum.daemon import answers
 from verbenadrum.decisions import ring
 from verbenadrum.utils import errors
 
@@ -22,6 +23,8 @@
 
 _MAX_PARALLEL_REQUESTS = 32
 _MAX_DECISIONS = 10_000
+# Far more than the decisions and the status of a host take.
+_MAX_ANSWER_BYTES = 67_108_864
 
 T = TypeVar("T")
 
@@ -135,14 +138,18 @@
 def _get(address: str, path: str, timeout_s: float, expected: type[T]) -> T:
     base_url = address if "://" in address else f"http://{address}"
     try:
-        response = urllib3.request(
-            "GET", base_url.rstrip("/") + path, timeout=timeout_s, retries=False, redirect=False
-        )
+        with (
+            answers.make_pool_manager(timeout=timeout_s, retries=False) as pools,
+            pools.request(
+                "GET", base_url.rstrip("/") + path, redirect=False, preload_content=False
+            ) as response,
+        ):
+            data = answers.read_body(response, max_bytes=_MAX_ANSWER_BYTES)
     except (urllib3.exceptions.HTTPError, ValueError) as error:
         raise OperatorsPortError(f"no answer: {error}") from error
     if response.status != 200:
         raise OperatorsPortError(f"status {response.status}")
     try:
-        return msgspec.json.decode(response.data, type=expected)
+        return msgspec.json.decode(data, type=expected)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise OperatorsPortError(f"cannot decode answer: {error}") from error
--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -12,6 +12,7 @@
 
 import gevent
 import urllib3
+from gevent import monkey
 from gevent import socket as gevent_socket
 from urllib3 import connection, exceptions
 
@@ -82,7 +83,8 @@
 
     def readinto(self, buffer: memoryview) -> int | None:
         """Read available data into ``buffer``; return the number of bytes, 0 at the end."""
-        if self._reads_since_yield >= _MAX_READS_WITHOUT_YIELD:
+        # Without gevent's sockets, as in the command line, each read blocks its thread alone.
+        if self._reads_since_yield >= _MAX_READS_WITHOUT_YIELD and _has_gevent_sockets():
             self._reads_since_yield = 0
             self._yield_to_event_loop()
         self._reads_since_yield += 1
@@ -107,6 +109,10 @@
         )
 
 
+def _has_gevent_sockets() -> bool:
+    return monkey.is_module_patched("socket")
+
+
 class _ChunkChecker:
     """Checks the lines and ends of the chunks of one body while urllib3 reads them."""
 
