Metrics count as pushed only if the collector's answer is sound

A push to an OTLP collector counted as done whatever the status line and the fields of the answer were ("+200", "HTTP/1.x", a name with a control byte), so that a collector in trouble dropped metrics without a line in the log.

Cause: the exporter of OpenTelemetry asks through requests, whose urllib3 pools read heads as http.client does.

Change: the exporter gets a session whose connections, to proxies as well, are those of daemon.answers; the module otlp makes it and is imported only where a collector is set.

Sound answers, early ones as well, are read before and after.

--- a/verbenadrum/daemon/answers.py
+++ b/verbenadrum/daemon/answers.py
@@ -26,6 +26,7 @@
     "MAX_LINE_BYTES",
     "make_pool_manager",
     "read_body",
+    "use_bounded_connections",
 ]
 
 # Maximum total size of the lines of a head, or of consecutive chunk sizes and trailers;
@@ -482,10 +483,15 @@
 def make_pool_manager(**options: object) -> urllib3.PoolManager:
     """Return a `urllib3.PoolManager` with the given options that uses bounded connections."""
     manager = urllib3.PoolManager(**options)
-    manager.pool_classes_by_scheme = {"http": BoundedPool, "https": _BoundedTlsPool}
+    use_bounded_connections(manager)
     return manager
 
 
+def use_bounded_connections(manager: urllib3.PoolManager) -> None:
+    """Make a pool manager that has no pools yet use bounded connections."""
+    manager.pool_classes_by_scheme = {"http": BoundedPool, "https": _BoundedTlsPool}
+
+
 def read_body(response: urllib3.BaseHTTPResponse, *, max_bytes: int) -> bytes:
     """Read and return the complete body of a response, without decoding it.
 
--- a/verbenadrum/daemon/exporters.py
+++ b/verbenadrum/daemon/exporters.py
@@ -47,7 +47,9 @@
         # This reader registers its metrics in the process-wide registry of the Prometheus client.
         readers: list[export.MetricReader] = [prometheus.PrometheusMetricReader()]
         if settings.otlp_endpoint:
-            readers.append(_otlp_reader(settings))
+            from verbenadrum.daemon import otlp  # noqa: PLC0415
+
+            readers.append(otlp.make_reader(settings))
         duration_view = view.View(
             instrument_name="verbenadrum.request.duration",
             aggregation=view.ExplicitBucketHistogramAggregation(_DURATION_BOUNDS_MS),
@@ -107,12 +109,3 @@
         yield api.Observation(read())
 
     return observe
-
-
-def _otlp_reader(settings: types.MetricsTable) -> export.MetricReader:
-    from opentelemetry.exporter.otlp.proto.http import metric_exporter  # noqa: PLC0415
-
-    exporter = metric_exporter.OTLPMetricExporter(endpoint=settings.otlp_endpoint)
-    return export.PeriodicExportingMetricReader(
-        exporter, export_interval_millis=settings.otlp_interval_ms
-    )
