Stand-ins: servers that send broken heads and reset uploads, in the soak too

The backend stand-in can send a head with a blank or a control byte in the name of a field, a control byte in a value, or a first line that is none, and can answer an upload with a part of a body without a length and reset its connection.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -31,6 +31,7 @@
 from gevent import lock, select, server
 
 from standins import behaviours, serving
+from verbenadrum.daemon import sockets
 
 __all__ = ["Backend", "Run", "RunCounts", "RunEnd", "RunOutcome"]
 
@@ -266,10 +267,13 @@
         if self.path.startswith("/control/"):
             self._serve_control()
             return
-        body_checksum = self._checksum_body()
         query = urllib.parse.parse_qs(urllib.parse.urlsplit(self.path).query)
         service_ms = float(query["ms"][0]) if "ms" in query else None
         plan = self.server.plan(self.path, service_ms)
+        if plan.reset_after_ms is not None:
+            self._answer_early_and_reset(plan.reset_after_ms, query)
+            return
+        body_checksum = self._checksum_body()
         deadline_s = time.monotonic() + float(self.headers.get("X-Deadline-Ms", 60_000)) / 1000.0
         queue_s = max(0.0, deadline_s - time.monotonic())
         if not plan.run or not self.server.slots.acquire(timeout=queue_s):
@@ -283,14 +287,7 @@
     def _handle_run(
         self, plan: behaviours.Plan, query: dict, deadline_s: float, body_checksum: str
     ) -> None:
-        run = Run(
-            server=self.server.name,
-            request=self.headers.get("X-Request-Id", ""),
-            key=self.headers.get("Idempotency-Key", ""),
-            workspace=self.headers.get("X-Workspace", ""),
-            at_ms=time.time() * 1000.0,
-            secret=SECRET_MARKER in f"{self.path} {self.headers}",
-        )
+        run = self._make_run()
         if behaviours.Call(target=self.path).is_probe:
             self._execute_plan(plan, run, query, deadline_s, body_checksum)
             return
@@ -301,6 +298,32 @@
         finally:
             self.server.end_run(run.request, outcome, faulty=bool(plan.framing))
 
+    def _make_run(self) -> Run:
+        return Run(
+            server=self.server.name,
+            request=self.headers.get("X-Request-Id", ""),
+            key=self.headers.get("Idempotency-Key", ""),
+            workspace=self.headers.get("X-Workspace", ""),
+            at_ms=time.time() * 1000.0,
+            secret=SECRET_MARKER in f"{self.path} {self.headers}",
+        )
+
+    def _answer_early_and_reset(self, delay_ms: float, query: dict) -> None:
+        """Send a part of an answer without a length, and reset the connection after a while."""
+        run = self._make_run()
+        self.server.begin_run(run)
+        answer = self._build_answer(run.request, query)
+        self.send_response(200)
+        self.send_header("X-Request-Id", run.request)
+        self.send_header("X-Checksum", answer.checksum())
+        self.send_header("X-Body-Checksum", xxhash.xxh3_64_hexdigest(b""))
+        self.end_headers()
+        self.wfile.write(next(iter(answer.blocks()))[:-1])
+        gevent.sleep(delay_ms / 1000.0)
+        sockets.reset(self.connection)
+        self.close_connection = True
+        self.server.end_run(run.request, RunOutcome.CUT, faulty=True)
+
     def _execute_plan(
         self, plan: behaviours.Plan, run: Run, query: dict, deadline_s: float, body_checksum: str
     ) -> RunOutcome:
@@ -357,7 +380,7 @@
         chunked = plan.truncation is behaviours.Truncation.CHUNKED or (
             delivery.chunked and not cut and not fields
         )
-        self.send_response(200)
+        self._send_status_line(plan)
         self.send_header("X-Request-Id", answer_to_send.request)
         self.send_header("X-Checksum", answer_to_send.checksum())
         self.send_header("X-Body-Checksum", body_checksum)
@@ -390,6 +413,13 @@
                 break
         self.close_connection = self.close_connection or cut
 
+    def _send_status_line(self, plan: behaviours.Plan) -> None:
+        line = behaviours.STATUS_LINES.get(plan.framing)
+        if line is None:
+            self.send_response(200)
+        else:
+            self.wfile.write(f"{line}\r\n".encode())
+
     def _write_pieces(self, answer: Answer, delivery: _Delivery, *, chunked: bool) -> None:
         pieces = answer.pieces(delivery.pieces) if delivery.pieces else answer.blocks()
         pieces = self._paused(pieces, delivery.pause_s)
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -18,6 +18,7 @@
     "FRAMINGS",
     "Fault",
     "Plan",
+    "STATUS_LINES",
     "Truncation",
     "behaviours",
     "make_plan",
@@ -25,6 +26,7 @@
 
 HEALTH_PATH = "/health"
 CRASH_QUERY = "crash=1"
+UPLOAD_QUERY = "upload=1"
 
 
 class Truncation(enum.Enum):
@@ -108,7 +110,10 @@
     truncation : Truncation
         How the body is truncated.
     framing : str
-        How the head contradicts itself about the body, as in `FRAMINGS`; empty for not at all.
+        How the head is broken or contradicts itself, as in `FRAMINGS`; empty for not at all.
+    reset_after_ms : float or None
+        Time in milliseconds after which the connection is reset, while the request is still being
+        sent and after a part of an answer without a length. None for no reset.
     interim : bool
         Whether an interim head comes before the run.
     """
@@ -123,16 +128,27 @@
     crash: bool = False
     truncation: Truncation = Truncation.NONE
     framing: str = ""
+    reset_after_ms: float | None = None
     interim: bool = False
 
 
-# Headers that contradict the framing of a body; ``%d`` is its length. The body is sent in chunks
-# where a Transfer-Encoding says so.
+# Headers that contradict the framing of a body, or that are none; ``%d`` is its length. The body is
+# sent in chunks where a Transfer-Encoding says so.
 FRAMINGS = {
     "chunks-and-length": ("Transfer-Encoding: chunked", "Content-Length: 9"),
     "two-lengths": ("Content-Length: 3", "Content-Length: %d"),
     "signed-length": ("Content-Length: +%d",),
     "two-codings": ("Transfer-Encoding: gzip, chunked",),
+    "blank-in-name": ("X Bad: 1", "Content-Length: %d"),
+    "control-in-name": ("X-Bad\x01: 1", "Content-Length: %d"),
+    "control-in-value": ("X-Bad: \x01", "Content-Length: %d"),
+    "status-zero": ("Content-Length: %d",),
+    "status-signed": ("Content-Length: %d",),
+}
+# First lines that are none, by the names of their `FRAMINGS`.
+STATUS_LINES = {
+    "status-zero": "HTTP/1.1 000 OK",
+    "status-signed": "HTTP/1.1 +200 OK",
 }
 
 Behaviour = Callable[[Plan, Call, Fault], None]
@@ -259,3 +275,10 @@
 @behaviours.register("interim")
 def _interim(plan: Plan, call: Call, fault: Fault) -> None:
     plan.interim = True
+
+
+@behaviours.register("reset")
+def _reset(plan: Plan, call: Call, fault: Fault) -> None:
+    """Answer an upload before it was read, without a length, and reset its connection."""
+    if UPLOAD_QUERY in call.target:
+        plan.reset_after_ms = fault.ms
--- a/standins/raw_answer.py
+++ b/standins/raw_answer.py
@@ -3,6 +3,7 @@
 An HTTP client library would drop such bytes, and would hide how a connection ended.
 """
 
+import re
 import socket
 from collections.abc import Iterator
 
@@ -13,6 +14,8 @@
 
 _READ_BYTES = 65_536
 _HEAD_END = b"\r\n\r\n"
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] ([1-5][0-9]{2}) [^\x00-\x08\x0a-\x1f\x7f]*")
+_FIELD_LINE = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\x00-\x08\x0a-\x1f\x7f]*)")
 
 
 class CutError(OSError):
@@ -67,16 +70,17 @@
         ------
         CutError
             If the connection ends before the end of the headers.
-        ValueError, IndexError
-            If the bytes are not an HTTP answer.
+        ValueError
+            If the bytes are not the head of an HTTP answer.
         """
         while _HEAD_END not in self.pending:
             self._receive()
         head, _, self.pending = self.pending.partition(_HEAD_END)
         status_line, *lines = head.decode("latin-1").split("\r\n")
-        pairs = (line.partition(":") for line in lines)
-        headers = {name.lower(): value.strip() for name, _, value in pairs}
-        return Answer(status=int(status_line.split()[1]), headers=headers)
+        status = _match(_STATUS_LINE, status_line)[1]
+        fields = [_match(_FIELD_LINE, line) for line in lines]
+        headers = {field[1].lower(): field[2].strip(" \t") for field in fields}
+        return Answer(status=int(status), headers=headers)
 
     def read_body(self, answer: Answer, pauses_s: Iterator[float]) -> None:
         """Read the body of an answer and store it in the answer.
@@ -145,3 +149,10 @@
             raise CutError("connection ended before the end of an answer")
         self.pending += data
         return bool(data)
+
+
+def _match(pattern: re.Pattern, line: str) -> re.Match:
+    match = pattern.fullmatch(line)
+    if match is None:
+        raise ValueError(f"{line[:80]!r} is no line of the head of an answer")
+    return match
--- a/standins/raw_caller.py
+++ b/standins/raw_caller.py
@@ -253,7 +253,7 @@
             )
             if not result.sent_ms:
                 result.ending = Ending.UNSENT
-        except (ValueError, IndexError) as error:
+        except ValueError as error:
             result.ending = Ending.TRUNCATED
             result.fault = f"malformed answer: {error}"
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -56,6 +56,7 @@
 _EXTRA_TABLES = """\
 [headers]
 keep_request_id = true
+unframed_answers = true
 """
 
 
@@ -79,7 +80,7 @@
     signals : bool
         Whether servers name limits, ask for rests and leave meanwhile.
     faults : bool
-        Whether servers send contradictory answers and interim heads, and hosts are killed.
+        Whether servers send broken answers and interim heads, and hosts are killed.
     stalls : bool
         Whether hosts that are shut down are stopped for a while, as on a busy machine.
     many : bool
@@ -271,9 +272,7 @@
     flags.DEFINE_float("limit_ms", 2_000.0, "Setting limit_ms of the hosts.")
     flags.DEFINE_float("margin_ms", 500.0, "Setting margin_ms of the hosts.")
     flags.DEFINE_bool("signals", False, "Whether servers send signals about themselves.")
-    flags.DEFINE_bool(
-        "faults", False, "Whether servers contradict themselves and hosts are killed."
-    )
+    flags.DEFINE_bool("faults", False, "Whether servers send broken answers and hosts are killed.")
     flags.DEFINE_bool("stalls", False, "Whether hosts that are shut down are stopped for a while.")
     flags.DEFINE_bool("many", False, "Whether many hosts are shut down at once or in series.")
     flags.DEFINE_string("keep_logs", "", "Folder to which the logs of a failed seed are copied.")
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -86,6 +86,35 @@
         send_request(clean_fleet, "/x?size=300000").read()
 
 
+@pytest.mark.parametrize("mode", behaviours.FRAMINGS)
+def test_broken_head_is_sent_as_it_is(clean_fleet, mode):
+    clean_fleet.set_server_faults("s1", [behaviours.Fault(name="frame", mode=mode)])
+    port = int(clean_fleet._servers["s1"].address.split(":")[1])
+    with socket.create_connection((serving.LOOPBACK, port), timeout=2.0) as sock:
+        sock.sendall(b"GET /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: q\r\n\r\n")
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += sock.recv(65_536)
+        first, *lines = head.partition(b"\r\n\r\n")[0].decode().split("\r\n")
+    assert first == behaviours.STATUS_LINES.get(mode, "HTTP/1.1 200 OK")
+    for field in behaviours.FRAMINGS[mode]:
+        assert field.replace("%d", "256") in lines
+
+
+def test_upload_is_answered_early_and_reset(clean_fleet):
+    clean_fleet.set_server_faults("s1", [behaviours.Fault(name="reset", ms=20.0)])
+    # The proxy passes a reset on as an end.
+    port = clean_fleet._servers["s1"].port
+    with socket.create_connection((serving.LOOPBACK, port), timeout=2.0) as sock:
+        target = f"/x?{behaviours.UPLOAD_QUERY}"
+        sock.sendall(f"POST {target} HTTP/1.1\r\nContent-Length: 500000\r\n\r\nx".encode())
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 ")
+        with pytest.raises(ConnectionResetError):
+            while sock.recv(65_536):
+                pass
+    assert send_request(clean_fleet).status == 200
+
+
 def test_crossed_answer_carries_another_identifier(clean_fleet):
     send_request(clean_fleet, "/first", X_Request_Id="first").read()
     clean_fleet.set_server_faults("s1", [behaviours.Fault(name="cross")])
