Tests: a pool's early answer is read as clients read it; a reset after an end

test_broken_readers.py read the body in a way that no client uses, which fails for every answer without a length, so that its test of a reset during an upload proved nothing.

--- a/verbenadrum/daemon/tests/test_broken_readers.py
+++ b/verbenadrum/daemon/tests/test_broken_readers.py
@@ -103,13 +103,17 @@
             yield b"x" * 50_000
             gevent.sleep(0.001)
 
-    with answers.make_pool_manager(timeout=TIMEOUT_S, retries=False) as pools:
+    def post(pools):
         url = f"http://{early.address}/"
+        response = pools.request("POST", url, body=upload(), preload_content=False)
+        return answers.read_body(response, max_bytes=100)
+
+    with answers.make_pool_manager(timeout=TIMEOUT_S, retries=False) as pools:
         if framed:
-            assert pools.request("POST", url, body=upload()).data == b"body"
+            assert post(pools) == b"body"
         else:
             with pytest.raises(urllib3.exceptions.ProtocolError):
-                pools.request("POST", url, body=upload())
+                post(pools)
 
 
 @pytest.mark.parametrize(
--- a/verbenadrum/daemon/tests/test_early_answers.py
+++ b/verbenadrum/daemon/tests/test_early_answers.py
@@ -67,6 +67,13 @@
     read_on(sock, file, head)
 
 
+def end_and_reset(sock, file, head):
+    """End the answer, and reset the connection while the request is being sent."""
+    sock.shutdown(socket.SHUT_WR)
+    gevent.sleep(PIECE_PAUSE_S)
+    sockets.reset(sock)
+
+
 class Uploader(test_framing.Caller):
     """Caller that uploads in pieces while it waits for the answer."""
 
@@ -155,6 +162,12 @@
     check_is_broken(*upload_to(start, early, UPLOADS["8MB"]), early)
 
 
+# A server that is killed in the middle of an answer does the same if it had read what had arrived.
+def test_answer_without_a_length_whose_end_is_followed_by_a_reset_is_no_whole_one(start):
+    early = EarlyServer(UNFRAMED + PART, end_and_reset)
+    check_is_broken(*upload_to(start, early, UPLOADS["8MB"]), early)
+
+
 WHOLE = b"whole answer"
 FRAMED = {
     "length": b"Content-Length: 12\r\n\r\n" + WHOLE,
