--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -125,7 +125,8 @@
     fractional_retry_after : bool
         Whether Retry-After may contain fractions of a second.
     unframed_answers : bool
-        Whether an answer without a length is complete if its connection is closed cleanly.
+        Whether an answer without a length is complete if its connection is closed cleanly, and the
+        whole request was sent before.
     """
 
     request_id: HeaderName = "X-Request-Id"
