Wording: malformed status and field lines; the soak's uploads draw by themselves

The soak's uploads have a source of random numbers of their own, as its comment said: it was seeded from the other one, whose draws it so changed.

--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -132,7 +132,7 @@
     interim: bool = False
 
 
-# Headers that contradict the framing of a body, or that are none; ``%d`` is its length. The body is
+# Headers that contradict the framing of a body, or are malformed; ``%d`` is its length. The body is
 # sent in chunks where a Transfer-Encoding says so.
 FRAMINGS = {
     "chunks-and-length": ("Transfer-Encoding: chunked", "Content-Length: 9"),
@@ -145,7 +145,7 @@
     "status-zero": ("Content-Length: %d",),
     "status-signed": ("Content-Length: %d",),
 }
-# First lines that are none, by the names of their `FRAMINGS`.
+# Malformed status lines, by the names of their `FRAMINGS`.
 STATUS_LINES = {
     "status-zero": "HTTP/1.1 000 OK",
     "status-signed": "HTTP/1.1 +200 OK",
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -147,7 +147,10 @@
     )
     callers.start()
     faults = soak_faults.Faults(
-        work=work, rng=random.Random(f"{options.seed}/faults"), results=callers.results
+        work=work,
+        rng=random.Random(f"{options.seed}/faults"),
+        upload_rng=random.Random(f"{options.seed}/uploads"),
+        results=callers.results,
     )
     if options.signals:
         signals.start()
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -1,7 +1,7 @@
 """Faults in a soak test: broken answers, interim heads, and killed hosts.
 
-An answer may contradict itself, hold a line that is none, or be cut by a reset of its connection
-while a long upload is being sent.
+An answer may contradict itself, hold a malformed line, or be cut by a reset of its connection while
+a long upload is being sent.
 
 A host is killed and started again while its requests wait for the slots of a small pool. The check
 (j) is that the servers of that pool run its requests and no others.
@@ -16,7 +16,7 @@
 
 __all__ = ["Faults"]
 
-# A share of all answers for each way in which a head is broken, 18% in all.
+# Fraction of the answers for each way in which a head is broken.
 _FRAMING_SHARE = 0.02
 _RESET_DELAYS_MS = (0.0, 3.0, 10.0, 30.0)
 _RESET_SHARE = 0.2
@@ -42,6 +42,8 @@
         Planned work, which starts killed hosts again.
     rng : random.Random
         Draws the hosts and the times.
+    upload_rng : random.Random
+        Draws the uploads, so that they leave the draws of the other as they are.
     results : list of RequestResult
         Gets the results of the requests to the small pool and of the uploads.
     """
@@ -51,12 +53,12 @@
         *,
         work: planned_work.PlannedWork,
         rng: random.Random,
+        upload_rng: random.Random,
         results: list[raw_caller.RequestResult],
     ) -> None:
         self._work = work
         self._rng = rng
-        # A source of its own, so that the uploads leave the draws of the other as they are.
-        self._upload_rng = random.Random(rng.getrandbits(64))
+        self._upload_rng = upload_rng
         self._results = results
         self._greenlets: list[gevent.Greenlet] = []
         self._sent = 0
--- a/standins/tests/test_raw_answer.py
+++ b/standins/tests/test_raw_answer.py
@@ -7,8 +7,8 @@
 from standins import raw_answer
 from verbenadrum.daemon.tests import broken_heads
 
-# The reader refuses what hosts never send, but other servers may: no reason, folded lines.
-SOUND_LINES = [line for line in broken_heads.SOUND_FIRST_LINES if line.count(b" ") > 1][:4]
+# Hosts always send a reason, and HTTP/1.1.
+SOUND_LINES = [line for line in broken_heads.VALID_STATUS_LINES if line.count(b" ") > 1][:4]
 
 
 def read_head(data):
@@ -19,14 +19,14 @@
         return raw_answer.AnswerReader(sock=ours).read_head()
 
 
-@pytest.mark.parametrize("line", broken_heads.BROKEN_FIRST_LINES)
-def test_broken_first_line_is_an_error(line):
+@pytest.mark.parametrize("line", broken_heads.MALFORMED_STATUS_LINES)
+def test_malformed_status_line_is_an_error(line):
     with pytest.raises(ValueError, match="no line of the head"):
         read_head(line + b"\r\nX-Good: 1\r\n\r\n")
 
 
-@pytest.mark.parametrize("line", broken_heads.BROKEN_FIELD_LINES)
-def test_broken_field_line_is_an_error(line):
+@pytest.mark.parametrize("line", broken_heads.MALFORMED_FIELD_LINES)
+def test_malformed_field_line_is_an_error(line):
     with pytest.raises(ValueError, match="no line of the head"):
         read_head(b"HTTP/1.1 200 OK\r\nX-Good: 1\r\n" + line + b"\r\n\r\n")
 
--- a/verbenadrum/cli/operators.py
+++ b/verbenadrum/cli/operators.py
@@ -23,7 +23,6 @@
 
 _MAX_PARALLEL_REQUESTS = 32
 _MAX_DECISIONS = 10_000
-# Far more than the decisions and the status of a host take.
 _MAX_ANSWER_BYTES = 67_108_864
 
 T = TypeVar("T")
--- a/verbenadrum/cli/tests/test_broken_answers.py
+++ b/verbenadrum/cli/tests/test_broken_answers.py
@@ -28,15 +28,15 @@
         operators.read_status(backend.address, TIMEOUT_S)
 
 
-# The command line took the lines behind one that is none for the body of an answer.
+# The command line took the lines behind a malformed one for the body of an answer.
 @pytest.mark.parametrize("framing", [[LENGTH], []], ids=["length", "unframed"])
-@pytest.mark.parametrize("line", broken_heads.BROKEN_FIELD_LINES)
-def test_answer_with_a_field_line_that_is_none_is_refused(line, framing):
+@pytest.mark.parametrize("line", broken_heads.MALFORMED_FIELD_LINES)
+def test_answer_with_a_malformed_field_line_is_refused(line, framing):
     check_is_no_answer(b"\r\n".join([b"HTTP/1.1 200 OK", line, *framing, b"", BODY]))
 
 
-@pytest.mark.parametrize("line", broken_heads.BROKEN_FIRST_LINES)
-def test_answer_whose_first_line_is_none_is_refused(line):
+@pytest.mark.parametrize("line", broken_heads.MALFORMED_STATUS_LINES)
+def test_answer_with_a_malformed_status_line_is_refused(line):
     check_is_no_answer(b"\r\n".join([line, LENGTH, b"", BODY]))
 
 
@@ -55,10 +55,10 @@
     check_is_no_answer(b"\r\n".join([b"HTTP/1.1 200 OK", LENGTH, b"", BODY[:-1]]))
 
 
-@pytest.mark.parametrize("line", broken_heads.SOUND_FIRST_LINES)
+@pytest.mark.parametrize("line", broken_heads.VALID_STATUS_LINES)
 @pytest.mark.parametrize("framing", [[LENGTH], []], ids=["length", "unframed"])
 def test_sound_answer_is_read(line, framing):
-    lines = [line, *broken_heads.SOUND_FIELD_LINES, *framing, b"", BODY]
+    lines = [line, *broken_heads.VALID_FIELD_LINES, *framing, b"", BODY]
     backend = test_upstream.Backend(b"\r\n".join(lines), after="close")
     assert operators.read_status(backend.address, TIMEOUT_S).ready
 
--- a/verbenadrum/daemon/tests/broken_heads.py
+++ b/verbenadrum/daemon/tests/broken_heads.py
@@ -1,6 +1,6 @@
-"""First lines and field lines of answers, broken and sound, for tests of every HTTP client."""
+"""Status lines and field lines, malformed and valid, for tests of every HTTP client."""
 
-BROKEN_FIRST_LINES = [
+MALFORMED_STATUS_LINES = [
     b"HTTP/1.1 000 OK",
     b"HTTP/1.1 099 OK",
     b"HTTP/1.1 600 OK",
@@ -45,7 +45,7 @@
     b"\x00\x01\x02\x03",
     b"",
 ]
-SOUND_FIRST_LINES = [
+VALID_STATUS_LINES = [
     b"HTTP/1.1 200 OK",
     b"HTTP/1.1 200 ",
     b"HTTP/1.1 200",
@@ -54,7 +54,7 @@
     b"HTTP/1.0 200 OK",
     b"HTTP/1.2 200 OK",
 ]
-BROKEN_FIELD_LINES = [
+MALFORMED_FIELD_LINES = [
     b"X Bad: 1",
     b"X-Bad : 1",
     b"X\tBad: 1",
@@ -81,7 +81,7 @@
     b"X-Bad: 1\r",
     b"\r",
 ]
-SOUND_FIELD_LINES = [
+VALID_FIELD_LINES = [
     b"X-Good:1",
     b"X-Good: \t1\t ",
     b"X-Good:",
--- a/verbenadrum/daemon/tests/test_broken_chunks.py
+++ b/verbenadrum/daemon/tests/test_broken_chunks.py
@@ -1,4 +1,4 @@
-"""Tests that a body in chunks is whole only if every line and end of a chunk is what it must be."""
+"""Tests that a chunked body is whole only if its chunks and trailers are well-formed."""
 
 import contextlib
 
@@ -38,7 +38,7 @@
     "other line end": b"4\r\nbody\n\r" + LAST,
     **{
         f"trailer {line!r}": b"4\r\nbody\r\n0\r\n" + line + b"\r\n\r\n"
-        for line in broken_heads.BROKEN_FIELD_LINES
+        for line in broken_heads.MALFORMED_FIELD_LINES
     },
     "second trailer": b"4\r\nbody\r\n0\r\nX-Good: 1\r\njunk\r\n\r\n",
     "trailer that begins folded": b"4\r\nbody\r\n0\r\n folded: 1\r\n\r\n",
--- a/verbenadrum/daemon/tests/test_broken_heads.py
+++ b/verbenadrum/daemon/tests/test_broken_heads.py
@@ -1,4 +1,4 @@
-"""Tests that an answer with a line in its head that is none never reaches a caller."""
+"""Tests that an answer with a malformed head never reaches a caller."""
 
 import contextlib
 
@@ -46,13 +46,13 @@
 
 # An answer of status 000 reached a caller.
 @pytest.mark.parametrize("framing", LINES_BY_FRAMING)
-@pytest.mark.parametrize("first_line", broken_heads.BROKEN_FIRST_LINES)
-def test_answer_whose_first_line_is_none_is_an_error(start, first_line, framing):
+@pytest.mark.parametrize("first_line", broken_heads.MALFORMED_STATUS_LINES)
+def test_answer_with_a_malformed_status_line_is_an_error(start, first_line, framing):
     check_is_no_answer(start, answer_of(first_line, LINES_BY_FRAMING[framing]))
 
 
-@pytest.mark.parametrize("first_line", broken_heads.SOUND_FIRST_LINES)
-def test_answer_whose_first_line_is_sound_is_passed_on(first_line):
+@pytest.mark.parametrize("first_line", broken_heads.VALID_STATUS_LINES)
+def test_answer_with_a_valid_status_line_is_passed_on(first_line):
     backend = test_upstream.Backend(answer_of(first_line, [b"X-Request-Id: q1", LENGTH]))
     answer = attempt(backend.address).run()
     assert (answer.status, answer.prefetched) == (200, BODY)
@@ -61,15 +61,15 @@
 # An answer whose head had a blank or a control byte in the name of a field reached a caller.
 @pytest.mark.parametrize("place", ["first", "last"])
 @pytest.mark.parametrize("framing", LINES_BY_FRAMING)
-@pytest.mark.parametrize("line", broken_heads.BROKEN_FIELD_LINES)
-def test_answer_with_a_field_line_that_is_none_is_an_error(start, line, framing, place):
+@pytest.mark.parametrize("line", broken_heads.MALFORMED_FIELD_LINES)
+def test_answer_with_a_malformed_field_line_is_an_error(start, line, framing, place):
     lines = [b"X-Signature: s", *LINES_BY_FRAMING[framing]]
     lines.insert(0 if place == "first" else len(lines), line)
     check_is_no_answer(start, answer_of(b"HTTP/1.1 200 OK", lines))
 
 
-@pytest.mark.parametrize("line", broken_heads.SOUND_FIELD_LINES)
-def test_answer_whose_field_lines_are_sound_is_passed_on(line):
+@pytest.mark.parametrize("line", broken_heads.VALID_FIELD_LINES)
+def test_answer_with_valid_field_lines_is_passed_on(line):
     lines = [line, b"X-Request-Id: q1", LENGTH]
     backend = test_upstream.Backend(answer_of(b"HTTP/1.1 200 OK", lines))
     answer = attempt(backend.address).run()
@@ -78,12 +78,12 @@
     assert name in dict(answer.forwarded_headers())
 
 
-@pytest.mark.parametrize("line", broken_heads.BROKEN_FIELD_LINES)
-def test_interim_head_with_a_field_line_that_is_none_is_an_error(start, line):
+@pytest.mark.parametrize("line", broken_heads.MALFORMED_FIELD_LINES)
+def test_interim_head_with_a_malformed_field_line_is_an_error(start, line):
     interim = b"\r\n".join([b"HTTP/1.1 103 Hints", b"Link: a", line, b"", b""])
     check_is_no_answer(start, interim + answer_of(b"HTTP/1.1 200 OK", [LENGTH]))
 
 
 @pytest.mark.parametrize("first_line", [b"HTTP/1.1 +103 Hints", b"HTTP/1.1 0103 Hints"])
-def test_interim_head_whose_first_line_is_none_is_an_error(start, first_line):
+def test_interim_head_with_a_malformed_status_line_is_an_error(start, first_line):
     check_is_no_answer(start, first_line + b"\r\n\r\n" + answer_of(b"HTTP/1.1 200 OK", [LENGTH]))
--- a/verbenadrum/daemon/tests/test_broken_readers.py
+++ b/verbenadrum/daemon/tests/test_broken_readers.py
@@ -54,16 +54,16 @@
     return test_upstream.Backend(sent, after="close")
 
 
-@pytest.mark.parametrize("line", broken_heads.BROKEN_FIRST_LINES)
+@pytest.mark.parametrize("line", broken_heads.MALFORMED_STATUS_LINES)
 @pytest.mark.parametrize("reader", READERS)
-def test_answer_whose_first_line_is_none_is_a_failure(reader, line):
+def test_answer_with_a_malformed_status_line_is_a_failure(reader, line):
     assert not read(reader, serve(answer_of(reader, line)))
 
 
 @pytest.mark.parametrize("framed", [False, True], ids=["unframed", "length"])
-@pytest.mark.parametrize("line", broken_heads.BROKEN_FIELD_LINES)
+@pytest.mark.parametrize("line", broken_heads.MALFORMED_FIELD_LINES)
 @pytest.mark.parametrize("reader", READERS)
-def test_answer_with_a_field_line_that_is_none_is_a_failure(reader, line, framed):
+def test_answer_with_a_malformed_field_line_is_a_failure(reader, line, framed):
     assert not read(reader, serve(answer_of(reader, lines=[line], framed=framed)))
 
 
@@ -84,10 +84,10 @@
 
 
 @pytest.mark.parametrize("framed", [False, True], ids=["unframed", "length"])
-@pytest.mark.parametrize("line", broken_heads.SOUND_FIRST_LINES)
+@pytest.mark.parametrize("line", broken_heads.VALID_STATUS_LINES)
 @pytest.mark.parametrize("reader", READERS)
 def test_sound_answer_is_read(reader, line, framed):
-    lines = broken_heads.SOUND_FIELD_LINES
+    lines = broken_heads.VALID_FIELD_LINES
     assert read(reader, serve(answer_of(reader, line, lines, framed=framed)))
 
 
--- a/verbenadrum/daemon/tests/test_otlp.py
+++ b/verbenadrum/daemon/tests/test_otlp.py
@@ -29,13 +29,13 @@
 
 
 # Metrics counted as pushed whatever the status line and the fields of the answer were.
-@pytest.mark.parametrize("first_line", broken_heads.BROKEN_FIRST_LINES)
-def test_answer_whose_first_line_is_none_is_an_error(first_line):
+@pytest.mark.parametrize("first_line", broken_heads.MALFORMED_STATUS_LINES)
+def test_answer_with_a_malformed_status_line_is_an_error(first_line):
     check_is_no_answer(answer_of(first_line, LENGTH))
 
 
-@pytest.mark.parametrize("line", broken_heads.BROKEN_FIELD_LINES)
-def test_answer_with_a_field_line_that_is_none_is_an_error(line):
+@pytest.mark.parametrize("line", broken_heads.MALFORMED_FIELD_LINES)
+def test_answer_with_a_malformed_field_line_is_an_error(line):
     check_is_no_answer(answer_of(b"HTTP/1.1 200 OK", line, LENGTH))
 
 
@@ -49,10 +49,10 @@
     check_is_no_answer(answer_of(b"HTTP/1.1 200 OK", LENGTH, body=b"{"))
 
 
-@pytest.mark.parametrize("first_line", broken_heads.SOUND_FIRST_LINES)
+@pytest.mark.parametrize("first_line", broken_heads.VALID_STATUS_LINES)
 @pytest.mark.parametrize("framing", [[LENGTH], []], ids=["length", "unframed"])
 def test_sound_answer_is_read(first_line, framing):
-    collector = answer_of(first_line, *broken_heads.SOUND_FIELD_LINES, *framing)
+    collector = answer_of(first_line, *broken_heads.VALID_FIELD_LINES, *framing)
     assert post(collector.address).json() == {}
 
 
