Tests: broken answers are repeated at no other server; streamed ones are cut

The tests of broken heads and of reset uploads had one server each, so that "not run again" was shown where there was nowhere to run it. They have two now, and count the requests of both. Two comments said of cases that were errors here before that they had reached a caller; they are gone.

--- a/verbenadrum/daemon/tests/test_broken_heads.py
+++ b/verbenadrum/daemon/tests/test_broken_heads.py
@@ -32,19 +32,18 @@
 
     The next request gets its own answer.
     """
-    backend = test_framing.TwoAnswerBackend(answer, after="close")
-    host = start(backend.address)
+    backends = [test_framing.TwoAnswerBackend(answer, after="close") for _ in range(2)]
+    host = start(*(backend.address for backend in backends))
     with contextlib.closing(test_framing.Caller(host)) as caller:
         first = caller.ask("/first", "POST")
         assert (first.status, b'"not_run": "unknown"' in first.body) == (502, True)
-        assert backend.requests == 1
+        assert sum(backend.requests for backend in backends) == 1
         assert host.core.kinds[0] in (Kind.RESET, Kind.TRUNCATED)
         assert host.core.outcomes[0].may_have_run
         second = caller.ask("/second", "POST")
     assert (second.status, second.body) == (200, test_framing.SECOND)
 
 
-# An answer of status 000 reached a caller.
 @pytest.mark.parametrize("framing", LINES_BY_FRAMING)
 @pytest.mark.parametrize("first_line", broken_heads.MALFORMED_STATUS_LINES)
 def test_answer_with_a_malformed_status_line_is_an_error(start, first_line, framing):
@@ -58,7 +57,6 @@
     assert (answer.status, answer.prefetched) == (200, BODY)
 
 
-# An answer whose head had a blank or a control byte in the name of a field reached a caller.
 @pytest.mark.parametrize("place", ["first", "last"])
 @pytest.mark.parametrize("framing", LINES_BY_FRAMING)
 @pytest.mark.parametrize("line", broken_heads.MALFORMED_FIELD_LINES)
--- a/verbenadrum/daemon/tests/test_early_answers.py
+++ b/verbenadrum/daemon/tests/test_early_answers.py
@@ -114,6 +114,18 @@
         return caller.upload(size, **options), host.core
 
 
+def answer_after_the_body(answer, end):
+    """Return the behaviour of a server that reads the upload to its end before it answers."""
+
+    def behave(sock, file, head):
+        file.read(int(re.search(rb"Content-Length: (\d+)", head)[1]))
+        sock.sendall(answer)
+        gevent.sleep(PIECE_PAUSE_S)
+        end(sock, file, head)
+
+    return behave
+
+
 def check_is_broken(answer, core, early):
     """Check that the answer is an error whose outcome is unknown, or does not look complete."""
     assert answer is None or answer.status == 502 or answer.body is None
@@ -187,6 +199,8 @@
 
 
 WHOLE = b"whole answer"
+# More than the buffers of a connection hold, so that it is passed on while it is received.
+LONG_BODY = b"y" * (20 * upstream.PREFETCH_BYTES)
 FRAMED = {
     "length": b"Content-Length: 12\r\n\r\n" + WHOLE,
     "chunked": b"Transfer-Encoding: chunked\r\n\r\nc\r\n" + WHOLE + b"\r\n0\r\n\r\n",
@@ -229,11 +243,26 @@
     assert (received.status, received.body) == (200, body)
 
 
-def test_answer_without_a_length_after_the_upload_was_read_is_passed_on(start):
-    def answer_after_the_body(sock, file, head):
-        file.read(int(re.search(rb"Content-Length: (\d+)", head)[1]))
-        sock.sendall(UNFRAMED + WHOLE)
-
-    early = EarlyServer(b"", answer_after_the_body)
+@pytest.mark.parametrize("body", [WHOLE, LONG_BODY], ids=["small", "streamed"])
+def test_answer_without_a_length_after_the_upload_was_read_is_passed_on(start, body):
+    early = EarlyServer(b"", answer_after_the_body(UNFRAMED + body, end_in_order))
     received, _ = upload_to(start, early, UPLOADS["300kB"])
-    assert (received.status, received.body) == (200, WHOLE)
+    assert (received.status, received.body) == (200, body)
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_streamed_answer_without_a_length_that_is_reset_is_no_whole_one(start, version):
+    early = EarlyServer(b"", answer_after_the_body(UNFRAMED + LONG_BODY, reset))
+    received, core = upload_to(start, early, UPLOADS["300kB"], version=version)
+    # The first part has been passed on by then.
+    assert (received.status, received.body) == (200, None)
+    assert core.kinds == [Kind.TRUNCATED]
+
+
+def test_upload_whose_answer_is_reset_is_sent_to_no_other_server(start):
+    servers = [EarlyServer(UNFRAMED + PART, reset, delay_s=0.01) for _ in range(2)]
+    host = start(*(early.address for early in servers))
+    with contextlib.closing(Uploader(host)) as caller:
+        answer = caller.upload(UPLOADS["8MB"])
+    assert (answer.status, json.loads(answer.body)["not_run"]) == (502, "unknown")
+    assert sum(early.requests for early in servers) == 1
