--- a/verbenadrum/dissemination/duty.py
+++ b/verbenadrum/dissemination/duty.py
@@ -69,11 +69,14 @@
     """One long poll: asks for changes after a revision, and waits up to ``wait_ms`` for one.
 
     If ``delay_ms`` is not 0, the daemon waits that long and gets a new order instead of polling.
+    ``known_revision`` is the greatest revision known here; its generation is that of an answer
+    which states none.
     """
 
     after: int
     wait_ms: float
     delay_ms: float
+    known_revision: int = 0
 
 
 class ReadPolicy(msgspec.Struct, frozen=True, kw_only=True):
--- a/verbenadrum/records/envelope.py
+++ b/verbenadrum/records/envelope.py
@@ -64,11 +64,13 @@
     """The part of an envelope that is the same in every schema version.
 
     ``kind`` is text rather than a `RecordKind`, since a newer version may have further kinds.
+    ``order`` is that of `types.Record`.
     """
 
     kind: str
     name: types.Name
     revision: int
+    order: tuple[int, int] = types.UNKNOWN_ORDER
 
     def __post_init__(self) -> None:
         if self.revision < 1:
@@ -145,7 +147,9 @@
         spec = None
     else:
         spec = _read_spec(header, kind, body)
-    return types.Record(kind=kind, name=header.name, revision=header.revision, spec=spec)
+    return types.Record(
+        kind=kind, name=header.name, revision=header.revision, spec=spec, order=header.order
+    )
 
 
 def render(record: types.Record) -> bytes:
@@ -164,6 +168,8 @@
         "schema": types.SCHEMA_VERSION,
         "spec": record.spec,
     }
+    if record.order != types.UNKNOWN_ORDER:
+        document["order"] = record.order
     return msgspec.json.encode(document)
 
 
--- a/verbenadrum/records/types.py
+++ b/verbenadrum/records/types.py
@@ -29,10 +29,13 @@
     "ServerSpec",
     "ServerState",
     "Spec",
+    "UNKNOWN_ORDER",
     "WorkspaceSpec",
 ]
 
 SCHEMA_VERSION = 2
+# `Record.order` of a content whose writer states none.
+UNKNOWN_ORDER = (0, 0)
 
 # Name of a record of its own.
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -340,12 +343,18 @@
     name : str
         Unique among the records of its kind.
     revision : int
-        Number that the platform increases with each change of any record.
+        Number that the platform increases with each change of any record; see
+        `verbenadrum.records.revisions`.
     spec : Spec or None
         The content, or None if the record was withdrawn.
+    order : tuple of int
+        Place of the content among all that the record's writer has published: of two contents the
+        one of the greater ``order`` is later. (0, 0) is unknown. A withdrawn record has that of
+        the content that was withdrawn.
     """
 
     kind: RecordKind
     name: str
     revision: int
     spec: Spec | None
+    order: tuple[int, int] = UNKNOWN_ORDER
