Records: contents are ordered by their writers between generations of the store

Cause: one integer ordered the versions of a record, was the cursor of digests and pulls, and came from a store that gives it out again when it returns from an older copy.

A host whose complete revision passes into a new generation withdraws the servers that it lacks and carries everything else over; carried rows are compared by a checksum in digests and pulled where it differs. Withdrawn records are forgotten after ten minutes. A listing that begins a generation is announced by a digest, so that peers pull the merged rows and not the copy's.

--- a/verbenadrum/dissemination/duty.py
+++ b/verbenadrum/dissemination/duty.py
@@ -211,8 +211,14 @@
         reads = reason is not ReadReason.NONE
         wants_hosts = reads and self._host_list.from_platform
         wants_records = reads and bool(self._membership.revision)
-        records_order = self._poll_order(Stream.RECORDS, self._record_spread.platform_cursor())
-        hosts_order = self._poll_order(Stream.HOSTS, self._membership.revision)
+        records_order = self._poll_order(
+            Stream.RECORDS,
+            self._record_spread.platform_cursor(),
+            self._record_spread.known_revision,
+        )
+        hosts_order = self._poll_order(
+            Stream.HOSTS, self._membership.revision, self._membership.revision
+        )
         return ReadPlan(
             reason=reason,
             records=records_order if wants_records else None,
@@ -331,12 +337,14 @@
             return False
         return self._context.now_ms() - self._started_ms >= _CONTACT_SEEDS_AFTER_MS
 
-    def _poll_order(self, stream: Stream, after: int) -> PollOrder:
+    def _poll_order(self, stream: Stream, after: int, known_revision: int) -> PollOrder:
         delay_ms = max(0.0, self._backoffs[stream].next_ms - self._context.now_ms())
         # A reader that waits for the result is told at once what the platform holds.
         waited_for = stream is Stream.RECORDS and self._requesters
         wait_ms = 0.0 if waited_for else self._policy.poll_wait_ms
-        return PollOrder(after=after, wait_ms=wait_ms, delay_ms=delay_ms)
+        return PollOrder(
+            after=after, wait_ms=wait_ms, delay_ms=delay_ms, known_revision=known_revision
+        )
 
     def _update_backoff(self, stream: Stream, succeeded: bool) -> None:
         """Set the time of the next poll: exponential backoff with jitter after failures."""
--- a/verbenadrum/dissemination/messages.py
+++ b/verbenadrum/dissemination/messages.py
@@ -9,6 +9,8 @@
 from verbenadrum.messages import base
 
 __all__ = [
+    "CarriedPart",
+    "CarriedPull",
     "Digest",
     "HostChanges",
     "HostsPull",
@@ -104,6 +106,29 @@
     reply_to: str = ""
 
 
+@base.register
+class CarriedPull(base.Message, tag="rx"):
+    """Asks for the records that the receiver carries over from an older generation.
+
+    ``checksum`` and ``index`` are those of the next `CarriedPart`. If the receiver's records have
+    another checksum by now, it sends their first part. ``reply_to`` is as in `RecordPull`.
+    """
+
+    checksum: int
+    index: int = 0
+    reply_to: str = ""
+
+
+@base.register
+class CarriedPart(base.Message, tag="ry"):
+    """Part ``index`` of ``count`` of the packed records that the sender carries over."""
+
+    checksum: int
+    index: int
+    count: int
+    data: bytes
+
+
 @base.register
 class Digest(base.Message, tag="rd"):
     """Revisions that the sender holds, with its newest changes if they are small.
@@ -123,6 +148,9 @@
     confirmed_age_ms : float
         How long ago the platform last confirmed ``complete_revision`` as its newest revision, to
         the sender or to a host that told it; -1 if that is not known.
+    carried : int
+        Checksum of the records that the sender carries over from an older generation of the
+        platform's store; 0 for none.
     """
 
     complete_revision: int
@@ -131,6 +159,7 @@
     tail: tuple[bytes, ...] = ()
     wanted: tuple[Wanted, ...] = ()
     confirmed_age_ms: float = -1.0
+    carried: int = 0
 
 
 @base.register
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -10,7 +10,7 @@
 from verbenadrum.decisions import ring
 from verbenadrum.dissemination import host_lists, messages, packing, parts, progress, sampler
 from verbenadrum.membership import table as host_table
-from verbenadrum.records import envelope, store
+from verbenadrum.records import envelope, revisions, store
 
 __all__ = ["PLATFORM", "RecordSpread"]
 
@@ -38,6 +38,9 @@
 _INITIAL_LOAD_TIMEOUT_MS = 4_000.0
 _INITIAL_LOAD_RETRY_MS = 500.0
 _MAX_WANTED_RECORDS = 8
+_CARRIED_PULL_INTERVAL_MS = 1_000.0
+# Interval of pulls of the same records that are carried over, which made no difference before.
+_REPEATED_CARRIED_PULL_INTERVAL_MS = 10_000.0
 
 
 class _Pull(msgspec.Struct):
@@ -49,6 +52,14 @@
     assembly: parts.PartAssembly = msgspec.field(default_factory=parts.PartAssembly)
 
 
+class _CarriedPull(msgspec.Struct):
+    """The newest pull of records that a peer carries over from an older generation."""
+
+    peer: ids.HostId
+    checksum: int
+    assembly: parts.PartAssembly = msgspec.field(default_factory=parts.PartAssembly)
+
+
 class RecordSpread(system.System):
     """Receives envelopes from the platform and from peers, and forwards new ones.
 
@@ -96,7 +107,10 @@
         # Every withdrawal after this revision is known to this host.
         self._known_from = 0
         self._withdrawals_missing = False
-        self._last_packed: tuple[tuple[int, int], bytes] | None = None
+        self._last_packed: tuple[tuple[int, int, int], bytes] | None = None
+        self._carried_pull: _CarriedPull | None = None
+        self._next_carried_pull_ms = 0.0
+        self._packed_carried: tuple[int, bytes] = (0, b"")
         # Time of each recent advance of `complete_revision`, and its value before; newest last.
         self._recent_advances: collections.deque[tuple[float, int]] = collections.deque()
 
@@ -134,6 +148,11 @@
             return False
         return self._context.now_ms() - self._load_started_ms >= self._load_timeout_ms
 
+    @property
+    def known_revision(self) -> int:
+        """Greatest revision known here, of any record."""
+        return max(self.complete_revision, self._store.newest_revision)
+
     def platform_cursor(self) -> int:
         """Return the revision after which to poll the platform; 0 to read all records."""
         return 0 if self._withdrawals_missing else self._progress.cursor(PLATFORM)
@@ -159,8 +178,9 @@
             False if the answer is older than the requested revision or makes no progress.
         """
         to = revision if final else max(map(envelope.revision_of, envelopes), default=0)
-        if full_listing:
+        if full_listing or not after:
             self._withdrawals_missing = False
+        if full_listing:
             if not self.complete_revision:
                 self._known_from = revision
             envelopes += self._store.withdrawals(envelopes, revision)
@@ -173,6 +193,8 @@
         """Send a digest when it is due, time out the pending pull, and drop lapsed servers."""
         now_ms = self._context.now_ms()
         self._store.drop_lapsed_servers()
+        self._store.restore_listed_servers(self.complete_revision)
+        self._known_from = max(self._known_from, self._store.drop_withdrawn())
         self._store.report_rejections()
         self._check_pull(now_ms)
         self._load_initial(now_ms)
@@ -189,20 +211,26 @@
         """Apply changes that a peer pushed or that were pulled from it."""
         envelopes = message.envelopes
         if message.packed:
-            try:
-                envelopes = packing.unpack(message.packed)
-            except packing.MalformedPackError as error:
-                self._context.record_decision(
-                    ring.DecisionKind.RECORD,
-                    "unreadable",
-                    error.code,
-                    subject=sender,
-                    detail={"fault": error.message},
-                )
+            envelopes = self._unpacked(sender, message.packed)
+            if not envelopes:
                 return
         self._check_withdrawals(message)
         self._apply_changes(sender, message.after, message.to, message.final, envelopes)
 
+    def _unpacked(self, sender: ids.HostId, packed: bytes) -> tuple[bytes, ...]:
+        """Return the envelopes that a peer has packed; none if the pack is malformed."""
+        try:
+            return packing.unpack(packed)
+        except packing.MalformedPackError as error:
+            self._context.record_decision(
+                ring.DecisionKind.RECORD,
+                "unreadable",
+                error.code,
+                subject=sender,
+                detail={"fault": error.message},
+            )
+            return ()
+
     @system.handles(messages.RecordPull)
     def on_pull(self, sender: ids.HostId, message: messages.RecordPull) -> None:
         """Answer a pull with the next chunk of records."""
@@ -260,6 +288,7 @@
             self._catch_up(sender, message.complete_revision)
         self._host_list.on_peer_revision(sender, message.hosts_revision)
         self._send_wanted(sender, message.wanted)
+        self._pull_carried(sender, message)
 
     @system.handles(messages.LastAccepted)
     def on_last_accepted(self, sender: ids.HostId, message: messages.LastAccepted) -> None:
@@ -271,6 +300,8 @@
         """Detect whether withdrawals are missing here that the sender does not have either."""
         if not self.complete_revision:
             self._known_from = max(self._known_from, message.known_from)
+        elif _generation(message.known_from) > _generation(self.complete_revision):
+            return  # Servers that the newer generation lacks are withdrawn as it begins here.
         elif message.known_from > self.complete_revision and not self._withdrawals_missing:
             self._withdrawals_missing = True
             detail = {"complete_to": self.complete_revision, "known_from": message.known_from}
@@ -298,7 +329,10 @@
             self._next_digest_ms = min(self._next_digest_ms, now_ms + _FAST_DIGEST_INTERVAL_MS)
         if self.complete_revision > 0 == previous:
             self._record_load_decision(source)
-        if new_envelopes and final:
+        if _generation(self.complete_revision) > _generation(previous):
+            self._begin_generation(previous)
+            self._push(source, self._digest(), previous)
+        elif new_envelopes and final:
             self._push(source, messages.RecordChanges(after, to, True, envelopes), previous)
         if source == PLATFORM:
             return
@@ -308,6 +342,22 @@
         elif to > self.complete_revision:
             self._on_peer_ahead(ids.HostId(source), to)
 
+    def _begin_generation(self, previous: int) -> None:
+        """Settle the records of older generations, as all those of a newer one are held."""
+        transition = self._store.begin_generation(self.complete_revision)
+        if not previous:
+            return
+        detail = {
+            "generation": _generation(self.complete_revision),
+            "before": _generation(previous),
+            "revision": self.complete_revision,
+            "lapsed": transition.lapsed,
+            "carried": transition.carried,
+        }
+        self._context.record_decision(
+            ring.DecisionKind.RECORD, "generation", "new-generation", detail=detail
+        )
+
     def _listed_to(self) -> int:
         """Return the revision at which this host held every record that existed.
 
@@ -324,14 +374,18 @@
 
     # Pushing
 
-    def _push(self, source: str, changes: messages.RecordChanges, previous: int) -> None:
+    def _push(
+        self, source: str, changes: messages.RecordChanges | messages.Digest, previous: int
+    ) -> None:
         """Send changes to a few peers; large ones are only announced by a digest."""
         if not previous and source != PLATFORM:
             return  # The initial load from a peer is new to this host only.
         peers = self._peers.pick_in_own_region(_PUSH_FANOUT, exclude=ids.HostId(source))
         peers += self._peers.pick_in_other_regions(_REMOTE_PUSHES_PER_REGION)
-        small = sum(map(len, changes.envelopes)) <= _MAX_PUSH_BYTES
-        message = changes if previous and small else self._digest()
+        message = changes
+        if isinstance(changes, messages.RecordChanges):
+            small = sum(map(len, changes.envelopes)) <= _MAX_PUSH_BYTES
+            message = changes if previous and small else self._digest()
         for peer in peers:
             self._context.send(peer, message)
 
@@ -362,6 +416,7 @@
             confirmed_age_ms=(
                 round(self.confirmed_age_ms, 1) if math.isfinite(self._confirmed_ms) else -1.0
             ),
+            carried=self._store.carried_checksum,
         )
 
     def _tail(self) -> tuple[int, tuple[bytes, ...]]:
@@ -416,7 +471,7 @@
 
         The last result is cached, as many hosts pull the same chunk.
         """
-        span = (chunk.after, chunk.to)
+        span = (chunk.after, chunk.to, self._store.carried_checksum)
         if self._last_packed is None or self._last_packed[0] != span:
             self._last_packed = (span, packing.pack(chunk.envelopes))
         return msgspec.structs.replace(chunk, envelopes=(), packed=self._last_packed[1])
@@ -485,6 +540,67 @@
             if peer is not None:
                 self._start_pull(peer)
 
+    # Records that are carried over from an older generation
+
+    def _pull_carried(self, peer: ids.HostId, message: messages.Digest) -> None:
+        """Pull the records that a peer of the same generation carries over, if they differ."""
+        now_ms = self._context.now_ms()
+        same_generation = _generation(message.complete_revision) == _generation(
+            self.complete_revision
+        )
+        if not message.carried or message.carried == self._store.carried_checksum:
+            return
+        if not same_generation or now_ms < self._next_carried_pull_ms:
+            return
+        pull = self._carried_pull
+        repeated = pull is not None and pull.checksum == message.carried
+        self._next_carried_pull_ms = now_ms + (
+            _REPEATED_CARRIED_PULL_INTERVAL_MS if repeated else _CARRIED_PULL_INTERVAL_MS
+        )
+        self._carried_pull = _CarriedPull(peer=peer, checksum=message.carried)
+        self._send_carried_pull()
+
+    def _send_carried_pull(self) -> None:
+        pull = self._carried_pull
+        index = pull.assembly.next_index
+        reply_to = self._host_list.reply_address()
+        self._context.send(pull.peer, messages.CarriedPull(pull.checksum, index, reply_to))
+
+    @system.handles(messages.CarriedPull)
+    def on_carried_pull(self, sender: ids.HostId, message: messages.CarriedPull) -> None:
+        """Send a part of the records that this host carries over."""
+        self._membership.add_unlisted_address(sender, message.reply_to)
+        checksum = self._store.carried_checksum
+        if not checksum:
+            return
+        if self._packed_carried[0] != checksum:
+            self._packed_carried = (checksum, packing.pack(self._store.carried()))
+        changes = messages.RecordChanges(0, checksum, True, (), packed=self._packed_carried[1])
+        part = parts.cut(changes, message.index if message.checksum == checksum else 0)
+        if part is not None:
+            self._context.send(
+                sender, messages.CarriedPart(checksum, part.index, part.count, part.data)
+            )
+
+    @system.handles(messages.CarriedPart)
+    def on_carried_part(self, sender: ids.HostId, message: messages.CarriedPart) -> None:
+        """Collect a part of the records that are pulled; apply them when all parts are here."""
+        pull = self._carried_pull
+        if pull is None or pull.peer != sender:
+            return
+        pull.checksum = message.checksum
+        expected = pull.assembly.next_index
+        packed = pull.assembly.add(
+            messages.RecordPart(
+                0, message.checksum, True, 0, message.index, message.count, message.data
+            )
+        )
+        if packed is not None:
+            for raw in self._unpacked(sender, packed):
+                self._store.offer(raw, carried=True)
+        elif pull.assembly.next_index != expected or message.index == 0:
+            self._send_carried_pull()
+
     # Records whose newest revision this host has rejected
 
     def _wanted(self) -> tuple[messages.Wanted, ...]:
@@ -511,4 +627,8 @@
 
 def _is_new_revision(verdict: store.Verdict) -> bool:
     """Return whether an offered envelope has a newer revision, valid or not."""
-    return verdict in (store.Verdict.ACCEPTED, store.Verdict.REJECTED)
+    return verdict in (store.Verdict.ACCEPTED, store.Verdict.RENEWED, store.Verdict.REJECTED)
+
+
+def _generation(revision: int) -> int:
+    return revisions.generation_of(revision)
--- a/verbenadrum/records/envelope.py
+++ b/verbenadrum/records/envelope.py
@@ -24,6 +24,7 @@
 
 # Field of a spec that stands for one which could not be taken.
 _REFUSED_FIELD = "refused"
+_NO_SPEC = msgspec.Raw(b"null")
 _MAX_FAULTS = 20
 _MAX_FAULT_CHARS = 300
 
@@ -60,17 +61,27 @@
         self.faults = faults
 
 
+class _Version(msgspec.Struct, frozen=True):
+    version: int
+
+
 class EnvelopeHeader(msgspec.Struct, frozen=True, kw_only=True):
     """The part of an envelope that is the same in every schema version.
 
     ``kind`` is text rather than a `RecordKind`, since a newer version may have further kinds.
-    ``order`` is that of `types.Record`.
+    ``order`` is that of `types.Record`, and ``spec`` the content, not decoded.
     """
 
     kind: str
     name: types.Name
     revision: int
     order: tuple[int, int] = types.UNKNOWN_ORDER
+    spec: msgspec.Raw = _NO_SPEC
+
+    @property
+    def withdrawn(self) -> bool:
+        """Whether the envelope withdraws its record."""
+        return self.spec == _NO_SPEC
 
     def __post_init__(self) -> None:
         if self.revision < 1:
@@ -89,7 +100,9 @@
 
 
 def read_header(raw: bytes) -> EnvelopeHeader:
-    """Return kind, name and revision of an envelope, without validating its content.
+    """Return kind, name, revision and order of an envelope, without validating its content.
+
+    The order of a configuration that states none is its version.
 
     Raises
     ------
@@ -102,9 +115,21 @@
     3
     """
     try:
-        return _header_decoder.decode(raw)
+        header = _header_decoder.decode(raw)
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
         raise UnreadableEnvelopeError(str(error)) from error
+    is_configuration = header.kind == types.RecordKind.CONFIGURATION.value
+    if is_configuration and header.order == types.UNKNOWN_ORDER:
+        return msgspec.structs.replace(header, order=_order_of_configuration(header.spec))
+    return header
+
+
+def _order_of_configuration(spec: msgspec.Raw) -> tuple[int, int]:
+    """Return a configuration's version as its order, or unknown if it has no valid one."""
+    try:
+        return msgspec.json.decode(spec, type=_Version).version, 0
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return types.UNKNOWN_ORDER
 
 
 def revision_of(raw: bytes) -> int:
@@ -195,9 +220,18 @@
 
 
 def equals_rendered(raw: bytes, record: types.Record) -> bool:
-    """Return whether `render` of the record gives the same JSON document as the envelope."""
+    """Return whether `render` of the record gives the same JSON document as the envelope.
+
+    An ``order`` that the envelope does not state makes no difference.
+    """
     rendered = render(record)
-    return raw == rendered or msgspec.json.decode(raw) == msgspec.json.decode(rendered)
+    if raw == rendered:
+        return True
+    expected = msgspec.json.decode(rendered)
+    document = msgspec.json.decode(raw)
+    if "order" in expected:
+        document.setdefault("order", expected["order"])
+    return document == expected
 
 
 def _read_kind(header: EnvelopeHeader) -> types.RecordKind:
--- a/verbenadrum/records/revisions.py
+++ b/verbenadrum/records/revisions.py
@@ -6,7 +6,14 @@
 
 import msgspec
 
-__all__ = ["MAX_GENERATION", "counter_of", "generation_of", "join", "renumber"]
+__all__ = [
+    "MAX_GENERATION",
+    "counter_of",
+    "generation_of",
+    "join",
+    "renumber",
+    "with_revision",
+]
 
 _COUNTER_BITS = 40
 _MAX_COUNTER = (1 << _COUNTER_BITS) - 1
@@ -14,6 +21,10 @@
 MAX_GENERATION = (1 << (63 - _COUNTER_BITS)) - 1
 
 
+class _Numbered(msgspec.Struct):
+    revision: int
+
+
 def join(generation: int, counter: int) -> int:
     """Return the revision of a counter's value in a generation.
 
@@ -78,7 +89,23 @@
     """
     if generation == 0:
         return raw
+    counter = msgspec.json.decode(raw, type=_Numbered).revision
+    return with_revision(raw, join(generation, counter))
+
+
+def with_revision(raw: bytes, revision: int) -> bytes:
+    """Return an envelope under another revision, with every other field as it is.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the envelope is no JSON object.
+
+    Examples
+    --------
+    >>> with_revision(b'{"revision":3,"spec":null}', 4)
+    b'{"revision":4,"spec":null}'
+    """
     fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
-    counter = msgspec.json.decode(fields.get("revision", b"null"), type=int)
-    fields["revision"] = msgspec.Raw(str(join(generation, counter)).encode())
+    fields["revision"] = msgspec.Raw(str(revision).encode())
     return msgspec.json.encode(fields)
--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -7,13 +7,14 @@
 from collections.abc import Iterator
 
 import msgspec
+import xxhash
 
 from verbenadrum import ids
 from verbenadrum.core import context
 from verbenadrum.decisions import ring
-from verbenadrum.records import envelope, table, types
+from verbenadrum.records import envelope, revisions, table, types
 
-__all__ = ["RecordStore", "Rejection", "Verdict"]
+__all__ = ["RecordStore", "Rejection", "Transition", "Verdict"]
 
 _MAX_REJECTIONS = 500
 _REPORT_INTERVAL_MS = 60_000.0
@@ -22,16 +23,26 @@
 _LAPSED_TTL_MS = 2_000.0
 # Outdated entries of the revision columns, besides one for each record, before a compaction.
 _MAX_OUTDATED_ENTRIES = 1_024
+# Withdrawn records are kept this long for peers that missed the withdrawal. Those that lag further
+# read a complete listing.
+_WITHDRAWN_TTL_MS = 600_000.0
+# The platform removes the entry of a server that has left, or lost its connection, within this time
+# of its own return. One that it still lists is alive.
+_LISTED_TTL_MS = 10_000.0
+_SERVER_KIND = types.RecordKind.SERVER.value
+_CONFIGURATION_KIND = types.RecordKind.CONFIGURATION.value
 
 
 class Verdict(enum.Enum):
     """Result of offering an envelope to the store.
 
-    ``OLD`` is a revision that is held already, one older than the revision in force, or an invalid
-    one older than the last rejected revision. ``UNREADABLE`` is an envelope without a valid header.
+    ``RENEWED`` is a greater revision of the content that stays in force. ``OLD`` is a revision that
+    is held already, one older than the revision in force, or an invalid one older than the last
+    rejected revision. ``UNREADABLE`` is an envelope without a valid header.
     """
 
     ACCEPTED = "accepted"
+    RENEWED = "renewed"
     REJECTED = "rejected"
     OLD = "old"
     UNREADABLE = "unreadable"
@@ -50,6 +61,28 @@
     accepted_revision: int
 
 
+class Transition(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of the rows that a new generation of the platform's store lacks.
+
+    Attributes
+    ----------
+    lapsed : int
+        Number of servers that were taken as withdrawn.
+    carried : int
+        Number of rows whose content is carried over from an older generation.
+    """
+
+    lapsed: int
+    carried: int
+
+
+class _Listed(msgspec.Struct, frozen=True):
+    """Envelope of a server that a newer generation lists with an older content than is in force."""
+
+    raw: bytes
+    since_ms: float
+
+
 class _Row(msgspec.Struct, gc=False):
     """Envelopes of one record: the last accepted one and the last rejected one if it is newer.
 
@@ -72,6 +105,12 @@
     holds the last accepted envelope and, if it is newer, the last rejected one. Accepted records
     are put into the table of records in force; revisions only increase.
 
+    The platform's store may come back from an older copy, which begins a new generation of
+    revisions. Of two contents of one record, the greater revision is newer within a generation;
+    between generations it is the one that is later in its writer's order, `types.Record.order`. A
+    row that keeps another content than the newest generation has under the row's revision is
+    carried over. The result does not depend on the order in which envelopes arrive.
+
     Parameters
     ----------
     context : Context
@@ -94,16 +133,36 @@
         self._reported_ms = context.now_ms()
         # Monotonic time at which each server in the table was first seen as lapsed.
         self._lapsed_since_ms: dict[ids.ServerId, float] = {}
+        # Monotonic time at which each withdrawn record was withdrawn here, oldest first.
+        self._withdrawn_since_ms: dict[tuple[str, str], float] = {}
+        # Hash of the content of each row that is carried over, and the exclusive or of all.
+        self._carried: dict[tuple[str, str], int] = {}
+        self._carried_checksum = 0
+        # For each server that is carried over, what the newer generation lists instead.
+        self._listed: dict[tuple[str, str], _Listed] = {}
+        self._reported_older_revision = 0
 
     @property
     def newest_revision(self) -> int:
         """Greatest revision held, accepted or rejected; 0 for none."""
         return self._newest_revision
 
+    @property
+    def carried_count(self) -> int:
+        """Number of rows whose content is carried over from an older generation."""
+        return len(self._carried)
+
+    @property
+    def carried_checksum(self) -> int:
+        """Checksum of the contents that are carried over; 0 for none."""
+        return self._carried_checksum
+
     def __len__(self) -> int:
         return len(self._rows)
 
-    def offer(self, raw: bytes, *, quiet: bool = False, listed_to: int = 0) -> Verdict:
+    def offer(
+        self, raw: bytes, *, quiet: bool = False, listed_to: int = 0, carried: bool = False
+    ) -> Verdict:
         """Validate one envelope and keep it; never raises, so that no record blocks the others.
 
         Parameters
@@ -116,6 +175,8 @@
         quiet : bool
             Whether to accept it without recording a decision, as in the first load of a complete
             set of records.
+        carried : bool
+            Whether a peer carries the content over from an older generation.
 
         Returns
         -------
@@ -131,25 +192,16 @@
             return Verdict.UNREADABLE
         key = (sys.intern(header.kind), header.name)
         row = self._rows.get(key)
-        if row is None and header.revision <= listed_to:
-            return Verdict.OLD
-        if row is not None and header.revision in (row.accepted_revision, row.rejected_revision):
+        unlisted = row is None and header.revision <= listed_to
+        if unlisted or (row is not None and header.revision == row.rejected_revision):
             return Verdict.OLD
-        if row is not None and header.revision < row.accepted_revision:
-            return Verdict.OLD
-        try:
-            # An upgrade step may raise any exception on unexpected content.
-            record = envelope.parse(raw, header)
-        except Exception as error:
-            return self._reject(key, header, raw, _faults_of(error))
-        self._accept(key, record, raw)
-        if not quiet:
-            reason = "withdrawn" if record.spec is None else "newer-revision"
-            detail = {"revision": record.revision, "kind": header.kind}
-            if isinstance(record.spec, types.ConfigurationSpec) and record.spec.faults:
-                detail["faults"] = "; ".join(record.spec.faults)
-            self._record_decision(Verdict.ACCEPTED, reason, record.name, detail)
-        return Verdict.ACCEPTED
+        verdict = self._settle(key, header, raw, carried)
+        if verdict is not None:
+            return verdict
+        verdict = self._take(key, header, raw, carried)
+        if verdict is Verdict.ACCEPTED and not quiet:
+            self._report_accepted(self._rows[key].record)
+        return verdict
 
     def envelopes_after(
         self, revision: int, up_to: int | None = None
@@ -184,6 +236,7 @@
         revision : int
             Revision of the listing; the withdrawals get the same revision.
         """
+        generation = revisions.generation_of(revision)
         names = set()
         for raw in listed:
             header = envelope.read_header(raw)
@@ -192,15 +245,100 @@
         for (kind, name), row in self._rows.items():
             in_force = row.record is not None and row.record.spec is not None
             is_listed = (kind, name) in names
-            if kind != types.RecordKind.SERVER.value or not in_force or is_listed:
+            if kind != _SERVER_KIND or not in_force or is_listed:
                 continue
-            if row.accepted_revision < revision:
+            # `begin_generation` settles the rows of older generations.
+            same_generation = revisions.generation_of(row.accepted_revision) == generation
+            if same_generation and row.accepted_revision < revision:
                 record = types.Record(
                     kind=types.RecordKind.SERVER, name=name, revision=revision, spec=None
                 )
                 withdrawn.append(envelope.render(record))
         return tuple(withdrawn)
 
+    def begin_generation(self, revision: int) -> Transition:
+        """Settle the rows of older generations, once all records of a newer one are held.
+
+        A server that has no revision of the newer generation is missing from the platform's store,
+        and is withdrawn. Every other record in force is carried over.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the newer generation up to which every record is held.
+        """
+        generation = revisions.generation_of(revision)
+        lapsed = 0
+        for key, row in list(self._rows.items()):
+            held = row.record
+            if held is None or held.spec is None:
+                continue
+            newest_revision = max(held.revision, row.rejected_revision)
+            if revisions.generation_of(newest_revision) >= generation:
+                continue
+            if held.kind is not types.RecordKind.SERVER:
+                self._renew(key, revision, held.order, carried=True)
+                continue
+            lapsed += 1
+            # A live server may only be unknown to the older copy, so that any later record of it
+            # counts; one that was leaving has left.
+            leaving = held.spec.state is types.ServerState.LEAVING
+            withdrawal = types.Record(
+                kind=held.kind,
+                name=held.name,
+                revision=revision,
+                spec=None,
+                order=held.order if leaving else types.UNKNOWN_ORDER,
+            )
+            self._accept(key, withdrawal, envelope.render(withdrawal), inherits_order=False)
+        return Transition(lapsed=lapsed, carried=len(self._carried))
+
+    def carried(self) -> tuple[bytes, ...]:
+        """Return the envelopes of the rows whose content is carried over."""
+        return tuple(_accepted_envelope(self._rows[key]) for key in self._carried)
+
+    def restore_listed_servers(self, revision: int) -> None:
+        """Put servers in force as the platform has listed them for `_LISTED_TTL_MS`.
+
+        Until then a server that was leaving or withdrawn before a new generation stays so.
+
+        Parameters
+        ----------
+        revision : int
+            Revision up to which this host holds every record, which the servers get.
+        """
+        oldest_ms = self._context.now_ms() - _LISTED_TTL_MS
+        for key, listed in list(self._listed.items()):
+            if listed.since_ms > oldest_ms:
+                continue
+            raw = revisions.with_revision(listed.raw, revision)
+            record = envelope.parse(raw)
+            self._accept(key, record, raw, carried=True)
+            self._record_decision(
+                Verdict.ACCEPTED,
+                "still-listed",
+                record.name,
+                {"revision": revision, "kind": _SERVER_KIND},
+            )
+
+    def drop_withdrawn(self) -> int:
+        """Forget the records that were withdrawn `_WITHDRAWN_TTL_MS` ago.
+
+        Returns
+        -------
+        int
+            Greatest revision of those that were forgotten; 0 for none.
+        """
+        oldest_ms = self._context.now_ms() - _WITHDRAWN_TTL_MS
+        greatest = 0
+        while self._withdrawn_since_ms:
+            key, since_ms = next(iter(self._withdrawn_since_ms.items()))
+            if since_ms > oldest_ms:
+                break
+            del self._withdrawn_since_ms[key]
+            greatest = max(greatest, self._drop_row(key))
+        return greatest
+
     def drop_lapsed_servers(self) -> None:
         """Remove the servers whose records lapsed `_LAPSED_TTL_MS` ago from their pools."""
         now_ms = self._context.now_ms()
@@ -234,14 +372,99 @@
         """Return the rejected revisions that no newer valid one has replaced, newest last."""
         return tuple(sorted(self._rejections.values(), key=lambda entry: entry.revision))
 
-    def _accept(self, key: tuple[str, str], record: types.Record, raw: bytes) -> None:
+    def _settle(
+        self, key: tuple[str, str], header: envelope.EnvelopeHeader, raw: bytes, carried: bool
+    ) -> Verdict | None:
+        """Return the verdict on an envelope that changes no content, or None if it may do so."""
+        row = self._rows.get(key)
+        if row is None or row.record is None:
+            return None
+        held = row.record
+        newer = header.revision > held.revision
+        later = _compare_in_writers_order(header, held)
+        if later > 0 or (later == 0 and newer and not _renews_server(header, held)):
+            return None
+        if not newer:
+            return Verdict.OLD
+        if later == 0:
+            self._renew(key, header.revision, held.order, carried=carried)
+            return Verdict.RENEWED
+        self._report_older(header, held)
+        self._renew(key, header.revision, held.order, carried=True)
+        if header.kind == _SERVER_KIND:
+            self._listed[key] = _Listed(raw, self._context.now_ms())
+        return Verdict.RENEWED
+
+    def _take(
+        self, key: tuple[str, str], header: envelope.EnvelopeHeader, raw: bytes, carried: bool
+    ) -> Verdict:
+        """Put the content of an envelope in force, or reject it."""
+        row = self._rows.get(key)
+        held = None if row is None else row.record
+        outdated = held is not None and header.revision <= held.revision
+        try:
+            # An upgrade step may raise any exception on unexpected content.
+            record = envelope.parse(raw, header)
+        except Exception as error:
+            return Verdict.OLD if outdated else self._reject(key, header, raw, _faults_of(error))
+        if outdated:
+            carried = True
+            raw = revisions.with_revision(raw, held.revision)
+            record = msgspec.structs.replace(record, revision=held.revision)
+        if held is not None and _is_same_content(record, held, carried):
+            self._renew(key, record.revision, record.order, carried=carried)
+            return Verdict.RENEWED
+        self._accept(key, record, raw, carried=carried)
+        return Verdict.ACCEPTED
+
+    def _report_accepted(self, record: types.Record) -> None:
+        reason = "withdrawn" if record.spec is None else "newer-revision"
+        detail = {"revision": record.revision, "kind": record.kind.value}
+        if isinstance(record.spec, types.ConfigurationSpec) and record.spec.faults:
+            detail["faults"] = "; ".join(record.spec.faults)
+        self._record_decision(Verdict.ACCEPTED, reason, record.name, detail)
+
+    def _accept(
+        self,
+        key: tuple[str, str],
+        record: types.Record,
+        raw: bytes,
+        *,
+        carried: bool = False,
+        inherits_order: bool = True,
+    ) -> None:
         row = self._rows.setdefault(key, _Row())
-        self._records.put(record)
-        if row.accepted_revision:
+        self._listed.pop(key, None)
+        if record.spec is None:
+            self._withdrawn_since_ms.setdefault(key, self._context.now_ms())
+            if inherits_order and row.record is not None and record.order == types.UNKNOWN_ORDER:
+                record = msgspec.structs.replace(record, order=row.record.order)
+        else:
+            self._withdrawn_since_ms.pop(key, None)
+        row.original = b"" if envelope.equals_rendered(raw, record) else raw
+        self._records.replace(record)
+        self._set_accepted(key, row, record, carried)
+
+    def _renew(
+        self, key: tuple[str, str], revision: int, order: tuple[int, int], *, carried: bool
+    ) -> None:
+        """Put the content in force under another revision."""
+        row = self._rows[key]
+        record = msgspec.structs.replace(row.record, revision=revision, order=order)
+        if row.original:
+            row.original = revisions.with_revision(row.original, revision)
+        self._records.replace(record)
+        self._set_accepted(key, row, record, carried)
+
+    def _set_accepted(
+        self, key: tuple[str, str], row: _Row, record: types.Record, carried: bool
+    ) -> None:
+        moved = record.revision != row.accepted_revision
+        if row.accepted_revision and moved:
             self._outdated_count += 1
         row.accepted_revision = record.revision
         row.record = record
-        row.original = b"" if envelope.equals_rendered(raw, record) else raw
+        self._set_carried(key, _content_hash(row) if carried else 0)
         if row.rejected_revision and row.rejected_revision < record.revision:
             self._outdated_count += 1
             row.rejected_revision = 0
@@ -251,7 +474,44 @@
             self._rejections[key] = msgspec.structs.replace(
                 self._rejections[key], accepted_revision=record.revision
             )
-        self._insert_revision(record.revision, row)
+        if moved:
+            self._insert_revision(record.revision, row)
+
+    def _set_carried(self, key: tuple[str, str], content_hash: int) -> None:
+        """Set the hash of a row that is carried over; 0 for a row that is not."""
+        self._carried_checksum ^= self._carried.pop(key, 0) ^ content_hash
+        if content_hash:
+            self._carried[key] = content_hash
+
+    def _drop_row(self, key: tuple[str, str]) -> int:
+        """Forget a withdrawn record; return its revision, or 0 if it has to stay."""
+        row = self._rows[key]
+        if row.rejected_revision:
+            self._withdrawn_since_ms[key] = self._context.now_ms()
+            return 0
+        revision = row.accepted_revision
+        self._set_carried(key, 0)
+        self._listed.pop(key, None)
+        self._records.drop_withdrawn(row.record.kind, row.record.name)
+        del self._rows[key]
+        row.accepted_revision = 0
+        self._outdated_count += 1
+        return revision
+
+    def _report_older(self, header: envelope.EnvelopeHeader, held: types.Record) -> None:
+        """Record once that a configuration has a smaller version than the one in force."""
+        if header.kind != _CONFIGURATION_KIND or header.revision <= self._reported_older_revision:
+            return
+        self._reported_older_revision = header.revision
+        detail = {
+            "kind": header.kind,
+            "revision": header.revision,
+            "version": header.order[0],
+            "in_force": held.order[0],
+        }
+        self._context.record_decision(
+            ring.DecisionKind.RECORD, "ignored", "older-version", subject=header.name, detail=detail
+        )
 
     def _reject(
         self,
@@ -323,5 +583,49 @@
     return (f"{type(error).__name__}: {error}",)
 
 
+def _compare_in_writers_order(header: envelope.EnvelopeHeader, held: types.Record) -> int:
+    """Return 1 if the offered content is later in its writer's order, -1 if it is earlier.
+
+    0 leaves it to the revisions: both are from one generation, or the order is unknown. A
+    configuration's version counts within a generation too. A withdrawal follows the content that
+    was withdrawn.
+    """
+    decides = (
+        header.kind == _CONFIGURATION_KIND
+        or header.revision == held.revision
+        or revisions.generation_of(header.revision) != revisions.generation_of(held.revision)
+    )
+    if not decides or types.UNKNOWN_ORDER in (header.order, held.order):
+        return 0
+    offered_place = (*header.order, header.withdrawn)
+    held_place = (*held.order, held.spec is None)
+    return (offered_place > held_place) - (offered_place < held_place)
+
+
+def _renews_server(header: envelope.EnvelopeHeader, held: types.Record) -> bool:
+    """Return whether a newer generation lists a server with the order of the content in force."""
+    same_order = header.order == held.order != types.UNKNOWN_ORDER
+    generation = revisions.generation_of(header.revision)
+    return (
+        header.kind == _SERVER_KIND
+        and same_order
+        and header.withdrawn == (held.spec is None)
+        and generation > revisions.generation_of(held.revision)
+    )
+
+
+def _is_same_content(record: types.Record, held: types.Record, carried: bool) -> bool:
+    """Return whether the content in force gets a revision of a newer generation."""
+    generation = revisions.generation_of(record.revision)
+    renews = carried or generation > revisions.generation_of(held.revision)
+    return renews and record.spec == held.spec
+
+
+def _content_hash(row: _Row) -> int:
+    """Return a hash of a row's content, without its revision; never 0."""
+    record = msgspec.structs.replace(row.record, revision=1)
+    return xxhash.xxh3_64_intdigest(envelope.render(record)) >> 1 or 1
+
+
 def _accepted_envelope(row: _Row) -> bytes:
     return row.original or envelope.render(row.record)
--- a/verbenadrum/records/table.py
+++ b/verbenadrum/records/table.py
@@ -13,9 +13,10 @@
 class RecordTable:
     """Accepted records, one row per kind and name, with indexes for the look-ups of requests.
 
-    A row is replaced only by a greater revision, so stale data of the platform or of a peer has
-    no effect. A pool in force holds the servers of its own record and those that are published as
-    records of their own. Entries of the configuration record are indexed like single records.
+    `put` replaces a row only by a greater revision; the record store, which knows which content is
+    newer, uses `replace`. A pool in force holds the servers of its own record and those that are
+    published as records of their own. Entries of the configuration record are indexed like single
+    records.
     """
 
     def __init__(self) -> None:
@@ -72,14 +73,26 @@
         bool
             False if the row in force has the same or a greater revision.
         """
-        rows = self._rows[record.kind]
-        current = rows.get(record.name)
+        current = self._rows[record.kind].get(record.name)
         if current is not None and current.revision >= record.revision:
             return False
+        self.replace(record)
+        return True
+
+    def replace(self, record: types.Record) -> None:
+        """Accept a record whatever the revision of the row in force."""
+        rows = self._rows[record.kind]
+        current = rows.get(record.name)
         rows[record.name] = record
         self._revision = max(self._revision, record.revision)
-        self._index(record, None if current is None else current.spec)
-        return True
+        if current is None or current.spec is not record.spec:
+            self._index(record, None if current is None else current.spec)
+
+    def drop_withdrawn(self, kind: types.RecordKind, name: str) -> None:
+        """Forget the row of a withdrawn record; no effect if it has been published again."""
+        current = self._rows[kind].get(name)
+        if current is not None and current.spec is None:
+            del self._rows[kind][name]
 
     def lapsed(self) -> tuple[ids.ServerId, ...]:
         """Return the servers whose record was withdrawn while they were live, oldest first."""
