Dissemination: a host that lacks withdrawals says so to those that catch up from it

What callers could see: requests sent to a server that had left, for good, at hosts that caught up from a host which had itself lagged behind the withdrawals its peers keep.

Cause: a host that found withdrawals missing read a listing, but until then, and after it for earlier revisions, handed out changes with its own known_from, and digests and pushes without any.

Change: it states the revision up to which withdrawals may be missing, keeps that as its known_from after the listing, and sends no changes from before it in digests and pushes, but lets peers pull them.

The new test fails without the change; 63 tests of dissemination pass.

--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -106,7 +106,8 @@
         self._confirmed_ms = -math.inf
         # Every withdrawal after this revision is known to this host.
         self._known_from = 0
-        self._withdrawals_missing = False
+        # Withdrawals up to this revision may be missing here; 0 if none are.
+        self._missing_to = 0
         self._last_packed: tuple[tuple[int, int, int], bytes] | None = None
         self._carried_pull: _CarriedPull | None = None
         self._next_carried_pull_ms = 0.0
@@ -139,7 +140,7 @@
 
         They are then recovered by reading all records from the platform.
         """
-        return self._withdrawals_missing
+        return self._missing_to > 0
 
     @property
     def load_stalled(self) -> bool:
@@ -155,7 +156,7 @@
 
     def platform_cursor(self) -> int:
         """Return the revision after which to poll the platform; 0 to read all records."""
-        return 0 if self._withdrawals_missing else self._progress.cursor(PLATFORM)
+        return 0 if self._missing_to else self._progress.cursor(PLATFORM)
 
     def on_peer_heard(self) -> None:
         """Record that a message of any kind has come from a peer."""
@@ -179,7 +180,8 @@
         """
         to = revision if final else max(map(envelope.revision_of, envelopes), default=0)
         if full_listing or not after:
-            self._withdrawals_missing = False
+            self._known_from = max(self._known_from, self._missing_to)
+            self._missing_to = 0
         if full_listing:
             if not self.complete_revision:
                 self._known_from = revision
@@ -302,12 +304,16 @@
             self._known_from = max(self._known_from, message.known_from)
         elif _generation(message.known_from) > _generation(self.complete_revision):
             return  # Servers that the newer generation lacks are withdrawn as it begins here.
-        elif message.known_from > self.complete_revision and not self._withdrawals_missing:
-            self._withdrawals_missing = True
-            detail = {"complete_to": self.complete_revision, "known_from": message.known_from}
-            self._context.record_decision(
-                ring.DecisionKind.RECORD, "read-whole", "withdrawals-unknown", detail=detail
-            )
+        elif message.known_from > max(self.complete_revision, self._missing_to):
+            if not self._missing_to:
+                self._report_missing(message.known_from)
+            self._missing_to = message.known_from
+
+    def _report_missing(self, known_from: int) -> None:
+        detail = {"complete_to": self.complete_revision, "known_from": known_from}
+        self._context.record_decision(
+            ring.DecisionKind.RECORD, "read-whole", "withdrawals-unknown", detail=detail
+        )
 
     def _apply_changes(
         self, source: str, after: int, to: int, final: bool, envelopes: tuple[bytes, ...]
@@ -385,7 +391,8 @@
         message = changes
         if isinstance(changes, messages.RecordChanges):
             small = sum(map(len, changes.envelopes)) <= _MAX_PUSH_BYTES
-            message = changes if previous and small else self._digest()
+            whole = previous and changes.after >= self._stated_known_from()
+            message = changes if whole and small else self._digest()
         for peer in peers:
             self._context.send(peer, message)
 
@@ -427,7 +434,7 @@
         tail_after, tail = self.complete_revision, ()
         for _, after in reversed(self._recent_advances):
             envelopes = self._small_changes(after)
-            if envelopes is None:
+            if envelopes is None or after < self._stated_known_from():
                 break
             tail_after, tail = after, envelopes
         return tail_after, tail
@@ -451,21 +458,24 @@
 
     def _chunk(self, after: int) -> messages.RecordChanges:
         """Return the changes after a revision, limited in size but never splitting a revision."""
+        known_from = self._stated_known_from()
         envelopes: list[bytes] = []
         size = 0
         last = after
         for revision, raw in self._store.envelopes_after(after):
             if size + len(raw) > _MAX_CHUNK_BYTES and revision != last and envelopes:
-                return messages.RecordChanges(
-                    after, last, False, tuple(envelopes), self._known_from
-                )
+                return messages.RecordChanges(after, last, False, tuple(envelopes), known_from)
             envelopes.append(raw)
             size += len(raw)
             last = revision
         return messages.RecordChanges(
-            after, self.complete_revision, True, tuple(envelopes), self._known_from
+            after, self.complete_revision, True, tuple(envelopes), known_from
         )
 
+    def _stated_known_from(self) -> int:
+        """Return the revision after which peers that catch up from here get every withdrawal."""
+        return max(self._known_from, self._missing_to)
+
     def _packed(self, chunk: messages.RecordChanges) -> messages.RecordChanges:
         """Return a chunk with its envelopes packed.
 
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -333,6 +333,21 @@
     assert fleet.platform.calls - before <= 6 * 2 * 20 / 2.5 * 1.1
 
 
+# Guards against departed servers that stay in use at hosts which caught up from one that lagged.
+def test_host_that_lacks_withdrawals_tells_those_that_catch_up_from_it():
+    fleet = ready_fleet(18, data_centres=1, hosts=2, regions=1)
+    first, second = fleet.hosts.values()
+    fleet.platform.down = True
+    complete = first.engine.record_spread.complete_revision
+    first.receive(
+        "h0009", messages.RecordChanges(complete, complete + 7, True, (), known_from=complete + 6)
+    )
+    assert first.engine.record_spread.withdrawals_missing
+    fleet.run(2_000)
+    assert second.engine.record_spread.complete_revision == complete + 7
+    assert second.engine.record_spread.withdrawals_missing
+
+
 def test_isolated_host_reads_the_platform_itself():
     fleet = ready_fleet(7)
     isolated = next(
