--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -29,6 +29,8 @@
 # The platform removes the entry of a server that has left, or lost its connection, within this time
 # of its own return. One that it still lists is alive.
 _LISTED_TTL_MS = 10_000.0
+# Second number of an order that precedes all others of the first number.
+_BEFORE_FIRST = -1
 _SERVER_KIND = types.RecordKind.SERVER.value
 _CONFIGURATION_KIND = types.RecordKind.CONFIGURATION.value
 
@@ -138,6 +140,9 @@
         # Hash of the content of each row that is carried over, and the exclusive or of all.
         self._carried: dict[tuple[str, str], int] = {}
         self._carried_checksum = 0
+        # Generation of which every record is held, and the order of each live server that it lacks.
+        self._generation = 0
+        self._missing: dict[tuple[str, str], tuple[int, int]] = {}
         # For each server that is carried over, what the newer generation lists instead.
         self._listed: dict[tuple[str, str], _Listed] = {}
         self._reported_older_revision = 0
@@ -192,8 +197,9 @@
             return Verdict.UNREADABLE
         key = (sys.intern(header.kind), header.name)
         row = self._rows.get(key)
-        unlisted = row is None and header.revision <= listed_to
-        if unlisted or (row is not None and header.revision == row.rejected_revision):
+        if row is None and self._is_withdrawn(header, listed_to):
+            return Verdict.OLD
+        if row is not None and header.revision == row.rejected_revision:
             return Verdict.OLD
         verdict = self._settle(key, header, raw, carried)
         if verdict is not None:
@@ -267,37 +273,39 @@
         revision : int
             Revision of the newer generation up to which every record is held.
         """
-        generation = revisions.generation_of(revision)
+        generation = self._generation = revisions.generation_of(revision)
         lapsed = 0
         for key, row in list(self._rows.items()):
             held = row.record
-            if held is None or held.spec is None:
+            if held is None:
                 continue
             newest_revision = max(held.revision, row.rejected_revision)
             if revisions.generation_of(newest_revision) >= generation:
                 continue
+            if held.spec is None:
+                self._listed.pop(key, None)
+                self._set_carried(key, 0)
+                continue
             if held.kind is not types.RecordKind.SERVER:
                 self._renew(key, revision, held.order, carried=True)
                 continue
             lapsed += 1
-            # A live server may only be unknown to the older copy, so that any later record of it
-            # counts; one that was leaving has left.
-            leaving = held.spec.state is types.ServerState.LEAVING
             withdrawal = types.Record(
                 kind=held.kind,
                 name=held.name,
                 revision=revision,
                 spec=None,
-                order=held.order if leaving else types.UNKNOWN_ORDER,
+                order=(held.order[0], _BEFORE_FIRST),
             )
-            self._accept(key, withdrawal, envelope.render(withdrawal), inherits_order=False)
+            self._accept(key, withdrawal, envelope.render(withdrawal))
+            self._missing[key] = held.order
         return Transition(lapsed=lapsed, carried=len(self._carried))
 
     def carried(self) -> tuple[bytes, ...]:
         """Return the envelopes of the rows whose content is carried over."""
         return tuple(_accepted_envelope(self._rows[key]) for key in self._carried)
 
-    def restore_listed_servers(self, revision: int) -> None:
+    def restore_listed_servers(self, revision: int, confirmed_ms: float) -> None:
         """Put servers in force as the platform has listed them for `_LISTED_TTL_MS`.
 
         Until then a server that was leaving or withdrawn before a new generation stays so.
@@ -306,8 +314,10 @@
         ----------
         revision : int
             Revision up to which this host holds every record, which the servers get.
+        confirmed_ms : float
+            Monotonic time at which the platform had nothing newer.
         """
-        oldest_ms = self._context.now_ms() - _LISTED_TTL_MS
+        oldest_ms = confirmed_ms - _LISTED_TTL_MS
         for key, listed in list(self._listed.items()):
             if listed.since_ms > oldest_ms:
                 continue
@@ -348,6 +358,7 @@
         for server, since_ms in self._lapsed_since_ms.items():
             if now_ms - since_ms >= _LAPSED_TTL_MS:
                 self._records.drop_lapsed(server)
+                self._confirm_withdrawal((_SERVER_KIND, server))
 
     def report_rejections(self) -> None:
         """Record the rejected revisions and left-out entries as decisions again, now and then."""
@@ -402,6 +413,7 @@
         row = self._rows.get(key)
         held = None if row is None else row.record
         outdated = held is not None and header.revision <= held.revision
+        carried = carried or revisions.generation_of(header.revision) < self._generation
         try:
             # An upgrade step may raise any exception on unexpected content.
             record = envelope.parse(raw, header)
@@ -412,7 +424,8 @@
             raw = revisions.with_revision(raw, held.revision)
             record = msgspec.structs.replace(record, revision=held.revision)
         if held is not None and _is_same_content(record, held, carried):
-            self._renew(key, record.revision, record.order, carried=carried)
+            order = max(record.order, held.order)
+            self._renew(key, record.revision, order, carried=carried)
             return Verdict.RENEWED
         self._accept(key, record, raw, carried=carried)
         return Verdict.ACCEPTED
@@ -424,6 +437,19 @@
             detail["faults"] = "; ".join(record.spec.faults)
         self._record_decision(Verdict.ACCEPTED, reason, record.name, detail)
 
+    def _is_withdrawn(self, header: envelope.EnvelopeHeader, listed_to: int) -> bool:
+        """Return whether a record that is not held must have been withdrawn since its revision."""
+        generation = revisions.generation_of(header.revision)
+        lacked = header.kind == _SERVER_KIND and generation < self._generation
+        return lacked or header.revision <= listed_to
+
+    def _confirm_withdrawal(self, key: tuple[str, str]) -> None:
+        """Take a server that a new generation lacked for so long as gone."""
+        order = self._missing.get(key)
+        if order is not None:
+            row = self._rows[key]
+            self._renew(key, row.accepted_revision, order, carried=key in self._carried)
+
     def _accept(
         self,
         key: tuple[str, str],
@@ -431,14 +457,15 @@
         raw: bytes,
         *,
         carried: bool = False,
-        inherits_order: bool = True,
     ) -> None:
         row = self._rows.setdefault(key, _Row())
         self._listed.pop(key, None)
+        self._missing.pop(key, None)
         if record.spec is None:
             self._withdrawn_since_ms.setdefault(key, self._context.now_ms())
-            if inherits_order and row.record is not None and record.order == types.UNKNOWN_ORDER:
-                record = msgspec.structs.replace(record, order=row.record.order)
+            if row.record is not None:
+                order = _order_of_withdrawal(record.order, row.record)
+                record = msgspec.structs.replace(record, order=order)
         else:
             self._withdrawn_since_ms.pop(key, None)
         row.original = b"" if envelope.equals_rendered(raw, record) else raw
@@ -450,6 +477,8 @@
     ) -> None:
         """Put the content in force under another revision."""
         row = self._rows[key]
+        self._missing.pop(key, None)
+        self._listed.pop(key, None)
         record = msgspec.structs.replace(row.record, revision=revision, order=order)
         if row.original:
             row.original = revisions.with_revision(row.original, revision)
@@ -588,13 +617,16 @@
 
     0 leaves it to the revisions: both are from one generation, or the order is unknown. A
     configuration's version counts within a generation too. A withdrawal follows the content that
-    was withdrawn.
+    was withdrawn, and a server that was withdrawn in a newer generation has no place in it.
     """
     decides = (
         header.kind == _CONFIGURATION_KIND
         or header.revision == held.revision
         or revisions.generation_of(header.revision) != revisions.generation_of(held.revision)
     )
+    newer_is_withdrawn = header.withdrawn if header.revision > held.revision else held.spec is None
+    if header.kind == _SERVER_KIND and header.revision != held.revision and newer_is_withdrawn:
+        return 0
     if not decides or types.UNKNOWN_ORDER in (header.order, held.order):
         return 0
     offered_place = (*header.order, header.withdrawn)
@@ -621,6 +653,23 @@
     return renews and record.spec == held.spec
 
 
+def _order_of_withdrawal(order: tuple[int, int], held: types.Record) -> tuple[int, int]:
+    """Return the order of a withdrawal, which may state none, of the content held.
+
+    A live server that a new generation lacks may only be unknown to the older copy. Its withdrawal
+    precedes every record of its present start, until it is confirmed. One that was leaving has
+    left.
+    """
+    if types.UNKNOWN_ORDER in (order, held.order):
+        return held.order
+    leaving = (
+        isinstance(held.spec, types.ServerSpec) and held.spec.state is types.ServerState.LEAVING
+    )
+    if order[1] == _BEFORE_FIRST and not leaving:
+        return max(order[0], held.order[0]), _BEFORE_FIRST
+    return max(order, held.order) if order[0] == held.order[0] else order
+
+
 def _content_hash(row: _Row) -> int:
     """Return a hash of a row's content, without its revision; never 0."""
     record = msgspec.structs.replace(row.record, revision=1)
