Platform: revisions of a store that came back from a copy follow its generation

Cause: the client of the store took the bare counter for the revision of records and raised a watch's answer to the revision asked for, so what was written after the return counted as older, and each poll got 410 and listed again 50 ms later.

Records have their writer's order.

--- a/standins/canned.py
+++ b/standins/canned.py
@@ -13,10 +13,11 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """Prepared answer: body and status code."""
+    """Prepared answer: body, status code, and names and values of further headers."""
 
     body: bytes
     status: int = 200
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class CannedServer(msgspec.Struct, kw_only=True):
@@ -65,6 +66,8 @@
             prepared = answer(self.path)
             self.send_response(prepared.status)
             self.send_header("Content-Length", str(len(prepared.body)))
+            for name, value in prepared.headers:
+                self.send_header(name, value)
             self.end_headers()
             self.wfile.write(prepared.body)
 
--- a/verbenadrum/platform/tests/test_store.py
+++ b/verbenadrum/platform/tests/test_store.py
@@ -18,9 +18,13 @@
 
 
 class FakeStore:
-    """In-memory store; a watch from before revision ``oldest_revision`` gets status 410."""
+    """In-memory store; a watch from before revision ``oldest_revision`` gets status 410.
+
+    ``headers`` are those of every answer.
+    """
 
     def __init__(self):
+        self.headers = ()
         self.rows = {"op/config": (5, test_wire.CONFIGURATION)}
         self.revision = 5
         self.oldest_revision = 0
@@ -44,7 +48,8 @@
         name = parts.path.rsplit("/", 1)[1]
         self.calls.append(name)
         status, body = getattr(self, name.replace("-", "_"))(query)
-        return canned.Answer(json.dumps(body | {"current_rev": self.revision}).encode(), status)
+        raw = json.dumps(body | {"current_rev": self.revision}).encode()
+        return canned.Answer(raw, status, self.headers)
 
     def kv_key(self, query):
         return (200, self.item(query["key"])) if query["key"] in self.rows else (404, {})
@@ -67,11 +72,15 @@
     return FakeStore()
 
 
-def poll(fake_store, after):
+def make_source():
     options = sources.SourceOptions(host="h1", urls=("",), data_centres=test_wire.ZONES)
+    return store.StoreSource(options=options)
+
+
+def poll(fake_store, after, source=None, known_revision=0):
+    source = source or make_source()
+    order = duty.PollOrder(after=after, wait_ms=10.0, delay_ms=0.0, known_revision=known_revision)
     with canned.serve(fake_store.answer) as server:
-        source = store.StoreSource(options=options)
-        order = duty.PollOrder(after=after, wait_ms=10.0, delay_ms=0.0)
         return source.poll(server.url, duty.Stream.RECORDS, order)
 
 
--- a/verbenadrum/platform/tests/test_wire.py
+++ b/verbenadrum/platform/tests/test_wire.py
@@ -6,7 +6,7 @@
 import pytest
 
 from verbenadrum.platform import wire
-from verbenadrum.records import envelope, types
+from verbenadrum.records import envelope, revisions, types
 
 ZONES = frozenset({"z1", "z2"})
 SERVER = {
@@ -88,6 +88,40 @@
     assert decode("servers/i-1", "", deleted=True).spec is None
 
 
+def test_records_have_the_revision_of_their_generation():
+    deleted = wire.Item(key="servers/i-1", mod_revision=7, deleted=True)
+    configuration = item(wire.CONFIGURATION_KEY, CONFIGURATION)
+    raws = [
+        wire.decode_item(each, generation=3, data_centres=ZONES, floor=0.5)
+        for each in (item("servers/i-1", SERVER), deleted, configuration)
+    ]
+    raws.append(wire.refusal(configuration, "no number", generation=3))
+    assert {envelope.read_header(raw).revision for raw in raws} == {revisions.join(3, 7)}
+
+
+def test_configuration_and_server_have_the_order_of_their_writer():
+    assert decode(wire.CONFIGURATION_KEY, CONFIGURATION).order == (12, 0)
+    assert decode("servers/i-1", SERVER).order == (1_784_100_338_843, 4)
+
+
+@pytest.mark.parametrize("born", [None, 0])
+def test_server_without_a_start_has_no_order(born):
+    assert decode("servers/i-1", with_field(SERVER, "born", born)).order == types.UNKNOWN_ORDER
+
+
+def test_withdrawals_and_refusals_have_no_order():
+    raws = [
+        wire.decode_item(
+            wire.Item(key="servers/i-1", mod_revision=7, deleted=True),
+            data_centres=ZONES,
+            floor=0.5,
+        ),
+        wire.refusal(item("servers/i-1", {"born": 5}), "no address"),
+        wire.refusal(item(wire.CONFIGURATION_KEY, CONFIGURATION), "no number"),
+    ]
+    assert {envelope.read_header(raw).order for raw in raws} == {types.UNKNOWN_ORDER}
+
+
 @pytest.mark.parametrize(
     ("path", "value"),
     [
--- a/verbenadrum/platform/wire.py
+++ b/verbenadrum/platform/wire.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from verbenadrum.records import envelope, partial, types
+from verbenadrum.records import envelope, partial, revisions, types
 from verbenadrum.utils import durations, errors
 
 __all__ = [
@@ -55,7 +55,10 @@
 
 
 class Item(msgspec.Struct, frozen=True, kw_only=True):
-    """One key of the store with its value; a watch also returns deleted keys."""
+    """One key of the store with its value; a watch also returns deleted keys.
+
+    ``mod_revision`` is a value of the store's counter, without its generation.
+    """
 
     key: str
     mod_revision: int
@@ -178,7 +181,9 @@
         raise MalformedValueError(str(error)) from error
 
 
-def decode_item(item: Item, *, data_centres: frozenset[str], floor: float) -> bytes | None:
+def decode_item(
+    item: Item, *, data_centres: frozenset[str], floor: float, generation: int = 0
+) -> bytes | None:
     """Decode a key of the store into the envelope of its record.
 
     Parameters
@@ -189,6 +194,8 @@
         Known data centres; a server in another one is rejected.
     floor : float
         Fraction of a pool's servers that ejection must leave in service.
+    generation : int
+        Generation of the store that the key comes from.
 
     Returns
     -------
@@ -202,7 +209,7 @@
         deleted. No other error leaves this function: other writers may store anything.
     """
     try:
-        raw = _decode_record(item, data_centres, floor)
+        raw = _decode_record(item, data_centres, floor, generation)
         if raw is not None:
             envelope.parse(raw)
     except MalformedValueError:
@@ -212,48 +219,74 @@
     return raw
 
 
-def _decode_record(item: Item, data_centres: frozenset[str], floor: float) -> bytes | None:
+def _decode_record(
+    item: Item, data_centres: frozenset[str], floor: float, generation: int
+) -> bytes | None:
     if item.key == CONFIGURATION_KEY:
         if item.deleted:
             raise MalformedValueError("the configuration was deleted; the last one remains in use")
         spec = _configuration(_decode(item.value, _Configuration), floor)
-        return _envelope(types.RecordKind.CONFIGURATION, _CONFIGURATION_NAME, item, spec)
+        return envelope.render(
+            types.Record(
+                kind=types.RecordKind.CONFIGURATION,
+                name=_CONFIGURATION_NAME,
+                revision=revisions.join(generation, item.mod_revision),
+                spec=spec,
+                order=(spec.version, 0),
+            )
+        )
     if not item.key.startswith(SERVERS_PREFIX):
         return None
     if item.deleted:
-        return withdrawal(item)
+        return withdrawal(item, generation=generation)
     name = item.key.removeprefix(SERVERS_PREFIX)
     if not _SERVER_NAME_PATTERN.fullmatch(name):
         raise MalformedValueError(f"server name {name!r} is not printable ASCII without spaces")
     server = _decode(item.value, _Server)
-    return _envelope(types.RecordKind.SERVER, name, item, _server(server, data_centres))
+    return envelope.render(
+        types.Record(
+            kind=types.RecordKind.SERVER,
+            name=name,
+            revision=revisions.join(generation, item.mod_revision),
+            spec=_server(server, data_centres),
+            order=_server_order(server),
+        )
+    )
 
 
-def refusal(item: Item, fault: str) -> bytes | None:
+def refusal(item: Item, fault: str, *, generation: int = 0) -> bytes | None:
     """Return an envelope that tells every host why a key's value cannot be taken.
 
-    None for a key that is not the configuration. A server whose entry is malformed is withdrawn.
+    A server whose entry is malformed is withdrawn. None for a key that is neither the
+    configuration nor that of a server.
     """
     if item.key == CONFIGURATION_KEY:
+        revision = revisions.join(generation, item.mod_revision)
         return envelope.render_refusal(
-            types.RecordKind.CONFIGURATION, _CONFIGURATION_NAME, item.mod_revision, fault
+            types.RecordKind.CONFIGURATION, _CONFIGURATION_NAME, revision, fault
         )
-    return withdrawal(item)
+    return withdrawal(item, generation=generation)
+
 
+def withdrawal(item: Item, *, generation: int = 0) -> bytes | None:
+    """Return the envelope that withdraws the server of a key; None if no server has that key.
 
-def withdrawal(item: Item) -> bytes | None:
-    """Return the envelope that withdraws the server of a key; None if no server has that key."""
+    It states no writer's order, which a deleted or malformed entry does not have.
+    """
     if not item.key.startswith(SERVERS_PREFIX):
         return None
     name = item.key.removeprefix(SERVERS_PREFIX)
     if not _SERVER_NAME_PATTERN.fullmatch(name):
         return None
-    return _envelope(types.RecordKind.SERVER, name, item, None)
+    revision = revisions.join(generation, item.mod_revision)
+    return envelope.render(
+        types.Record(kind=types.RecordKind.SERVER, name=name, revision=revision, spec=None)
+    )
 
 
-def _envelope(kind: types.RecordKind, name: str, item: Item, spec: types.Spec | None) -> bytes:
-    record = types.Record(kind=kind, name=name, revision=item.mod_revision, spec=spec)
-    return envelope.render(record)
+def _server_order(server: _Server) -> tuple[int, int]:
+    """Return start and sequence; the sequence of an unknown start has no place among others."""
+    return (server.born, server.status.sequence) if server.born else types.UNKNOWN_ORDER
 
 
 def _decode(value: str, expected: type):
