Status and explain: revisions in readable form, and the generation as a metric

Operators saw revisions as joined numbers of 13 and more digits, and nothing said which generation of the store a host holds or what it has carried over.

status, watch and explain show `12 (generation 3)`; a host of an older generation is `behind generation 3` rather than so many revisions. /status has record_generation and carried_records, and the metrics have verbenadrum.records.generation and .carried.

--- a/verbenadrum/cli/explain.py
+++ b/verbenadrum/cli/explain.py
@@ -1,17 +1,25 @@
 """``verbenadrum explain``: shows what hosts decided about a request, a server or a record."""
 
 import datetime
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import TextIO
 
 import msgspec
 
 from verbenadrum.cli import operators, options, output, registry, saved_logs
 from verbenadrum.decisions import ring
+from verbenadrum.records import revisions
 
 __all__ = ["HostDecision", "describe"]
 
 _MS_PER_S = 1000.0
+# Details that hold a revision of a record, of each choice of such decisions.
+_REVISION_DETAILS = {
+    "accepted": ("revision",),
+    "generation": ("revision",),
+    "loaded": ("revision",),
+    "rejected": ("revision", "in_force"),
+}
 
 # Description of each kind of decision; ``{subject}`` and ``{request}`` may be empty.
 _DESCRIPTIONS = {
@@ -104,10 +112,19 @@
     if decision.alternatives:
         parts.append("not " + ", ".join(decision.alternatives))
     if decision.detail:
-        parts.append(", ".join(f"{name} {value}" for name, value in decision.detail.items()))
+        parts.append(", ".join(_detail_texts(decision)))
     return "; ".join(parts)
 
 
+def _detail_texts(decision: ring.Decision) -> Iterator[str]:
+    revision_names = ()
+    if decision.kind is ring.DecisionKind.RECORD:
+        revision_names = _REVISION_DETAILS.get(decision.choice, ())
+    for name, value in decision.detail.items():
+        is_revision = name in revision_names and isinstance(value, int) and value >= 0
+        yield f"{name} {revisions.to_text(value) if is_revision else value}"
+
+
 def _sort_by_time(replies: Iterable[operators.Reply[list[HostDecision]]]) -> list[HostDecision]:
     host_decisions = [each for reply in replies for each in reply.value or ()]
     return sorted(host_decisions, key=lambda each: each.decision.at_ms)
--- a/verbenadrum/cli/operators.py
+++ b/verbenadrum/cli/operators.py
@@ -74,6 +74,7 @@
     record_revision: int = 0
     complete_revision: int = 0
     host_list_revision: int = 0
+    carried_records: int = 0
     platform_reader: str = ""
     configuration_version: int | None = None
     configuration_faults: tuple[str, ...] = ()
--- a/verbenadrum/cli/status.py
+++ b/verbenadrum/cli/status.py
@@ -4,6 +4,7 @@
 from typing import TextIO
 
 from verbenadrum.cli import operators, options, output, registry
+from verbenadrum.records import revisions
 
 __all__ = ["exit_code_of", "print_faults", "print_status"]
 
@@ -77,7 +78,7 @@
         status.host,
         location,
         ready,
-        status.held_revision,
+        revisions.to_text(status.held_revision),
         "" if status.configuration_version is None else f"{status.configuration_version:x}",
         status.host_list_revision,
         status.in_flight,
@@ -90,8 +91,14 @@
     remarks = []
     if status.stopping:
         remarks.append("shutting down")
-    if status.held_revision < newest_revision:
+    held_generation = revisions.generation_of(status.held_revision)
+    newest_generation = revisions.generation_of(newest_revision)
+    if held_generation < newest_generation:
+        remarks.append(f"behind generation {newest_generation}")
+    elif status.held_revision < newest_revision:
         remarks.append(f"{newest_revision - status.held_revision} revisions behind")
+    if status.carried_records:
+        remarks.append(f"{status.carried_records} records carried over")
     if status.configuration_faults:
         remarks.append("entries left out")
     if status.rejected_records:
@@ -150,8 +157,10 @@
             key = (each.kind, each.name, each.revision, each.accepted_revision, each.faults)
             hosts.setdefault(key, []).append(reply.value.host)
     for (kind, name, revision, accepted, faults), names in hosts.items():
-        in_force = f"revision {accepted} stays in force" if accepted else "none is in force"
-        out.write(f"refused: {kind} {name!r} revision {revision}; {in_force} ")
+        in_force = "none is in force"
+        if accepted:
+            in_force = f"revision {revisions.to_text(accepted)} stays in force"
+        out.write(f"refused: {kind} {name!r} revision {revisions.to_text(revision)}; {in_force} ")
         out.write(f"({len(names)} hosts: {', '.join(names[:5])})\n")
         for fault in faults:
             out.write(f"  {fault}\n")
--- a/verbenadrum/cli/tests/test_cli.py
+++ b/verbenadrum/cli/tests/test_cli.py
@@ -1,5 +1,6 @@
 """Tests of the subcommands against files and fake operators' ports."""
 
+import contextlib
 import io
 import socket
 import subprocess
@@ -9,10 +10,10 @@
 import pytest
 
 from standins import canned
-from verbenadrum.cli import main, options
+from verbenadrum.cli import explain, main, options
 from verbenadrum.decisions import ring
 from verbenadrum.entry import keys
-from verbenadrum.records import envelope
+from verbenadrum.records import envelope, revisions
 
 _STATUS = {"host": "h1", "region": "r", "data_centre": "d", "ready": True, "record_revision": 7}
 
@@ -84,6 +85,54 @@
     assert "refused: pool 'p' revision 8; revision 3 stays in force" in out
 
 
+def test_status_shows_generation_and_counter_of_revisions():
+    refused = {
+        "kind": "pool",
+        "name": "p",
+        "revision": revisions.join(3, 8),
+        "accepted_revision": revisions.join(2, 900),
+    }
+    newest = _STATUS | {"record_revision": revisions.join(3, 12), "rejected_records": [refused]}
+    lagging = _STATUS | {"host": "h2", "record_revision": revisions.join(3, 10)}
+    older = _STATUS | {
+        "host": "h3",
+        "record_revision": revisions.join(2, 900),
+        "carried_records": 4,
+    }
+    with contextlib.ExitStack() as stack:
+        hosts = [stack.enter_context(operators_port(each)) for each in (newest, lagging, older)]
+        _, out, _ = run("status", *(each.address for each in hosts))
+    rows = {line.split()[0]: line for line in out.splitlines()}
+    assert " 12 (generation 3) " in rows["h1"]
+    assert " 10 (generation 3) " in rows["h2"]
+    assert "2 revisions behind" in rows["h2"]
+    assert " 900 (generation 2) " in rows["h3"]
+    assert "behind generation 3, 4 records carried over" in rows["h3"]
+    assert "'p' revision 8 (generation 3); revision 900 (generation 2) stays in force" in out
+    assert str(1 << 40)[:6] not in out
+
+
+@pytest.mark.parametrize(
+    ("choice", "detail", "text"),
+    [
+        ("accepted", {"revision": revisions.join(3, 8)}, "revision 8 (generation 3)"),
+        (
+            "rejected",
+            {"revision": revisions.join(3, 8), "in_force": revisions.join(2, 7)},
+            "revision 8 (generation 3), in_force 7 (generation 2)",
+        ),
+        ("generation", {"generation": 3, "carried": 2}, "generation 3, carried 2"),
+        ("ignored", {"version": 11, "in_force": 12}, "version 11, in_force 12"),
+        ("accepted", {"revision": 8}, "revision 8"),
+    ],
+)
+def test_explain_shows_generation_and_counter_of_revisions(choice, detail, text):
+    decision = ring.Decision(
+        kind=ring.DecisionKind.RECORD, choice=choice, reason="r", subject="p", detail=detail
+    )
+    assert explain.describe(decision) == f"record p: {choice}, because r; {text}"
+
+
 @pytest.mark.parametrize("words", [("status",), ("watch", "--count=1")])
 def test_status_and_watch_tell_the_version_in_force_and_what_was_refused(words):
     refused = {
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -36,7 +36,7 @@
 from verbenadrum.messages import base, codec
 from verbenadrum.placement import budget
 from verbenadrum.platform import store
-from verbenadrum.records import checks
+from verbenadrum.records import checks, revisions
 from verbenadrum.records import types as record_types
 from verbenadrum.settings import load, types, watch
 from verbenadrum.utils import clock
@@ -488,6 +488,8 @@
             "stopping": self._stopping,
             "in_flight": self._caller_server.in_flight,
             "record_revision": self._engine.records.revision,
+            "record_generation": self._record_generation(),
+            "carried_records": self._engine.store.carried_count,
             "host_list_revision": self._engine.membership.revision,
             "hosts": [row.host for row in self._engine.membership.hosts()],
             "epoch": self._engine.epochs.active(),
@@ -508,6 +510,10 @@
         age_ms = self._engine.record_spread.confirmed_age_ms
         return round(age_ms, 1) if math.isfinite(age_ms) else -1.0
 
+    def _record_generation(self) -> int:
+        """Return the generation of the platform's store whose records are held here."""
+        return revisions.generation_of(self._engine.record_spread.complete_revision)
+
     def _configuration_version(self) -> int:
         version = self._engine.records.configuration_version
         return -1 if version is None else version
@@ -532,6 +538,18 @@
                 lambda: self._caller_server.connections,
             ),
             ("verbenadrum.records.revision", "", "Records.", lambda: self._engine.records.revision),
+            (
+                "verbenadrum.records.generation",
+                "",
+                "Generation of the platform's store whose records are held here.",
+                self._record_generation,
+            ),
+            (
+                "verbenadrum.records.carried",
+                "",
+                "Records carried over from an older generation of the platform's store.",
+                lambda: self._engine.store.carried_count,
+            ),
             (
                 "verbenadrum.records.rejected",
                 "",
--- a/verbenadrum/daemon/tests/test_host.py
+++ b/verbenadrum/daemon/tests/test_host.py
@@ -1,6 +1,7 @@
 """Tests of a complete host in this process, mostly of its graceful shutdown."""
 
 import contextlib
+import functools
 import json
 import socket
 import sys
@@ -14,7 +15,8 @@
 from verbenadrum.core import ports
 from verbenadrum.daemon import host, http_server, upstream
 from verbenadrum.daemon.tests import test_command
-from verbenadrum.records import types
+from verbenadrum.dissemination import duty
+from verbenadrum.records import envelope, revisions, types
 from verbenadrum.settings import load
 from verbenadrum.settings import types as settings_types
 
@@ -375,6 +377,30 @@
     assert line.endswith(" 1.0")
 
 
+def test_status_and_metrics_tell_the_generation_and_what_is_carried_over(quick):
+    core = quick.host._engine
+    publish = functools.partial(duty.RecordsAnswer, after=0, final=True, full_listing=True)
+    key = types.Record(
+        kind=types.RecordKind.KEY,
+        name="kept",
+        revision=revisions.join(2, 90),
+        spec=types.KeySpec(workspace="w", sha256="0" * 64),
+    )
+    core.on_platform_records(
+        publish(revision=revisions.join(2, 90), envelopes=(envelope.render(key),))
+    )
+    core.on_platform_records(publish(revision=revisions.join(3, 50), envelopes=()))
+    status = quick.host._status()
+    assert status["record_generation"] == 3
+    assert status["carried_records"] == core.store.carried_count >= 1
+    port = quick.host._operator_servers[0].server_port
+    pool = urllib3.HTTPConnectionPool("127.0.0.1", port, retries=False)
+    scraped = pool.request("GET", "/metrics").data.decode().splitlines()
+    for name, value in (("generation", 3), ("carried", core.store.carried_count)):
+        (line,) = [each for each in scraped if each.startswith(f"verbenadrum_records_{name}{{")]
+        assert float(line.split()[-1]) == value
+
+
 def test_metrics_are_served_on_a_further_address(quick):
     ports_open = [server.server_port for server in quick.host._operator_servers]
     assert len(set(ports_open)) == 2
--- a/verbenadrum/records/revisions.py
+++ b/verbenadrum/records/revisions.py
@@ -12,6 +12,7 @@
     "generation_of",
     "join",
     "renumber",
+    "to_text",
     "with_revision",
 ]
 
@@ -69,6 +70,19 @@
     return revision & _MAX_COUNTER
 
 
+def to_text(revision: int) -> str:
+    """Return a revision in the form in which people read it.
+
+    Examples
+    --------
+    >>> to_text(12), to_text(join(3, 12))
+    ('12', '12 (generation 3)')
+    """
+    generation = generation_of(revision)
+    counter = counter_of(revision)
+    return f"{counter} (generation {generation})" if generation else str(counter)
+
+
 def renumber(raw: bytes, generation: int) -> bytes:
     """Return an envelope whose revision, a counter's value so far, also holds its generation.
 
