Tests: nothing accepted reverts when the real client reads an older copy

The client of the store and one engine together: the copy has an older configuration with a withdrawn key, lists a leaving server as live and lacks one that joined. The configuration in force and the leaving server stay as they were, the joined one is back once it writes, and nothing is carried over once all have written.

--- a/verbenadrum/platform/tests/test_store_returns.py
+++ b/verbenadrum/platform/tests/test_store_returns.py
@@ -1,6 +1,7 @@
 """Tests of a store that comes back from an older copy, and gives out revisions again."""
 
 import copy
+import hashlib
 import random
 
 import pytest
@@ -12,7 +13,7 @@
 from verbenadrum.dissemination import duty
 from verbenadrum.engine import behaviours, engine
 from verbenadrum.platform.tests import test_store, test_wire
-from verbenadrum.records import envelope, revisions
+from verbenadrum.records import envelope, revisions, types
 from verbenadrum.utils import clock
 
 assert behaviours  # Importing it registers the implementations that are chosen by name.
@@ -403,3 +404,47 @@
     returning_store.revision = revision
     with pytest.raises(sources.SourceError, match="counter"):
         test_store.poll(returning_store, 0)
+
+
+def configuration(version, hostname, key):
+    document = test_wire.with_field(test_wire.CONFIGURATION, "config_version", f"{version:08x}")
+    document = test_wire.with_field(document, "routes.0.hostname", hostname)
+    return test_wire.with_field(document, "tenants.0.api_keys", [key])
+
+
+def in_force(core, hostname, key):
+    """Return whether a route and a key of the configuration are in force."""
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    route = core.records.route(hostname, "/a/x")
+    return route is not None, core.records.key_workspace(digest) is not None
+
+
+def live_servers(core):
+    entries = core.records.pools()["svc"].servers
+    return {each.server for each in entries if each.state is types.ServerState.LIVE}
+
+
+# Guards against an older configuration, a withdrawn key and a departed server that come back.
+def test_nothing_that_was_accepted_reverts_at_a_return_from_an_older_copy(returning_store):
+    core = make_engine()
+    returning_store.put("op/config", configuration(12, "old.example", "old"))
+    copied = returning_store.copy()
+    returning_store.put("op/config", configuration(13, "new.example", "new"))
+    leaving = test_wire.with_field(test_wire.SERVER, "status.state", "draining")
+    returning_store.put("servers/i-0", test_wire.with_field(leaving, "status.sequence", 5))
+    returning_store.put("servers/joined", test_wire.SERVER)
+    read(returning_store, core)
+    returning_store.come_back(copied)
+    read(returning_store, core)
+    assert revisions.generation_of(core.record_spread.complete_revision) == 4
+    assert in_force(core, "new.example", "new") == (True, True)
+    assert in_force(core, "old.example", "old") == (False, False)
+    assert live_servers(core) == {"i-1", "i-2", "i-3", "i-4"}
+    assert core.store.carried_count == 2
+    returning_store.put("servers/joined", test_wire.SERVER)
+    returning_store.put("op/config", configuration(14, "newest.example", "newest"))
+    returning_store.put("servers/i-0", test_wire.with_field(leaving, "status.sequence", 6))
+    read(returning_store, core)
+    assert in_force(core, "newest.example", "newest") == (True, True)
+    assert live_servers(core) == {"i-1", "i-2", "i-3", "i-4", "joined"}
+    assert core.store.carried_count == 0
