Refusals by the records name the configuration's version; a reader logs an older listing

Change: refuse lines of no-route, key-refused and key-missing have configuration_version. The platform reader logs once that a listing is older than what was known when the poll was ordered. Gauge verbenadrum.records.complete_revision, which only the status had.

Measured: unit tests of both lines; no change of behaviour.

--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -61,6 +61,10 @@
     def configured(self) -> bool:
         """Whether any route or configuration record is known."""
 
+    @property
+    def configuration_version(self) -> int | None:
+        """Version of the configuration record in force, or None without one."""
+
     def route(self, host: str, path: str) -> tuple[str, types.RouteSpec] | None:
         """Return name and spec of the matching route with the longest path prefix, or None.
 
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -532,6 +532,12 @@
                 lambda: self._caller_server.connections,
             ),
             ("verbenadrum.records.revision", "", "Records.", lambda: self._engine.records.revision),
+            (
+                "verbenadrum.records.complete_revision",
+                "",
+                "Revision up to which this host holds every record; 0 before the first set.",
+                lambda: self._engine.record_spread.complete_revision,
+            ),
             (
                 "verbenadrum.records.rejected",
                 "",
--- a/verbenadrum/daemon/platform_reader.py
+++ b/verbenadrum/daemon/platform_reader.py
@@ -123,6 +123,7 @@
         self._source = source
         self._url_index = dict.fromkeys(duty.Stream, 0)
         self._failing: set[duty.Stream] = set()
+        self._listing_behind = False
         self._calls = 0
 
     @property
@@ -172,7 +173,9 @@
         self._calls += 1
         base_url = self._urls[self._url_index[stream] % len(self._urls)]
         try:
-            fresh = self._apply_answer(self._source.poll(base_url, stream, order))
+            answer = self._source.poll(base_url, stream, order)
+            self._log_listing_behind(answer, order)
+            fresh = self._apply_answer(answer)
         except (
             urllib3.exceptions.HTTPError,
             OSError,
@@ -192,6 +195,20 @@
             return self._engine.on_platform_records(answer)
         return self._engine.on_platform_hosts(answer)
 
+    def _log_listing_behind(
+        self, answer: duty.RecordsAnswer | duty.HostsAnswer, order: duty.PollOrder
+    ) -> None:
+        """Log the first of successive listings that are older than what was held before them."""
+        if not isinstance(answer, duty.RecordsAnswer):
+            return
+        behind = answer.full_listing and answer.revision < order.known_revision
+        if behind and not self._listing_behind:
+            _log.warning(
+                "the platform lists an older state",
+                extra={"revision": answer.revision, "known": order.known_revision},
+            )
+        self._listing_behind = behind
+
     def _log_failure(self, stream: duty.Stream, error: BaseException) -> None:
         if stream not in self._failing:
             self._failing.add(stream)
--- a/verbenadrum/daemon/tests/test_platform_reader.py
+++ b/verbenadrum/daemon/tests/test_platform_reader.py
@@ -79,6 +79,28 @@
     assert (fake_engine.answers, fake_engine.failures) == ([], [duty.Stream.RECORDS])
 
 
+def test_listing_older_than_what_is_held_is_logged_once(caplog):
+    class Listings:
+        revisions = iter([9, 4, 4, 9, 3])
+
+        def poll(self, base_url, stream, order):
+            revision = next(self.revisions)
+            return duty.RecordsAnswer(
+                after=0, revision=revision, final=True, envelopes=(), full_listing=True
+            )
+
+    order = duty.PollOrder(after=0, wait_ms=0.0, delay_ms=0.0, known_revision=7)
+    fake_engine = FakeEngine()
+    fake_engine.platform_read_plan = lambda: duty.ReadPlan(
+        reason=duty.ReadReason.READER, records=order
+    )
+    reader = platform_reader.PlatformReader(engine=fake_engine, urls=("",), source=Listings())
+    for _ in range(5):
+        reader.poll_once(duty.Stream.RECORDS)
+    logged = [row for row in caplog.records if row.message == "the platform lists an older state"]
+    assert [(row.revision, row.known) for row in logged] == [(4, 7), (3, 7)]
+
+
 def test_refused_and_stale_urls_are_passed_over():
     with socket.socket() as closed:
         closed.bind(("127.0.0.1", 0))
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -76,12 +76,12 @@
             self._refuse_head(head, sink, refusals.not_configured(head))
             return
         if found is None:
-            self._refuse_head(head, sink, refusals.no_route(head))
+            self._refuse_by_records(head, sink, refusals.no_route(head))
             return
         name, route = found
         workspace = self._authenticate(head)
         if workspace is None and not route.public:
-            self._refuse_head(head, sink, refusals.not_authenticated(head))
+            self._refuse_by_records(head, sink, refusals.not_authenticated(head))
             return
         service = self._choose_service(route)
         self._context.record_decision(
@@ -467,8 +467,20 @@
         self._end(row, None)
         self._refuse_head(row.head, row.sink, refusal)
 
-    def _refuse_head(
+    def _refuse_by_records(
         self, head: ports.RequestHead, sink: ports.RequestSink, refusal: ports.Refusal
+    ) -> None:
+        """Refuse a request that the records in force do not allow, and log their version."""
+        version = self._records.configuration_version
+        detail = {} if version is None else {"configuration_version": version}
+        self._refuse_head(head, sink, refusal, detail)
+
+    def _refuse_head(
+        self,
+        head: ports.RequestHead,
+        sink: ports.RequestSink,
+        refusal: ports.Refusal,
+        detail: dict[str, int] = {},
     ) -> None:
         refusal = self._cap_retry_after(head, refusal)
         self._context.record_decision(
@@ -480,6 +492,7 @@
                 "status": refusal.status,
                 "not_run": refusal.not_run.value,
                 "retry_after_ms": round(refusal.retry_after_ms, 1),
+                **detail,
                 **_caller_request(head),
             },
         )
--- a/verbenadrum/entry/tests/test_pipeline.py
+++ b/verbenadrum/entry/tests/test_pipeline.py
@@ -325,7 +325,7 @@
     assert len(ends) == 7
 
 
-def make_logged_pipeline(decided):
+def make_logged_pipeline(decided, records=None):
     schedule = Schedule(1)
     schedule_context = schedule._context()
     return pipeline.EntryPipeline(
@@ -339,7 +339,7 @@
             send=lambda to, message: None,
             decisions=ring.DecisionRing(wall_ms=lambda: 0.0, size=16, listener=decided.append),
         ),
-        records=_records(),
+        records=records or _records(),
         limiter=FakeLimiter(),
         claims=FakeClaims(),
         placer=FakePlacer(),
@@ -357,6 +357,21 @@
     assert [each.detail.get("caller_request") for each in decided] == ["mine"]
 
 
+@pytest.mark.parametrize(("path", "reason"), [("/x", "key-refused"), ("/other", "no-route")])
+def test_refusal_by_the_records_names_the_configuration_version_in_force(path, reason):
+    route = types.NamedRoute(name="r", spec=types.RouteSpec(path_prefix="/x", service="svc"))
+    spec = types.ConfigurationSpec(version=7, routes=(route,))
+    records = table.RecordTable()
+    records.put(types.Record(kind=types.RecordKind.CONFIGURATION, name="c", revision=9, spec=spec))
+    decided = []
+    core = make_logged_pipeline(decided, records)
+    core.begin(
+        ports.RequestHead(request="q2", method="GET", host="any", path=path, api_key="x"), Sink()
+    )
+    (refused,) = decided
+    assert (refused.reason, refused.detail["configuration_version"]) == (reason, 7)
+
+
 def test_decision_gives_the_reason_for_an_abandoned_request():
     decided = []
     core = make_logged_pipeline(decided)
