Tests: the store process can limit the calls of all readers a second

Cause: the platform limits read calls, and the stand-in did not.

Change: reads_per_s in its faults; calls beyond it get status 429.

Measured: nothing uses it yet in a committed test.

--- a/verbenadrum/platform/tests/store_process.py
+++ b/verbenadrum/platform/tests/store_process.py
@@ -92,6 +92,8 @@
         Delay of each page in seconds.
     refused_pages : bool
         Whether every second page of a listing is answered with status 429.
+    reads_per_s : float
+        Calls of all readers a second beyond which calls get status 429; 0 for no limit.
     """
 
     era_header: str = "number"
@@ -101,6 +103,7 @@
     page_size: int = 500
     page_delay_s: float = 0.0
     refused_pages: bool = False
+    reads_per_s: float = 0.0
 
 
 class State(msgspec.Struct, frozen=True, kw_only=True):
@@ -140,6 +143,7 @@
         self._era = 1
         self._changed = event.Event()
         self._pages = 0
+        self._second = (0, 0)
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
 
@@ -205,12 +209,20 @@
         refused = self.faults.refused.get(caller, self.faults.refused.get(_EVERYBODY))
         if refused is not None:
             return refused, {}
+        if self._is_over_rate():
+            return 429, {}
         calls = {"kv-key": self._key, "kv-range": self._range, "kv-watch": self._watch}
         prefix, _, name = path.rpartition("/")
         if prefix != "/verbenadrum" or name not in calls:
             return 404, {}
         return calls[name](query)
 
+    def _is_over_rate(self) -> bool:
+        second, count = self._second
+        now = int(time.monotonic())
+        self._second = (now, count + 1 if now == second else 1)
+        return 0 < self.faults.reads_per_s < self._second[1]
+
     def _key(self, query: dict[str, str]) -> tuple[int, dict]:
         item = self._content.items.get(query["key"])
         return (404, {}) if item is None else (200, {**item, "current_rev": self.revision})
