Project interface: answers state the generation of a service that came back from a copy

Cause: the revisions of /v1/records and /v1/hosts were taken for a counter that only rises. A configuration service that comes back from an older copy gives them out again, so its readers took what was written after the return for what they had, and the host list stayed at the old one.

Change: an answer may state its generation, and a call that of its cursor. HttpSource joins both to the revisions of the fleet, reads the pages of a listing as one answer, begins again if a return interrupts it, and refuses answers of an older generation. Envelopes may carry the order of their writer. The stand-in of the service can make a copy, be away, and return from the copy.

The record store does not yet order contents by generation; that follows.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,12 +1,17 @@
 """Stand-in for the platform: serves records and the host list over HTTP, with faults per reader.
 
-Readers call ``/v1/records`` and ``/v1/hosts`` with a revision (``after``) and the time to wait for
-a newer one (``wait_ms``); the header ``X-Reader`` holds the name of the reader.
+Readers call ``/v1/records`` and ``/v1/hosts`` with a revision (``after``), its generation
+(``generation``, 0 by default) and the time to wait for a newer one (``wait_ms``); the header
+``X-Reader`` holds the name of the reader. A reader of another generation gets everything.
 
 The control paths take and return JSON. A POST to ``/control/publish`` (a `Publication`) publishes
 a record, to ``/control/hosts`` (a list of `Host`) a host list, and to ``/control/fault`` (a
 `ReaderFault`) sets a fault. A GET of ``/control/heal`` removes all faults, of ``/control/calls``
-returns the number of calls by reader, and of ``/control/state`` the `State`.
+returns the number of calls by reader, and of ``/control/state`` the `State`. A GET of
+``/control/copy`` makes a copy of all that is published, ``/control/away`` lets reads and
+publications be answered with status 503, and ``/control/return`` ends that with what the copy
+holds, in a new generation. What was published since the copy is lost, and its revisions are given
+out again.
 """
 
 if __name__ == "__main__":
@@ -35,15 +40,19 @@
 
 
 class Publication(msgspec.Struct, frozen=True, kw_only=True):
-    """Record to publish; a ``spec`` of None withdraws the record."""
+    """Record to publish; a ``spec`` of None withdraws the record.
+
+    ``order`` is its place among all that its writer has published, or None to state none.
+    """
 
     kind: str
     name: str
     spec: dict | None
     schema: int = 2
+    order: tuple[int, int] | None = None
 
 
-class Envelope(msgspec.Struct, frozen=True, kw_only=True):
+class Envelope(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Published record in the form in which readers receive it."""
 
     kind: str
@@ -51,6 +60,7 @@
     revision: int
     schema: int
     spec: dict | None
+    order: tuple[int, int] | None = None
 
 
 class Host(msgspec.Struct, frozen=True, kw_only=True):
@@ -64,10 +74,11 @@
 
 
 class HostList(msgspec.Struct, frozen=True, kw_only=True):
-    """The host list at one revision."""
+    """The host list at one revision of a generation."""
 
     revision: int
     hosts: tuple[Host, ...]
+    generation: int = 0
 
 
 class RecordPage(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,11 +92,14 @@
         Whether no further page follows.
     records : list of Envelope
         Newest version of each changed record, in the order of their revisions.
+    generation : int
+        How often the platform has come back from an older copy.
     """
 
     revision: int
     complete: bool
     records: list[Envelope]
+    generation: int
 
 
 class ReaderFault(msgspec.Struct, frozen=True, kw_only=True):
@@ -110,17 +124,26 @@
 
 
 class State(msgspec.Struct, frozen=True, kw_only=True):
-    """Newest revision of the records and of the host list."""
+    """Newest revision of the records and of the host list, and the generation of both."""
 
     records: int
     hosts: int
+    generation: int = 0
+
+
+class _History(msgspec.Struct, frozen=True, kw_only=True):
+    """What has been published up to a state; later publications are appended to the same lists."""
+
+    state: State
+    records: list[Envelope]
+    hosts: list[HostList]
 
 
-# A fault, and the newest revisions at the time when it was set.
 class _ActiveFault(msgspec.Struct, frozen=True, kw_only=True):
+    """A fault, and what had been published at the time when it was set."""
+
     fault: ReaderFault
-    records: int
-    hosts: int
+    seen: _History
 
 
 class Platform:
@@ -133,19 +156,33 @@
     """
 
     def __init__(self) -> None:
+        self._generation = 0
         self._records: list[Envelope] = []
         self._hosts: list[HostList] = [HostList(revision=0, hosts=())]
+        self._copy = self._newest()
+        self._away = False
         self._faults: dict[str, _ActiveFault] = {}
         self._changed = event.Event()
         self.calls: collections.Counter[str] = collections.Counter()
 
     @property
     def state(self) -> State:
-        """Newest revision of the records and of the host list."""
-        return State(records=len(self._records), hosts=self._hosts[-1].revision)
+        """Newest revision of the records and of the host list, and the generation of both."""
+        return State(
+            records=len(self._records),
+            hosts=self._hosts[-1].revision,
+            generation=self._generation,
+        )
 
     def publish(self, publication: Publication) -> State:
-        """Publish a new revision of a record, and return the newest revisions."""
+        """Publish a new revision of a record, and return the newest revisions.
+
+        Raises
+        ------
+        bottle.HTTPResponse
+            With status 503 while the platform is away.
+        """
+        self._check_present()
         self._records.append(
             Envelope(
                 kind=publication.kind,
@@ -153,21 +190,46 @@
                 revision=len(self._records) + 1,
                 schema=publication.schema,
                 spec=publication.spec,
+                order=publication.order,
             )
         )
         return self._notify_readers()
 
     def publish_hosts(self, hosts: list[Host]) -> State:
-        """Publish a new host list, and return the newest revisions."""
-        self._hosts.append(HostList(revision=self.state.hosts + 1, hosts=tuple(hosts)))
+        """Publish a new host list, and return the newest revisions.
+
+        Raises
+        ------
+        bottle.HTTPResponse
+            With status 503 while the platform is away.
+        """
+        self._check_present()
+        revision = self.state.hosts + 1
+        self._hosts.append(HostList(revision=revision, hosts=tuple(hosts)))
+        return self._notify_readers()
+
+    def make_copy(self) -> State:
+        """Copy all that is published, in place of an earlier copy, and return the state."""
+        self._copy = self._newest()
+        return self.state
+
+    def leave(self) -> State:
+        """Answer every read and publication with status 503, until the return from the copy."""
+        self._away = True
+        return self._notify_readers()
+
+    def return_from_copy(self) -> State:
+        """Publish what the copy holds and nothing else, in a new generation; return the state."""
+        copy = self._copy
+        self._records = copy.records[: copy.state.records]
+        self._hosts = copy.hosts[: copy.state.hosts + 1]
+        self._generation += 1
+        self._away = False
         return self._notify_readers()
 
     def set_fault(self, fault: ReaderFault) -> None:
         """Set the fault of a reader, in place of its earlier fault."""
-        state = self.state
-        self._faults[fault.reader] = _ActiveFault(
-            fault=fault, records=state.records, hosts=state.hosts
-        )
+        self._faults[fault.reader] = _ActiveFault(fault=fault, seen=self._newest())
         self._notify_readers()
 
     def heal(self) -> None:
@@ -175,9 +237,13 @@
         self._faults.clear()
         self._notify_readers()
 
-    def read_records(self, reader: str, after: int, wait_ms: float) -> RecordPage:
+    def read_records(
+        self, reader: str, after: int, wait_ms: float, generation: int = 0
+    ) -> RecordPage:
         """Return the records that changed after a revision, at most one megabyte of them.
 
+        A reader of another generation gets all records.
+
         Parameters
         ----------
         reader : str
@@ -186,26 +252,36 @@
             Newest revision that the reader has.
         wait_ms : float
             Time in milliseconds to wait for a newer revision; then an empty page is returned.
+        generation : int
+            Generation of ``after``.
 
         Raises
         ------
         bottle.HTTPResponse
-            With status 503 during an outage.
+            With status 503 during an outage, and while the platform is away.
         """
-        self._wait_for_change(reader, lambda: self._visible_state(reader).records > after, wait_ms)
-        visible_revision = self._visible_state(reader).records
+
+        def is_available() -> bool:
+            state = self._visible(reader).state
+            return state.generation != generation or state.records > after
+
+        self._wait_for_change(reader, is_available, wait_ms)
+        visible = self._visible(reader)
+        start = after if visible.state.generation == generation else 0
         newest: dict[tuple[str, str], Envelope] = {}
-        for envelope in self._records[:visible_revision]:
+        for envelope in visible.records[: visible.state.records]:
             newest[envelope.kind, envelope.name] = envelope
         changed = sorted(
-            (envelope for envelope in newest.values() if envelope.revision > after),
+            (envelope for envelope in newest.values() if envelope.revision > start),
             key=lambda envelope: envelope.revision,
         )
-        return _make_page(changed, visible_revision)
+        return _make_page(changed, visible.state)
 
-    def read_hosts(self, reader: str, after: int, wait_ms: float) -> HostList:
+    def read_hosts(self, reader: str, after: int, wait_ms: float, generation: int = 0) -> HostList:
         """Return the host list if it is newer than a revision, otherwise an empty list.
 
+        A reader of another generation gets the list.
+
         Parameters
         ----------
         reader : str
@@ -214,30 +290,52 @@
             Revision of the host list that the reader has.
         wait_ms : float
             Time in milliseconds to wait for a newer revision.
+        generation : int
+            Generation of ``after``.
 
         Raises
         ------
         bottle.HTTPResponse
-            With status 503 during an outage.
+            With status 503 during an outage, and while the platform is away.
         """
-        self._wait_for_change(reader, lambda: self._visible_state(reader).hosts > after, wait_ms)
-        newest = self._hosts[self._visible_state(reader).hosts]
-        return newest if newest.revision > after else HostList(revision=newest.revision, hosts=())
 
-    def _visible_state(self, reader: str) -> State:
+        def is_available() -> bool:
+            state = self._visible(reader).state
+            return state.hosts > (after if state.generation == generation else 0)
+
+        self._wait_for_change(reader, is_available, wait_ms)
+        visible = self._visible(reader)
+        newest = visible.hosts[visible.state.hosts]
+        return HostList(
+            revision=newest.revision,
+            hosts=newest.hosts if is_available() else (),
+            generation=visible.state.generation,
+        )
+
+    def _newest(self) -> _History:
+        return _History(state=self.state, records=self._records, hosts=self._hosts)
+
+    def _visible(self, reader: str) -> _History:
+        """Return what a reader sees."""
         active_fault = self._faults.get(reader) or self._faults.get(_EVERY_READER)
         if active_fault is None or not active_fault.fault.stale:
-            return self.state
-        return State(records=active_fault.records, hosts=active_fault.hosts)
+            return self._newest()
+        return active_fault.seen
 
     def _wait_for_change(self, reader: str, is_available, wait_ms: float) -> None:
         self.calls[reader] += 1
+        self._check_present()
         self._apply_fault(reader)
         with gevent.Timeout(min(wait_ms, _MAX_WAIT_MS) / 1000.0, False):
             while not is_available():
                 self._changed.wait()
+                self._check_present()
                 self._apply_fault(reader)
 
+    def _check_present(self) -> None:
+        if self._away:
+            raise bottle.HTTPResponse(status=503)
+
     def _apply_fault(self, reader: str) -> None:
         active_fault = self._faults.get(reader) or self._faults.get(_EVERY_READER)
         if active_fault is None:
@@ -252,24 +350,32 @@
         return self.state
 
 
-def _make_page(changed: list[Envelope], revision: int) -> RecordPage:
+def _make_page(changed: list[Envelope], state: State) -> RecordPage:
     size = 0
     for index, envelope in enumerate(changed):
         size += len(msgspec.json.encode(envelope)) + 1
         if size > _MAX_ANSWER_BYTES - 100 and index:
             page = changed[:index]
-            return RecordPage(revision=page[-1].revision, complete=False, records=page)
-    return RecordPage(revision=revision, complete=True, records=changed)
+            return RecordPage(
+                revision=page[-1].revision,
+                complete=False,
+                records=page,
+                generation=state.generation,
+            )
+    return RecordPage(
+        revision=state.records, complete=True, records=changed, generation=state.generation
+    )
 
 
 def make_app(platform: Platform) -> bottle.Bottle:
     """Return the WSGI application that serves a platform and its control paths."""
     web = bottle.Bottle()
 
-    def read_query() -> tuple[str, int, float]:
+    def read_query() -> tuple[str, int, float, int]:
         values = bottle.request.query
         reader = bottle.request.get_header("X-Reader", "")
-        return reader, int(values.get("after", 0)), float(values.get("wait_ms", 0))
+        wait_ms = float(values.get("wait_ms", 0))
+        return reader, int(values.get("after", 0)), wait_ms, int(values.get("generation", 0))
 
     def respond(answer: object) -> bytes:
         bottle.response.content_type = "application/json"
@@ -284,6 +390,9 @@
     web.post("/control/hosts")(lambda: respond(platform.publish_hosts(decode_body(list[Host]))))
     web.post("/control/fault")(lambda: respond(platform.set_fault(decode_body(ReaderFault))))
     web.get("/control/heal")(lambda: respond(platform.heal()))
+    web.get("/control/copy")(lambda: respond(platform.make_copy()))
+    web.get("/control/away")(lambda: respond(platform.leave()))
+    web.get("/control/return")(lambda: respond(platform.return_from_copy()))
     web.get("/control/calls")(lambda: respond(platform.calls))
     web.get("/control/state")(lambda: respond(platform.state))
     return web
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -6,6 +6,8 @@
 import time
 from concurrent import futures
 
+import bottle
+import gevent
 import msgspec
 import pytest
 
@@ -283,3 +285,56 @@
         assert time.monotonic() < give_up_s
         time.sleep(0.02)
     assert ends[0].outcome is backend.RunOutcome.CUT
+
+
+def publish_key(platform_standin, name):
+    publication = platform.Publication(kind="key", name=name, spec=None, order=(1, 2))
+    return platform_standin.publish(publication)
+
+
+def names_of(records_page):
+    return [envelope.name for envelope in records_page.records]
+
+
+def test_platform_that_returns_from_a_copy_gives_out_its_revisions_again():
+    standin = platform.Platform()
+    publish_key(standin, "kept")
+    standin.publish_hosts([platform.Host(host="h", address="a", data_centre="d", region="r")])
+    standin.make_copy()
+    publish_key(standin, "lost")
+    standin.publish_hosts([])
+    assert standin.return_from_copy() == platform.State(records=1, hosts=1, generation=1)
+    everything = standin.read_records("r", 2, 0.0)
+    assert (names_of(everything), everything.generation) == (["kept"], 1)
+    assert everything.records[0].order == (1, 2)
+    assert publish_key(standin, "other").records == 2
+    assert names_of(standin.read_records("r", 1, 0.0, generation=1)) == ["other"]
+    assert len(standin.read_hosts("r", 2, 0.0).hosts) == 1
+    assert standin.read_hosts("r", 1, 0.0, generation=1).hosts == ()
+    standin.return_from_copy()
+    assert names_of(standin.read_records("r", 2, 0.0, generation=1)) == ["kept"]
+
+
+def test_platform_that_is_away_refuses_reads_and_publications():
+    standin = platform.Platform()
+    standin.make_copy()
+    waiting = gevent.spawn(standin.read_records, "r", 0, 5_000.0)
+    gevent.sleep(0.01)
+    standin.leave()
+    with pytest.raises(bottle.HTTPResponse):
+        waiting.get(timeout=2.0)
+    with pytest.raises(bottle.HTTPResponse):
+        publish_key(standin, "k")
+    standin.return_from_copy()
+    assert standin.read_records("r", 0, 0.0).generation == 1
+
+
+def test_stale_reader_stays_in_the_generation_it_saw():
+    standin = platform.Platform()
+    publish_key(standin, "k")
+    standin.set_fault(platform.ReaderFault(reader="r", stale=True))
+    standin.make_copy()
+    standin.return_from_copy()
+    publish_key(standin, "later")
+    stale = standin.read_records("r", 0, 0.0)
+    assert (names_of(stale), stale.generation) == (["k"], 0)
--- a/verbenadrum/daemon/platform_reader.py
+++ b/verbenadrum/daemon/platform_reader.py
@@ -1,6 +1,7 @@
 """Polls the platform for records and host lists, as the core's `ReadPlan` says."""
 
 import logging
+from typing import Annotated
 
 import gevent
 import msgspec
@@ -10,6 +11,7 @@
 from verbenadrum.daemon import answers, sources
 from verbenadrum.dissemination import duty
 from verbenadrum.engine import engine
+from verbenadrum.records import envelope, revisions
 
 __all__ = ["HttpSource", "PlatformReader"]
 
@@ -20,16 +22,21 @@
 _DUTY_CHECK_INTERVAL_S = 0.25
 _ERROR_DELAY_S = 1.0
 _CONNECTIONS_PER_URL = 2
+_MAX_LISTING_BYTES = 268_435_456
 
 _log = logging.getLogger(__name__)
 
 
+_Generation = Annotated[int, msgspec.Meta(ge=0, le=revisions.MAX_GENERATION)]
+
+
 class _RecordsBody(msgspec.Struct, frozen=True, kw_only=True):
     """Answer to a poll for records; the core decodes the envelopes."""
 
     revision: int
     records: tuple[msgspec.Raw, ...]
     complete: bool = True
+    generation: _Generation | msgspec.UnsetType = msgspec.UNSET
 
 
 class _HostsBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,12 +44,17 @@
 
     revision: int
     hosts: tuple[ports.HostRow, ...]
+    generation: _Generation | msgspec.UnsetType = msgspec.UNSET
 
 
 @sources.record_sources.register("records")
 class HttpSource:
     """Record source that calls a configuration service with this project's own HTTP interface.
 
+    The service numbers its revisions by a counter, and counts in ``generation`` how often it has
+    come back from an older copy. Revisions in the answers of `poll` hold both; see
+    `verbenadrum.records.revisions`.
+
     Parameters
     ----------
     options : SourceOptions
@@ -52,6 +64,7 @@
     def __init__(self, *, options: sources.SourceOptions) -> None:
         self._options = options
         self._headers = {"X-Reader": options.host, "Accept": "application/json"}
+        self._generation = 0
         # urllib3 itself sets TCP_NODELAY on its sockets.
         self._http = answers.make_pool_manager(
             num_pools=len(options.urls), maxsize=_CONNECTIONS_PER_URL, retries=False
@@ -62,32 +75,95 @@
     ) -> duty.RecordsAnswer | duty.HostsAnswer:
         """Make one long poll and return its decoded answer.
 
+        A listing of all records is read to its end, in as many calls as it takes.
+
         Raises
         ------
         SourceError
-            If the answer is too large, has another status than 200 or cannot be decoded.
+            If an answer is too large, has another status than 200, cannot be decoded, or is of an
+            older generation than one seen before, or if a listing does not end.
         urllib3.exceptions.HTTPError, OSError, gevent.Timeout
-            If the call fails or takes too long.
+            If a call fails or takes too long.
         """
-        data = self._get(base_url, stream, order)
-        if stream is duty.Stream.RECORDS:
-            body = _decode(data, _RecordsBody)
-            return duty.RecordsAnswer(
-                after=order.after,
-                revision=body.revision,
-                final=body.complete,
-                envelopes=tuple(bytes(raw) for raw in body.records),
-            )
-        body = _decode(data, _HostsBody)
-        return duty.HostsAnswer(after=order.after, revision=body.revision, rows=body.hosts)
+        known_revision = max(order.after, order.known_revision)
+        self._generation = max(self._generation, revisions.generation_of(known_revision))
+        if stream is duty.Stream.HOSTS:
+            body, _ = self._get(base_url, stream, order.after, order.wait_ms, _HostsBody)
+            generation = self._update_generation(base_url, body)
+            revision = _join(base_url, generation, body.revision)
+            return duty.HostsAnswer(after=order.after, revision=revision, rows=body.hosts)
+        body, size = self._get(base_url, stream, order.after, order.wait_ms, _RecordsBody)
+        generation = self._update_generation(base_url, body)
+        if not order.after or generation != revisions.generation_of(order.after):
+            return self._list_records(base_url, body, size)
+        return duty.RecordsAnswer(
+            after=order.after,
+            revision=_join(base_url, generation, body.revision),
+            final=body.complete,
+            envelopes=_renumbered(base_url, body, generation),
+        )
+
+    def _list_records(self, base_url: str, body: _RecordsBody, size: int) -> duty.RecordsAnswer:
+        """Read the pages that follow the first one of a listing, and return all as one answer.
 
-    def _get(self, base_url: str, stream: duty.Stream, order: duty.PollOrder) -> bytes:
-        wait_s = order.wait_ms / _MS_PER_S
+        The listing begins again if the service comes back from a copy meanwhile.
+        """
+        generation = self._generation
+        total_bytes = size
+        envelopes = _renumbered(base_url, body, generation)
+        while not body.complete:
+            cursor = _join(base_url, generation, body.revision)
+            body, size = self._get(base_url, duty.Stream.RECORDS, cursor, 0.0, _RecordsBody)
+            total_bytes += size
+            if total_bytes > _MAX_LISTING_BYTES:
+                raise sources.SourceError(
+                    f"the listing of {base_url} is longer than {_MAX_LISTING_BYTES} bytes"
+                )
+            if self._update_generation(base_url, body) != generation:
+                generation = self._generation
+                envelopes = ()
+            elif body.revision <= revisions.counter_of(cursor):
+                raise sources.SourceError(
+                    f"the listing of {base_url} does not go on after revision {body.revision}"
+                )
+            envelopes += _renumbered(base_url, body, generation)
+        return duty.RecordsAnswer(
+            after=0,
+            revision=_join(base_url, generation, body.revision),
+            final=True,
+            envelopes=tuple(raw for raw in envelopes if _has_header(raw, base_url)),
+            full_listing=True,
+        )
+
+    def _update_generation(self, base_url: str, body: _RecordsBody | _HostsBody) -> int:
+        """Return the generation of an answer; it is the one known so far if none is stated.
+
+        Raises
+        ------
+        SourceError
+            If the answer is of an older generation than the one known so far.
+        """
+        if body.generation is not msgspec.UNSET:
+            if body.generation < self._generation:
+                raise sources.SourceError(
+                    f"generation {body.generation} of {base_url} is older than {self._generation}"
+                )
+            self._generation = body.generation
+        return self._generation
+
+    def _get(
+        self, base_url: str, stream: duty.Stream, after: int, wait_ms: float, expected: type
+    ) -> tuple[_RecordsBody | _HostsBody, int]:
+        """Make one call, and return its decoded answer and the size of its body."""
+        wait_s = wait_ms / _MS_PER_S
         read_s = wait_s + self._options.read_timeout_s
+        query = f"after={revisions.counter_of(after)}&wait_ms={wait_ms:.0f}"
+        if revisions.generation_of(after):
+            query += f"&generation={revisions.generation_of(after)}"
         with gevent.Timeout(wait_s + _CALL_TIMEOUT_MARGIN_S):
             response = self._http.request(
                 "GET",
-                f"{base_url}/v1/{stream.value}?after={order.after}&wait_ms={order.wait_ms:.0f}",
+                f"{base_url}/v1/{stream.value}?{query}",
                 headers=self._headers,
                 timeout=urllib3.Timeout(connect=self._options.connect_timeout_s, read=read_s),
                 redirect=False,
@@ -96,7 +172,7 @@
             data = sources.read_answer_body(response, base_url)
         if response.status != 200:
             raise sources.SourceError(f"status {response.status} from {base_url}")
-        return data
+        return _decode(data, expected), len(data)
 
 
 class PlatformReader:
@@ -210,3 +286,37 @@
         return msgspec.json.decode(data, type=expected)
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
         raise sources.SourceError(f"cannot decode the platform's answer: {error}") from error
+
+
+def _join(base_url: str, generation: int, counter: int) -> int:
+    try:
+        return revisions.join(generation, counter)
+    except ValueError as error:
+        raise sources.SourceError(f"revision of {base_url}: {error}") from error
+
+
+def _renumbered(base_url: str, body: _RecordsBody, generation: int) -> tuple[bytes, ...]:
+    """Return the envelopes of a page, with the generation in their revisions."""
+    return tuple(_renumber(base_url, bytes(raw), generation) for raw in body.records)
+
+
+def _renumber(base_url: str, raw: bytes, generation: int) -> bytes:
+    """Return an envelope with the generation in its revision, or as it is if it has no revision."""
+    try:
+        return revisions.renumber(raw, generation)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return raw
+    except ValueError as error:
+        raise sources.SourceError(f"revision of a record of {base_url}: {error}") from error
+
+
+def _has_header(raw: bytes, base_url: str) -> bool:
+    """Return whether the header of an envelope can be read; log a warning if it cannot."""
+    try:
+        envelope.read_header(raw)
+    except envelope.UnreadableEnvelopeError as error:
+        _log.warning(
+            "record is left out of a listing", extra={"url": base_url, "fault": str(error)}
+        )
+        return False
+    return True
