Scenarios: the platform comes back from an older copy

Change: the scenario language lets the platform make a copy, return from it and get again what it lost, and publishes routes. Publications of the stand-in fleet state their order.

--- a/scenarios/actions.py
+++ b/scenarios/actions.py
@@ -124,6 +124,23 @@
     scenario_run.fleet.set_platform_fault(None)
 
 
+@actions.register("copy_platform")
+def _copy_platform(scenario_run: stage.ScenarioRun) -> None:
+    scenario_run.fleet.copy_platform()
+
+
+@actions.register("return_platform")
+def _return_platform(scenario_run: stage.ScenarioRun, away_ms: float | None) -> None:
+    scenario_run.fleet.stop_platform()
+    gevent.sleep((away_ms or 0.0) / 1000.0)
+    scenario_run.fleet.return_platform()
+
+
+@actions.register("publish_lost")
+def _publish_lost(scenario_run: stage.ScenarioRun) -> None:
+    scenario_run.fleet.publish_lost()
+
+
 @actions.register("withdraw_key")
 def _withdraw_key(scenario_run: stage.ScenarioRun, key: str) -> None:
     scenario_run.fleet.publish("key", key, None)
@@ -139,6 +156,11 @@
     scenario_run.publish_workspace(workspace)
 
 
+@actions.register("publish_route")
+def _publish_route(scenario_run: stage.ScenarioRun, route: language.Route) -> None:
+    scenario_run.publish_route(route)
+
+
 def _set_rule(scenario_run: stage.ScenarioRun, source: str, target: str, **fields: float) -> None:
     scenario_run.fleet.set_rule(
         fault_proxy.FaultRule(
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -186,6 +186,11 @@
     return float(token[:-2]) if token.endswith("ms") else float(token[:-1]) * 1000.0
 
 
+def _make_route(path: str, service: str, public: str | None, timeout_ms: float | None) -> Route:
+    fields = {} if timeout_ms is None else {"timeout_ms": timeout_ms}
+    return Route(path=path, service=service, public=public is not None, **fields)
+
+
 class _ScenarioBuilder(lark.Transformer):
     """Builds a scenario; each method handles the grammar rule of its name."""
 
@@ -228,10 +233,10 @@
         )
 
     def route(self, children: list) -> None:
-        path, service, public, timeout_ms = children
-        fields = {} if timeout_ms is None else {"timeout_ms": timeout_ms}
-        route = Route(path=path, service=service, public=public is not None, **fields)
-        self.scenario.routes.append(route)
+        self.scenario.routes.append(_make_route(*children))
+
+    def publish_route(self, children: list) -> lark.Tree:
+        return lark.Tree("publish_route", [_make_route(*children)])
 
     def event(self, children: list) -> None:
         at_ms, action = children
--- a/scenarios/stage.py
+++ b/scenarios/stage.py
@@ -92,6 +92,16 @@
         spec = {"rate_per_s": workspace.rate_per_s, "burst": workspace.burst}
         self.fleet.publish("workspace", workspace.name, spec)
 
+    def publish_route(self, route: language.Route) -> None:
+        """Publish the record of a route, which is named after its path."""
+        spec = {
+            "path_prefix": route.path,
+            "service": route.service,
+            "public": route.public,
+            "timeout_ms": route.timeout_ms,
+        }
+        self.fleet.publish("route", route.path.strip("/") or "root", spec)
+
     def service_of(self, server: str) -> str:
         """Return the service of a server."""
         return next(spec.service for spec in self.scenario.servers if spec.server == server)
@@ -159,13 +169,7 @@
         for service in {spec.service: None for spec in self.scenario.servers}:
             self.publish_pool(service)
         for route in self.scenario.routes:
-            spec = {
-                "path_prefix": route.path,
-                "service": route.service,
-                "public": route.public,
-                "timeout_ms": route.timeout_ms,
-            }
-            self.fleet.publish("route", route.path.strip("/") or "root", spec)
+            self.publish_route(route)
         for workspace in self.scenario.workspaces:
             self.publish_workspace(workspace)
             for key in workspace.keys:
--- a/scenarios/tests/test_language.py
+++ b/scenarios/tests/test_language.py
@@ -22,6 +22,11 @@
 at 2s slow between h1 and n1 by 30ms at 30 mbit
 at 2s platform outage for h1, h2
 at 2s publish workspace board rate 1 burst 2
+at 3s platform copied
+at 4s platform returns after 500ms
+at 5s platform returns
+at 5s platform written again
+at 6s publish route /new to orders within 2s
 expect reads whole after 1s >= 99.5%
 expect reads code key-refused = 0
 """
@@ -37,7 +42,7 @@
     ]
     assert scenario.workspaces[0].keys == ("secret-1", "secret-2")
     assert (scenario.routes[0].public, scenario.routes[0].timeout_ms) == (True, 500.0)
-    load, stall, truncate, cut, slow, platform, publish = scenario.events
+    load, stall, truncate, cut, slow, platform, publish, *others = scenario.events
     assert load.arguments[0].targets == ("h1", "h2")
     assert load.arguments[0].keyed and load.arguments[0].resend
     fault = behaviours.Fault(name="stall", share=0.3)
@@ -47,6 +52,14 @@
     assert slow.arguments == ("h1", "n1", 30.0, 30.0)
     assert platform.arguments == ("outage", ("h1", "h2"))
     assert publish.arguments == ("board", (1.0, 2.0))
+    route = language.Route(path="/new", service="orders", timeout_ms=2000.0)
+    assert [(event.action, event.arguments) for event in others] == [
+        ("copy_platform", ()),
+        ("return_platform", (500.0,)),
+        ("return_platform", (None,)),
+        ("publish_lost", ()),
+        ("publish_route", (route,)),
+    ]
     assert str(scenario.expectations[0]) == "reads whole after 1s >= 99.5%"
     assert scenario.expectations[1].argument == "key-refused"
 
--- a/scenarios/tests/test_run.py
+++ b/scenarios/tests/test_run.py
@@ -8,7 +8,7 @@
 from standins import child
 
 KNOWN_RED = child.REPOSITORY_ROOT / "KNOWN-RED.txt"
-NAMES = ("end_to_end", "withdrawn_key", "broken_answers", "limited_server")
+NAMES = ("end_to_end", "withdrawn_key", "broken_answers", "limited_server", "platform_returns")
 TIMEOUT_S = 180.0
 # The scenarios run at once, so their tests must run in one process.
 pytestmark = pytest.mark.xdist_group("scenarios")
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,8 @@
 # How far ahead the first fleet record allows claims; each host must hold an epoch by then.
 _SERVE_FROM_DELAY_MS = 60_000.0
 _CLOCK_MARGIN_MS = 2_000.0
+# First part of the order of all records that a fleet publishes.
+_WRITER_START = 1
 _RunEvent = backend.Run | backend.RunEnd
 _SETTINGS_TEMPLATE = """\
 [host]
@@ -118,6 +120,11 @@
         self._shares: list[dict[str, object]] = []
         self._platform_port = 0
         self._proxy_port = 0
+        self._published_count = 0
+        # Newest publications since the platform's copy, by kind and name, and those of them that
+        # its return has lost. None stands for the host list.
+        self._since_copy: dict[tuple[str, str] | None, object] = {}
+        self._lost: dict[tuple[str, str] | None, object] = {}
 
     def __enter__(self) -> "Fleet":
         """Start the platform and the fault proxy, and wait until they listen."""
@@ -247,7 +254,7 @@
             for name, running in self._hosts.items()
             if name not in unlisted
         ]
-        serving.call(self._platform_port, "/control/hosts", rows)
+        self._publish_rows(rows)
 
     def wait_ready(self, host: str) -> None:
         """Wait until the readiness check of a host succeeds.
@@ -268,10 +275,17 @@
         raise child.ChildError(f"{host} did not become ready")
 
     def publish(self, kind: str, name: str, spec: object) -> None:
-        """Publish a record of a kind and name; a ``spec`` of None withdraws it."""
+        """Publish a record of a kind and name; a ``spec`` of None withdraws it.
+
+        Raises
+        ------
+        CallError
+            If the platform is away.
+        """
         content = None if spec is None else msgspec.to_builtins(spec)
-        publication = platform.Publication(kind=kind, name=name, spec=content)
-        serving.call(self._platform_port, "/control/publish", publication)
+        self._published_count += 1
+        order = (_WRITER_START, self._published_count)
+        self._publish(platform.Publication(kind=kind, name=name, spec=content, order=order))
 
     def publish_data_centre_weights(self, weights: dict[tuple[str, str], float]) -> None:
         """Publish the fleet record, with weights by region and data centre.
@@ -305,6 +319,18 @@
                 time.sleep(_READY_POLL_INTERVAL_S)
         self._publish_fleet_record(time.time() * 1000.0 - _CLOCK_MARGIN_MS)
 
+    def _publish(self, publication: platform.Publication) -> None:
+        serving.call(self._platform_port, "/control/publish", publication)
+        self._set_published((publication.kind, publication.name), publication)
+
+    def _publish_rows(self, rows: list[platform.Host]) -> None:
+        serving.call(self._platform_port, "/control/hosts", rows)
+        self._set_published(None, rows)
+
+    def _set_published(self, key: tuple[str, str] | None, published: object) -> None:
+        self._since_copy[key] = published
+        self._lost.pop(key, None)
+
     def _publish_fleet_record(self, serve_from_ms: float) -> None:
         content = {"data_centres": self._shares, "serve_from_wall_ms": serve_from_ms}
         self.publish("fleet", "fleet", content)
@@ -314,6 +340,30 @@
         path = "/control/heal" if fault is None else "/control/fault"
         serving.call(self._platform_port, path, fault)
 
+    def copy_platform(self) -> None:
+        """Let the platform make a copy of all that is published, in place of an earlier copy."""
+        serving.call(self._platform_port, "/control/copy")
+        self._since_copy.clear()
+
+    def stop_platform(self) -> None:
+        """Let the platform refuse all reads and publications until it returns from its copy."""
+        serving.call(self._platform_port, "/control/away")
+
+    def return_platform(self) -> None:
+        """Let the platform come back from its copy; what was published since is lost there."""
+        self._lost = dict(self._since_copy)
+        serving.call(self._platform_port, "/control/return")
+
+    def publish_lost(self) -> None:
+        """Publish again what the platform's return has lost and nobody has published since."""
+        for key, lost in list(self._lost.items()):
+            if self._lost.get(key) is not lost:
+                continue
+            if key is None:
+                self._publish_rows(lost)
+            else:
+                self._publish(lost)
+
     def platform_calls(self) -> dict[str, int]:
         """Return the number of calls that the platform has received, by reader."""
         return serving.call(self._platform_port, "/control/calls")
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -338,3 +338,22 @@
     publish_key(standin, "later")
     stale = standin.read_records("r", 0, 0.0)
     assert (names_of(stale), stale.generation) == (["k"], 0)
+
+
+def test_what_a_return_has_lost_is_published_again_unless_it_has_been_since():
+    with fleet.Fleet(proxied=False) as running:
+        for name in ("kept", "lost", "newer"):
+            running.publish("workspace", name, {"rate_per_s": 1, "burst": 1})
+        running.copy_platform()
+        for name in ("lost", "newer"):
+            running.publish("workspace", name, None)
+        running.stop_platform()
+        with pytest.raises(serving.CallError):
+            running.publish("workspace", "newer", None)
+        running.return_platform()
+        running.publish("workspace", "newer", {"rate_per_s": 2, "burst": 1})
+        for _ in range(2):
+            running.publish_lost()
+        records = serving.call(running._platform_port, "/v1/records?after=3&generation=1")
+    published = [(each["name"], each["spec"] is None, each["order"]) for each in records["records"]]
+    assert published == [("newer", False, [1, 7]), ("lost", True, [1, 4])]
