Soak: the configuration service comes back from older copies

Each configuration has a route and a key of its own, servers with records of their own join and leave, and callers ask every host for them on open connections. A route timeout that a return has lost excuses nothing before it is due again.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -354,8 +354,15 @@
         self._lost = dict(self._since_copy)
         serving.call(self._platform_port, "/control/return")
 
-    def publish_lost(self) -> None:
-        """Publish again what the platform's return has lost and nobody has published since."""
+    def publish_lost(self) -> list[tuple[str, str]]:
+        """Publish again what the platform's return has lost and nobody has published since.
+
+        Returns
+        -------
+        list of (str, str)
+            Kinds and names of the records.
+        """
+        published = []
         for key, lost in list(self._lost.items()):
             if self._lost.get(key) is not lost:
                 continue
@@ -363,6 +370,8 @@
                 self._publish_rows(lost)
             else:
                 self._publish(lost)
+                published.append(key)
+        return published
 
     def platform_calls(self) -> dict[str, int]:
         """Return the number of calls that the platform has received, by reader."""
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -33,6 +33,7 @@
     soak_checks,
     soak_configuration,
     soak_faults,
+    soak_returns,
     soak_signals,
 )
 
@@ -80,7 +81,8 @@
     signals : bool
         Whether servers name limits, ask for rests and leave meanwhile.
     faults : bool
-        Whether servers send broken answers and interim heads, and hosts are killed.
+        Whether servers send broken answers and interim heads, hosts are killed, and the platform
+        returns from older copies.
     stalls : bool
         Whether hosts that are shut down are stopped for a while, as on a busy machine.
     many : bool
@@ -152,22 +154,31 @@
         upload_rng=random.Random(f"{options.seed}/uploads"),
         results=callers.results,
     )
+    returns = soak_returns.Returns(
+        work=work, seed=options.seed, seconds=options.seconds, results=callers.results
+    )
     if options.signals:
         signals.start()
     if options.faults:
         faults.start()
+        returns.start()
     rng = random.Random(f"{options.seed}/steps")
     steps = planned_work.draw_steps(rng, work.fleet.hosts, options.seconds, many=options.many)
     work.run(steps)
     faults.stop()
+    if options.faults:
+        returns.stop()
     work.wait()
+    if options.faults:
+        returns.finish()
     gevent.sleep(_FINAL_TRAFFIC_S)
     callers.stop()
     signals.stop()
     _wait_until_answering(work, options.seed)
     checks = soak_checks.Checks(work=work, results=callers.results, strays=callers.strays)
     violations = signals.violations(checks, callers.results)
-    return checks, violations + faults.violations(callers.results)
+    violations += faults.violations(callers.results)
+    return checks, violations + returns.violations(checks)
 
 
 def _start_fleet(running: fleet.Fleet, options: Options) -> planned_work.PlannedWork:
@@ -197,7 +208,11 @@
     aside = fleet.ServerSpec(
         server="aside1", service=soak_configuration.ASIDE_SERVICE, data_centre="d1"
     )
-    running.start_servers([aside], slots=soak_configuration.SLOTS)
+    moving = [
+        fleet.ServerSpec(server=name, service=soak_configuration.MOVING_SERVICE, data_centre="d1")
+        for name in soak_returns.SERVERS
+    ]
+    running.start_servers([aside, *moving], slots=soak_configuration.SLOTS)
     work.configurations.publish_change()
     running.start_hosts(
         [
@@ -275,7 +290,7 @@
     flags.DEFINE_float("limit_ms", 2_000.0, "Setting limit_ms of the hosts.")
     flags.DEFINE_float("margin_ms", 500.0, "Setting margin_ms of the hosts.")
     flags.DEFINE_bool("signals", False, "Whether servers send signals about themselves.")
-    flags.DEFINE_bool("faults", False, "Whether servers send broken answers and hosts are killed.")
+    flags.DEFINE_bool("faults", False, "Whether servers, hosts and the platform have faults.")
     flags.DEFINE_bool("stalls", False, "Whether hosts that are shut down are stopped for a while.")
     flags.DEFINE_bool("many", False, "Whether many hosts are shut down at once or in series.")
     flags.DEFINE_string("keep_logs", "", "Folder to which the logs of a failed seed are copied.")
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -22,12 +22,12 @@
 from standins import backend, planned_work, raw_caller, soak_stalls
 from verbenadrum.daemon import callers
 
-__all__ = ["Checks", "Violation"]
+__all__ = ["Checks", "MAX_APPLY_MS", "Violation"]
 
 # A connection must be closed within this time of the last byte of a request that is not forwarded.
 _CLOSE_TOLERANCE_MS = 200.0
 # Time within which every host applies a new configuration.
-_MAX_APPLY_MS = 4_000.0
+MAX_APPLY_MS = 4_000.0
 # A host buffers a body of up to this size before it forwards the request; it streams larger ones.
 _MAX_BUFFERED_BYTES = callers.MAX_REPLAYABLE_BYTES
 # Statuses that guarantee that the request has not run.
@@ -235,7 +235,7 @@
     def _excuse_time(self, result: raw_caller.RequestResult) -> str:
         taken_ms = result.ended_ms - result.begun_ms
         timeout_ms = self._work.configurations.min_timeout_ms(
-            result.begun_ms, result.ended_ms, _MAX_APPLY_MS
+            result.begun_ms, result.ended_ms, MAX_APPLY_MS
         )
         if taken_ms >= timeout_ms:
             return "its route's timeout was reached"
