Limits: a jump of the time of day ends no loans

A home told suspensions of its machine from the difference between the wall clock and the monotonic clock. A jump of the time of day forward counted as a suspension: all loans ended, and with them what the buckets held. A jump back hid a suspension. The monotonic clock that counts suspensions decides now.

The test of a suspended home moves the clock that counts suspensions, beside the wall clock which it moved before.

--- a/benchmarks/limits_fleet.py
+++ b/benchmarks/limits_fleet.py
@@ -53,6 +53,10 @@
         """Return the wall time, which is the same on every host."""
         return self._fleet.now_ms + WALL_MS
 
+    def boot_ms(self) -> float:
+        """Return this host's monotonic time, as nothing is ever suspended."""
+        return self.now_ms()
+
 
 class Faults(msgspec.Struct, kw_only=True):
     """Faults of the peer channel.
--- a/verbenadrum/limits/meters.py
+++ b/verbenadrum/limits/meters.py
@@ -31,7 +31,7 @@
 _FIRST_ASK_INTERVAL_MS = 100.0
 _LAST_ASK_INTERVAL_MS = 400.0
 _IDLE_EXPIRY_MS = 10_000.0
-# The monotonic clock may stand still while the machine is suspended; the wall clock does not.
+# Difference between the two monotonic clocks from which on the machine was suspended.
 _SUSPENSION_MS = 200.0
 
 
@@ -166,7 +166,7 @@
         self._lenders = lender_list
         self._meters: dict[ids.WorkspaceId, Meter] = {}
         self._closed = False
-        self._wall_offset_ms = context.clock.wall_ms() - context.now_ms()
+        self._suspended_ms = context.clock.boot_ms() - context.now_ms()
 
     def holder(self, workspace: ids.WorkspaceId) -> ids.HostId:
         """Return the other host that has borrowed the shares of a workspace; empty if unknown."""
@@ -356,13 +356,13 @@
 
     def end_loans_after_suspension(self) -> None:
         """End all loans if the machine was suspended, since their time went on meanwhile."""
-        offset_ms = self._context.clock.wall_ms() - self._context.now_ms()
-        if offset_ms - self._wall_offset_ms > _SUSPENSION_MS:
+        suspended_ms = self._context.clock.boot_ms() - self._context.now_ms()
+        if suspended_ms - self._suspended_ms > _SUSPENSION_MS:
             for meter in self._meters.values():
                 meter.borrowed.clear()
                 meter.extras.clear()
                 meter.level, meter.live = min(0.0, meter.level), 0.0
-        self._wall_offset_ms = offset_ms
+        self._suspended_ms = suspended_ms
 
     def _add_share(self, lender: ids.HostId, row: messages.ShareRow, until_ms: float) -> None:
         workspace = ids.WorkspaceId(row.workspace)
--- a/verbenadrum/limits/tests/test_loans.py
+++ b/verbenadrum/limits/tests/test_loans.py
@@ -77,13 +77,44 @@
     home, _, other = ranked(fleet)[:3]
     spend(fleet, other, count=1)
     meters = fleet.hosts[home].limiter._meters
-    wall_ms = fleet.hosts[home].clock.wall_ms
-    # The monotonic clock stood still for ten seconds, while the wall clock went on.
-    monkeypatch.setattr(fleet.hosts[home].clock, "wall_ms", lambda: wall_ms() + 10_000.0)
+    move_clocks(monkeypatch, fleet, suspended_ms=10_000.0)
     spec = types.WorkspaceSpec(rate_per_s=RATE_PER_S, burst=BURST)
     assert not meters.take_token("w", spec).granted
 
 
+def move_clocks(monkeypatch, fleet, *, suspended_ms=0.0, wall_jump_ms=0.0):
+    """Let the monotonic clock of every host have stood still, and its wall clock have jumped."""
+    for host in fleet.hosts.values():
+        offset_ms, boot_ms = host.clock.wall_ms() - host.clock.now_ms(), host.clock.boot_ms
+        monkeypatch.setattr(
+            host.clock,
+            "wall_ms",
+            lambda clock=host.clock, offset_ms=offset_ms + suspended_ms + wall_jump_ms: (
+                clock.now_ms() + offset_ms
+            ),
+        )
+        monkeypatch.setattr(host.clock, "boot_ms", lambda ms=boot_ms: ms() + suspended_ms)
+
+
+def test_suspension_is_noticed_although_the_time_of_day_went_back(monkeypatch):
+    fleet = make_fleet()
+    home, _, other = ranked(fleet)[:3]
+    spend(fleet, other, count=1)
+    move_clocks(monkeypatch, fleet, suspended_ms=3_000.0, wall_jump_ms=-5_000.0)
+    spec = types.WorkspaceSpec(rate_per_s=RATE_PER_S, burst=BURST)
+    assert not fleet.hosts[home].limiter._meters.take_token("w", spec).granted
+
+
+@pytest.mark.parametrize("wall_jump_ms", [-5_000.0, 300.0, 5_000.0])
+def test_jump_of_the_time_of_day_takes_no_burst_away(monkeypatch, wall_jump_ms):
+    fleet = make_fleet(hosts=22, regions=2)
+    spend(fleet, fleet.names[0], count=1)
+    fleet.run(fleet.now_ms + 1_000.0)
+    move_clocks(monkeypatch, fleet, wall_jump_ms=wall_jump_ms)
+    fleet.run(fleet.now_ms + 300.0)
+    assert spend(fleet, fleet.names[0]) >= BURST
+
+
 # Messages are not ordered: a late release freed a share that had been lent once more.
 def test_release_that_arrives_after_the_next_loan_does_not_end_it():
     fleet = make_fleet()
--- a/verbenadrum/utils/clock.py
+++ b/verbenadrum/utils/clock.py
@@ -19,7 +19,10 @@
         """Return monotonic time in milliseconds, with an arbitrary origin."""
 
     def wall_ms(self) -> float:
-        """Return milliseconds since the Unix epoch."""
+        """Return milliseconds since the Unix epoch; it may jump forward and back."""
+
+    def boot_ms(self) -> float:
+        """Return monotonic time in milliseconds that also counts suspensions of the machine."""
 
 
 class SystemClock:
@@ -37,6 +40,10 @@
         """Return the machine's wall time in milliseconds since the Unix epoch."""
         return time.time() * _MS_PER_S
 
+    def boot_ms(self) -> float:
+        """Return the machine's monotonic time in milliseconds, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S
+
 
 class SteppedClock:
     """Clock that advances only by calls of `advance`, for tests and simulations.
@@ -68,6 +75,10 @@
         """Return the current wall time in milliseconds since the Unix epoch."""
         return self._now_ms + self._wall_offset_ms
 
+    def boot_ms(self) -> float:
+        """Return the current monotonic time in milliseconds, as nothing is ever suspended."""
+        return self._now_ms
+
     def advance(self, step_ms: float) -> None:
         """Advance both times.
 
