Signals: start times say which process is meant, not which is the later

What a server said (leaving, a limit, a rest) was held against its next process if that one had an earlier start time, as after a step back of its clock: it got nothing for good, kept the old limit for good, or rested for up to an hour. Its own word that it was leaving was taken for known and then bound nobody. A late answer of the process before replaced the word of the present one.

Words are kept by server and start time. Sizes are compared only where a host has not yet seen the record of the process that said it.

--- a/verbenadrum/placement/entry_side.py
+++ b/verbenadrum/placement/entry_side.py
@@ -467,7 +467,7 @@
         server = ids.ServerId(entry.server)
         if answer.limit_per_s < 0.0:
             return True
-        if answer.limit_age_ms < self._signals.limit_age_ms(server):
+        if answer.limit_age_ms < self._signals.limit_age_ms(entry):
             self._signals.record_limit(
                 server, entry.started_wall_ms, answer.limit_per_s, heard_from=home
             )
--- a/verbenadrum/placement/home_side.py
+++ b/verbenadrum/placement/home_side.py
@@ -474,7 +474,7 @@
             lease.retry_until_ms = lease.deadline_ms
         self._leases.open(lease)
         self._rates.spend(entry)
-        limit_age_ms = self._signals.limit_age_ms(server)
+        limit_age_ms = self._signals.limit_age_ms(entry)
         limited = math.isfinite(limit_age_ms)
         answer = _answer(
             ask,
--- a/verbenadrum/placement/signals.py
+++ b/verbenadrum/placement/signals.py
@@ -11,43 +11,120 @@
 
 __all__ = ["ServerSignals"]
 
-# A server without a published start time cannot be told from the next process under its name. It
-# may be used again this long after its last word, unless a probe ends or renews that.
-_UNKNOWN_START_TTL_MS = 30_000.0
+# A word that the published start times cannot attribute to a process holds for this long after it
+# was heard, unless a probe ends or renews it: a record may lag behind the word, and a server
+# without a start time cannot be told from the next process under its name.
+_UNCERTAIN_TTL_MS = 30_000.0
 # Bounds the memory; a fleet of 8,000 servers has few that leave at the same time.
-_MAX_ROWS = 4_096
+_MAX_SERVERS = 4_096
+# Late answers of a process may be handled after those of the next one under its name.
+_MAX_PROCESSES = 3
 
 
-class _LeavingRow(msgspec.Struct, kw_only=True):
-    """A server's word that it is leaving; ``started_wall_ms`` is 0 if its start is not known."""
+class _Word(msgspec.Struct, kw_only=True):
+    """What one process of a server has said.
+
+    Attributes
+    ----------
+    started_wall_ms : float
+        Published start time of the process; 0 if it is not known.
+    since_ms, heard_ms : float
+        Monotonic times at which it was heard first and last, in milliseconds.
+    heard_from : str
+        Host to which it was said first.
+    published : bool
+        Whether this host has seen a record with this start time.
+    """
 
     started_wall_ms: float
     since_ms: float
     heard_ms: float
     heard_from: str
+    published: bool = False
 
 
-class _LimitRow(msgspec.Struct, kw_only=True):
-    """A server's last word on its limit; ``limit_per_s`` is infinite once an answer named none.
-
-    ``since_ms`` is when the limit in force was named first.
-    """
+class _LimitWord(_Word, kw_only=True):
+    """Limit of a process; infinite once an answer named none."""
 
-    started_wall_ms: float
-    since_ms: float
-    heard_ms: float
-    heard_from: str
     limit_per_s: float
 
 
-class _RestRow(msgspec.Struct, kw_only=True):
-    """Until when a server wants nothing from this host, in monotonic milliseconds."""
+class _RestWord(_Word, kw_only=True):
+    """Until when a process wants nothing from this host, in monotonic milliseconds."""
 
-    started_wall_ms: float
-    since_ms: float
     until_ms: float
 
 
+class _WordTable:
+    """Last word of each process of the servers.
+
+    Start times identify processes but do not order them: a server whose clock was set back starts
+    again with an earlier time.
+
+    Parameters
+    ----------
+    now_ms : callable
+        Returns the monotonic time in milliseconds.
+    """
+
+    def __init__(self, *, now_ms: Callable[[], float]) -> None:
+        self._now_ms = now_ms
+        # By server and start time; what was heard last is the last one.
+        self._words: dict[ids.ServerId, dict[float, _Word]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of servers with a word."""
+        return len(self._words)
+
+    def of_process(self, server: ids.ServerId, started_wall_ms: float) -> _Word | None:
+        """Return the word of one process, or None."""
+        return self._words.get(server, {}).get(started_wall_ms)
+
+    def last(self, server: ids.ServerId) -> _Word | None:
+        """Return the word of a server that was heard last, or None."""
+        return next(reversed(self._words.get(server, {}).values()), None)
+
+    def store(self, server: ids.ServerId, word: _Word) -> None:
+        """Store the word of a process, and drop the ones that were heard first if too many."""
+        words = self._words.pop(server, {})
+        words.pop(word.started_wall_ms, None)
+        words[word.started_wall_ms] = word
+        if len(words) > _MAX_PROCESSES:
+            del words[next(iter(words))]
+        self._words[server] = words
+        if len(self._words) > _MAX_SERVERS:
+            del self._words[next(iter(self._words))]
+
+    def drop(self, server: ids.ServerId, started_wall_ms: float) -> None:
+        """Drop the word of one process, if there is one."""
+        words = self._words.get(server, {})
+        words.pop(started_wall_ms, None)
+        if not words:
+            self._words.pop(server, None)
+
+    def find(self, entry: types.ServerEntry) -> _Word | None:
+        """Return the word of the process that a record describes, or None.
+
+        A record that was published before the process that said it may lag behind the word.
+        """
+        words = self._words.get(ids.ServerId(entry.server))
+        if words is None:
+            return None
+        own = words.get(entry.started_wall_ms)
+        if own is not None:
+            own.published = True
+            return own
+        for word in reversed(words.values()):
+            lags = entry.started_wall_ms < word.started_wall_ms and not word.published
+            if lags and self.is_recent(word):
+                return word
+        return None
+
+    def is_recent(self, word: _Word) -> bool:
+        """Return whether a word was heard so lately that it may concern an unknown process."""
+        return self._now_ms() - word.heard_ms < _UNCERTAIN_TTL_MS
+
+
 class ServerSignals:
     """Signals that backend servers have sent in their answers, to this host or to others.
 
@@ -68,11 +145,10 @@
     def __init__(self, *, now_ms: Callable[[], float], host: str = "") -> None:
         self._now_ms = now_ms
         self._host = host
-        # The row that was heard last is the last one.
-        self._leaving: dict[ids.ServerId, _LeavingRow] = {}
-        # Likewise; only servers that have named a limit have a row.
-        self._limits: dict[ids.ServerId, _LimitRow] = {}
-        self._rests: dict[ids.ServerId, _RestRow] = {}
+        self._leaving = _WordTable(now_ms=now_ms)
+        # Only servers that have named a limit have a word.
+        self._limits = _WordTable(now_ms=now_ms)
+        self._rests = _WordTable(now_ms=now_ms)
 
     @property
     def any_limited(self) -> bool:
@@ -89,7 +165,8 @@
         server : ServerId
             The server.
         started_wall_ms : float
-            Published start time of the process that said so; 0 if it is not known.
+            Start time of the process that said so, as published in the record of the host that
+            heard it; 0 if it is not known.
         heard_from : str
             Host to which it said so; empty for this one.
 
@@ -98,26 +175,34 @@
         bool
             Whether this is news.
         """
-        previous = self._leaving.pop(server, None)
-        known = previous is not None and previous.started_wall_ms >= started_wall_ms
+        previous = self._leaving.of_process(server, started_wall_ms)
+        if previous is None and not started_wall_ms:
+            previous = self._leaving.last(server)
         now_ms = self._now_ms()
-        self._leaving[server] = _LeavingRow(
-            started_wall_ms=previous.started_wall_ms if known else started_wall_ms,
-            since_ms=previous.since_ms if known else now_ms,
+        if previous is not None:
+            self._leaving.store(server, msgspec.structs.replace(previous, heard_ms=now_ms))
+            return False
+        self._leaving.drop(server, 0.0)
+        word = _Word(
+            started_wall_ms=started_wall_ms,
+            since_ms=now_ms,
             heard_ms=now_ms,
-            heard_from=previous.heard_from if known else heard_from or self._host,
+            heard_from=heard_from or self._host,
+            published=not heard_from,
         )
-        _bound(self._leaving)
-        return not known
+        self._leaving.store(server, word)
+        return True
 
     def is_leaving(self, entry: types.ServerEntry) -> bool:
         """Return whether the process that a record describes has said that it is leaving."""
-        row = self._leaving.get(ids.ServerId(entry.server))
-        if row is None:
-            return False
-        if entry.started_wall_ms and row.started_wall_ms:
-            return entry.started_wall_ms <= row.started_wall_ms
-        return self._now_ms() - row.heard_ms < _UNKNOWN_START_TTL_MS
+        return self._leaving_word(entry) is not None
+
+    def _leaving_word(self, entry: types.ServerEntry) -> _Word | None:
+        word = self._leaving.find(entry)
+        if word is not None and word.started_wall_ms:
+            return word
+        unknown = self._leaving.of_process(ids.ServerId(entry.server), 0.0)
+        return unknown if unknown is not None and self._leaving.is_recent(unknown) else None
 
     def record_staying(self, server: ids.ServerId, *, asked_ms: float) -> None:
         """Record a probe's answer without the word; it counts if the start time is not known.
@@ -130,9 +215,9 @@
             Monotonic time, in ms, at which the probe was ordered. A word that was heard later
             stands, although the answer to the probe is handled after it.
         """
-        row = self._leaving.get(server)
-        if row is not None and not row.started_wall_ms and row.heard_ms <= asked_ms:
-            del self._leaving[server]
+        word = self._leaving.of_process(server, 0.0)
+        if word is not None and word.heard_ms <= asked_ms:
+            self._leaving.drop(server, 0.0)
 
     def record_limit(
         self,
@@ -151,23 +236,20 @@
         bool
             Whether this is news.
         """
-        previous = self._limits.get(server)
+        previous = self._limits.of_process(server, started_wall_ms)
         if previous is None and math.isinf(limit_per_s):
             return False
-        if previous is not None and previous.started_wall_ms > started_wall_ms:
-            # A late answer of the process before.
-            return False
-        self._limits.pop(server, None)
         now_ms = self._now_ms()
         is_news = previous is None or previous.limit_per_s != limit_per_s
-        self._limits[server] = _LimitRow(
+        word = _LimitWord(
             started_wall_ms=started_wall_ms,
             since_ms=now_ms if is_news else previous.since_ms,
             heard_ms=now_ms,
             heard_from=heard_from or self._host if is_news else previous.heard_from,
+            published=not heard_from or (previous is not None and previous.published),
             limit_per_s=limit_per_s,
         )
-        _bound(self._limits)
+        self._limits.store(server, word)
         return is_news
 
     def record_rest(self, server: ids.ServerId, started_wall_ms: float, rest_ms: float) -> bool:
@@ -179,35 +261,35 @@
             Whether the server was not resting before.
         """
         now_ms = self._now_ms()
-        previous = self._rests.pop(server, None)
+        previous = self._rests.of_process(server, started_wall_ms)
         resting = previous is not None and previous.until_ms > now_ms
-        until_ms = max(now_ms + rest_ms, previous.until_ms if resting else 0.0)
-        self._rests[server] = _RestRow(
+        word = _RestWord(
             started_wall_ms=started_wall_ms,
             since_ms=previous.since_ms if resting else now_ms,
-            until_ms=until_ms,
+            heard_ms=now_ms,
+            heard_from=self._host,
+            until_ms=max(now_ms + rest_ms, previous.until_ms if resting else 0.0),
         )
-        _bound(self._rests)
+        self._rests.store(server, word)
         return not resting
 
     def rest_ms(self, entry: types.ServerEntry) -> float:
         """Return for how much longer the process of a record wants nothing from this host."""
-        row = self._rests.get(ids.ServerId(entry.server))
-        if row is None or entry.started_wall_ms > row.started_wall_ms:
-            return 0.0
-        return max(0.0, row.until_ms - self._now_ms())
+        word = self._rests.of_process(ids.ServerId(entry.server), entry.started_wall_ms)
+        return 0.0 if word is None else max(0.0, word.until_ms - self._now_ms())
 
     def limit_per_s(self, entry: types.ServerEntry) -> float:
         """Return the limit that the process of a record has named; infinite for none."""
-        row = self._limits.get(ids.ServerId(entry.server))
-        if row is None or entry.started_wall_ms > row.started_wall_ms:
-            return math.inf
-        return row.limit_per_s
+        word = self._limits.find(entry)
+        return math.inf if word is None else word.limit_per_s
 
-    def limit_age_ms(self, server: ids.ServerId) -> float:
-        """Return the age of a server's last word on its limit; infinite if it never named one."""
-        row = self._limits.get(server)
-        return math.inf if row is None else self._now_ms() - row.heard_ms
+    def limit_age_ms(self, entry: types.ServerEntry) -> float:
+        """Return the age of the last word of a record's process on its limit.
+
+        It is infinite if the process never named one.
+        """
+        word = self._limits.find(entry)
+        return math.inf if word is None else self._now_ms() - word.heard_ms
 
     def in_force(self, entries: Iterable[types.ServerEntry]) -> Iterator[ports.ServerSignal]:
         """Yield the signals that hold back requests of this host from servers, with their age.
@@ -220,16 +302,16 @@
         now_ms = self._now_ms()
         for entry in entries:
             server = ids.ServerId(entry.server)
-            if self.is_leaving(entry):
-                row = self._leaving[server]
+            leaving = self._leaving_word(entry)
+            if leaving is not None:
                 yield ports.ServerSignal(
                     server=server,
                     signal="leaving",
-                    for_ms=round(now_ms - row.since_ms, 1),
-                    heard_from=row.heard_from,
+                    for_ms=round(now_ms - leaving.since_ms, 1),
+                    heard_from=leaving.heard_from,
                 )
-            if math.isfinite(self.limit_per_s(entry)):
-                limit = self._limits[server]
+            limit = self._limits.find(entry)
+            if limit is not None and math.isfinite(limit.limit_per_s):
                 yield ports.ServerSignal(
                     server=server,
                     signal="limit",
@@ -237,17 +319,12 @@
                     heard_from=limit.heard_from,
                     limit_per_s=limit.limit_per_s,
                 )
-            if self.rest_ms(entry):
+            rest = self._rests.of_process(server, entry.started_wall_ms)
+            if rest is not None and rest.until_ms > now_ms:
                 yield ports.ServerSignal(
                     server=server,
                     signal="rest",
-                    for_ms=round(now_ms - self._rests[server].since_ms, 1),
+                    for_ms=round(now_ms - rest.since_ms, 1),
                     heard_from=self._host,
-                    left_ms=round(self.rest_ms(entry), 1),
+                    left_ms=round(rest.until_ms - now_ms, 1),
                 )
-
-
-def _bound(rows: dict) -> None:
-    """Drop the row that was heard first if there are too many."""
-    if len(rows) > _MAX_ROWS:
-        del rows[next(iter(rows))]
--- a/verbenadrum/placement/tests/test_leaving.py
+++ b/verbenadrum/placement/tests/test_leaving.py
@@ -135,17 +135,83 @@
     assert [each.server for each in said.in_force(entries)] == ["a"]
 
 
-def test_new_process_of_a_server_that_left_gets_requests():
+# The time of day of a server may have gone back before it started again.
+@pytest.mark.parametrize("later_ms", [1.0, -1.0])
+def test_new_process_of_a_server_that_left_gets_requests(later_ms):
     leaving = LeavingFleet(seed=6)
     leaving.fleet.run(5_000.0)
     server = leaving.fleet.servers[LEAVING]
     server.draining = False
-    leaving.publish(started_wall_ms=STARTED_WALL_MS + 1.0)
+    leaving.publish(started_wall_ms=STARTED_WALL_MS + later_ms)
     before = server.received
     leaving.fleet.run(3_000.0)
     assert server.received > before
 
 
+@pytest.mark.parametrize("later_ms", [1.0, -1.0])
+def test_second_process_that_says_that_it_is_leaving_gets_nothing_more(later_ms):
+    leaving = LeavingFleet(seed=8)
+    leaving.fleet.run(5_000.0)
+    server = leaving.fleet.servers[LEAVING]
+    server.draining = False
+    leaving.heard.clear()
+    leaving.publish(started_wall_ms=STARTED_WALL_MS + later_ms)
+    leaving.fleet.run(5_000.0)
+    assert leaving.heard == set()
+    server.draining = True
+    leaving.fleet.run(20_000.0)
+    assert leaving.heard
+    assert leaving.broken == []
+
+
+def said_by(word, said, started_wall_ms):
+    """Let a process say that it is leaving, name a limit, or ask for a rest."""
+    if word == "leaving":
+        said.record_leaving("a", started_wall_ms)
+    elif word == "limit":
+        said.record_limit("a", started_wall_ms, 4.0)
+    else:
+        said.record_rest("a", started_wall_ms, 60_000.0)
+
+
+def signals_of(said, started_wall_ms):
+    entry = types.ServerEntry(server="a", address="127.0.0.1:1", started_wall_ms=started_wall_ms)
+    return [each.signal for each in said.in_force([entry])]
+
+
+WORDS = ["leaving", "limit", "rest"]
+
+
+@pytest.mark.parametrize("word", WORDS)
+@pytest.mark.parametrize("later_ms", [1.0, -1.0])
+def test_word_of_a_process_does_not_bind_the_next_one_under_its_name(word, later_ms):
+    said = signals.ServerSignals(now_ms=clock.SteppedClock().now_ms)
+    said_by(word, said, STARTED_WALL_MS)
+    assert signals_of(said, STARTED_WALL_MS) == [word]
+    assert signals_of(said, STARTED_WALL_MS + later_ms) == []
+    said_by(word, said, STARTED_WALL_MS + later_ms)
+    assert signals_of(said, STARTED_WALL_MS + later_ms) == [word]
+
+
+@pytest.mark.parametrize("word", WORDS)
+@pytest.mark.parametrize("later_ms", [1.0, -1.0])
+def test_late_word_of_the_process_before_leaves_that_of_the_present_one(word, later_ms):
+    said = signals.ServerSignals(now_ms=clock.SteppedClock().now_ms)
+    said_by(word, said, STARTED_WALL_MS + later_ms)
+    said_by(word, said, STARTED_WALL_MS)
+    assert signals_of(said, STARTED_WALL_MS + later_ms) == [word]
+
+
+def test_word_that_is_ahead_of_the_record_holds_until_the_record_has_followed():
+    time = clock.SteppedClock()
+    said = signals.ServerSignals(now_ms=time.now_ms)
+    said.record_leaving("a", STARTED_WALL_MS + 1.0, heard_from="h2")
+    time.advance(5_000.0)
+    assert signals_of(said, STARTED_WALL_MS) == ["leaving"]
+    assert signals_of(said, STARTED_WALL_MS + 1.0) == ["leaving"]
+    assert signals_of(said, STARTED_WALL_MS) == []
+
+
 def test_server_without_a_start_time_returns_by_a_probe():
     leaving = LeavingFleet(seed=7, started_wall_ms=0.0)
     leaving.fleet.run(2_000.0)
