Limits: answers to an earlier run of a home lend nothing

A loan counts from the time that the home has put into its ask, by its monotonic clock, which starts anew with the machine. A home that started again after its machine took the loan of a late answer to the run before for one that lasts until the old clock's time, while the lender lends the share to others after a lease: both grant it, against the workspace's limit.

A home takes answers to asks of its own run within a lease. Measured by the test, which fails before: a loan of half the rate from an answer 600 s ahead was still in force after three leases, with its lender cut off.

--- a/verbenadrum/limits/meters.py
+++ b/verbenadrum/limits/meters.py
@@ -7,6 +7,7 @@
 from verbenadrum.decisions import ring
 from verbenadrum.limits import lenders, loans, messages
 from verbenadrum.records import types
+from verbenadrum.utils import asked_times
 
 __all__ = ["SHARE_WAIT_MS", "Meter", "MeterTable", "TokenDecision", "candidate_homes"]
 
@@ -165,6 +166,7 @@
         self._records = records
         self._lenders = lender_list
         self._meters: dict[ids.WorkspaceId, Meter] = {}
+        self._asked = asked_times.AskedTimes(term_ms=loans.LEASE_MS)
         self._closed = False
         self._suspended_ms = context.clock.boot_ms() - context.now_ms()
 
@@ -281,6 +283,8 @@
                 row.ask_interval_ms = min(_LAST_ASK_INTERVAL_MS, 2.0 * row.ask_interval_ms)
                 wish = messages.ShareWish(workspace, row.until_ms > now_ms, urgent)
                 wishes.setdefault(lender, []).append(wish)
+        if wishes:
+            self._asked.add(now_ms)
         return {
             lender: messages.ShareAsk(now_ms, self._context.incarnation, tuple(each))
             for lender, each in wishes.items()
@@ -291,8 +295,11 @@
     ) -> tuple[ids.WorkspaceId, ...]:
         """Take over the shares that a lender lends, and return their workspaces.
 
-        The loans count from when they were asked for, so a late answer may bring nothing.
+        The loans count from when they were asked for, so a late answer may bring nothing. One to an
+        earlier run of this host brings nothing.
         """
+        if message.asked_ms not in self._asked:
+            return ()
         now_ms = self._context.now_ms()
         until_ms = message.asked_ms + loans.LEASE_MS
         answered = []
--- a/verbenadrum/limits/tests/test_loans.py
+++ b/verbenadrum/limits/tests/test_loans.py
@@ -115,6 +115,21 @@
     assert spend(fleet, fleet.names[0]) >= BURST
 
 
+# The monotonic clock of a machine starts anew with it.
+def test_answer_to_an_earlier_run_of_a_home_lends_nothing_for_longer_than_a_lease():
+    fleet = make_fleet()
+    home, lender, other = ranked(fleet)[:3]
+    spend(fleet, home, count=1)
+    host = fleet.hosts[home]
+    fleet.faults.cut.update((name, home) for name in fleet.names if name != home)
+    row = messages.ShareRow("w", 0.5, 5.0, False, 5.0, home)
+    late = messages.ShareAnswer(host.clock.now_ms() + 600_000.0, (row,))
+    host.limiter._meters.borrow(lender, late)
+    fleet.run(fleet.now_ms + 3.0 * loans.LEASE_MS)
+    tokens = [host.limiter._meters.take_token("w", host.records.workspace("w")) for _ in range(9)]
+    assert not any(token.granted or token.has_share for token in tokens)
+
+
 # Messages are not ordered: a late release freed a share that had been lent once more.
 def test_release_that_arrives_after_the_next_loan_does_not_end_it():
     fleet = make_fleet()
