Health: votes for an earlier run of a home permit no ejection

A vote counts from the time in the home's request, by its monotonic clock, which starts anew with the machine. A late answer to the run before, whose clock was ahead, permitted ejections until the old clock's time, while the host votes for another home three seconds later: together they could eject below the floor.

A home counts answers to the requests of its own run within their term. Measured by the test, which fails before: 3 ejections permitted by votes 599 s ahead, now none. The model of the floor tells the holder of each request that it sends at any time, as the home does; all its rules and its invariant stay.

--- a/verbenadrum/health/permits.py
+++ b/verbenadrum/health/permits.py
@@ -10,6 +10,7 @@
 import math
 
 from verbenadrum import ids
+from verbenadrum.utils import asked_times
 
 __all__ = ["PermitHolder", "Voucher", "quota"]
 
@@ -78,16 +79,22 @@
         self._until_ms: dict[ids.HostId, float] = {}
         self._hosts = 0
         self._asked_ms = -math.inf
+        self._asked = asked_times.AskedTimes(term_ms=_VOTE_TERM_MS)
 
     def start_request_if_due(self, now_ms: float) -> bool:
         """Return whether to request votes now; a True starts the wait for the next request."""
         if now_ms - self._asked_ms < _REQUEST_INTERVAL_MS:
             return False
         self._asked_ms = now_ms
+        self.record_request(now_ms)
         return True
 
+    def record_request(self, now_ms: float) -> None:
+        """Record that votes are requested now, so that the answers count."""
+        self._asked.add(now_ms)
+
     def backed(self, *, host: ids.HostId, asked_ms: float, hosts: int, now_ms: float) -> None:
-        """Count a vote.
+        """Count a vote, unless it answers an earlier run of this host.
 
         Parameters
         ----------
@@ -101,6 +108,8 @@
             Monotonic time.
         """
         self._drop_expired(now_ms)
+        if asked_ms not in self._asked:
+            return
         if not self._until_ms:
             self._hosts = 0
         self._until_ms[host] = asked_ms + _VOTE_TERM_MS * _USABLE_TERM_FRACTION
--- a/verbenadrum/health/tests/test_floor.py
+++ b/verbenadrum/health/tests/test_floor.py
@@ -69,11 +69,13 @@
     @stateful.rule(home=st.integers(0, 2))
     def request_all(self, home):
         now_ms = self.time.now_ms()
+        self.homes[home].holder.record_request(now_ms)
         self.requests += [(home, host, now_ms) for host in range(HOSTS)]
 
     @stateful.rule(home=st.integers(0, 2), data=st.data())
     def request_and_receive_most(self, home, data):
         now_ms = self.time.now_ms()
+        self.homes[home].holder.record_request(now_ms)
         for host in range(HOSTS):
             if data.draw(st.integers(0, 5)):
                 self.vote(home, host, now_ms)
@@ -159,6 +161,19 @@
         stateful.run_state_machine_as_test(UnbackedMachine, settings=SETTINGS)
 
 
+# The monotonic clock of a machine starts anew with it.
+def test_vote_for_an_earlier_run_of_a_home_permits_no_ejection():
+    holder = permits.PermitHolder()
+    assert holder.start_request_if_due(1_000.0)
+    for host in range(HOSTS):
+        holder.backed(host=ids.HostId(f"v{host}"), asked_ms=6e5, hosts=HOSTS, now_ms=1_100.0)
+    assert holder.permitted_ejections(max_ejections=3, hosts=HOSTS, now_ms=1_100.0) == 0
+    for host in range(HOSTS):
+        holder.backed(host=ids.HostId(f"v{host}"), asked_ms=1e3, hosts=HOSTS, now_ms=1_100.0)
+    assert holder.permitted_ejections(max_ejections=3, hosts=HOSTS, now_ms=1_100.0) == 3
+    assert holder.permitted_ejections(max_ejections=3, hosts=HOSTS, now_ms=9_000.0) == 0
+
+
 @pytest.mark.parametrize(("live", "floor"), [(1, 0.5), (2, 0.5), (5, 0.5), (7, 0.9), (3, 0.0)])
 def test_quotas_of_disjoint_backers_sum_to_the_allowance(live, floor):
     max_ejections = ejection.max_ejections(live=live, floor=floor)
