Signals: a rest until a date does not depend on the difference of the clocks

The date of a Retry-After was compared with the clock of the host. A host whose time of day had jumped, or a server whose clock was off, made a rest of 2 s one of up to an hour, or none. The date of the same answer tells the time of the server; without one the clock of the host counts as before.

Measured by the test: a rest of 2 s with the server's clock 3,600 s behind, 5 s behind, 5 s and 3,600 s ahead was 0, 0, 6.7 and 3,600 s; now 2 s each.

--- a/verbenadrum/daemon/signal_headers.py
+++ b/verbenadrum/daemon/signal_headers.py
@@ -15,6 +15,7 @@
 # A plain decimal number; more digits than these have no meaning here.
 _DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _RETRY_AFTER = "Retry-After"
+_DATE = "Date"
 # An absurd value must not keep a host from a sound server for longer than an operator needs to
 # find out.
 _MAX_RETRY_AFTER_MS = 3_600_000.0
@@ -63,7 +64,9 @@
 def read_retry_after_ms(headers: urllib3.HTTPHeaderDict, address: str) -> float:
     """Return for how long a server that refused a request wants no other one, in milliseconds.
 
-    The header holds seconds, which may have a fraction, or an HTTP date.
+    The header holds seconds, which may have a fraction, or an HTTP date. A date is compared with
+    that of the answer, since the server's clock may differ from this host's, and with the clock of
+    this host if the answer has none.
 
     Parameters
     ----------
@@ -92,7 +95,8 @@
     if until is None:
         _log_malformed(_RETRY_AFTER, address, ", ".join(values))
         return 0.0
-    remaining = until - datetime.datetime.now(datetime.UTC)
+    answered = _parse_date(headers.get(_DATE, "")) or datetime.datetime.now(datetime.UTC)
+    remaining = until - answered
     return min(_MAX_RETRY_AFTER_MS, max(0.0, remaining.total_seconds() * _MS_PER_S))
 
 
--- a/verbenadrum/daemon/tests/test_signal_headers.py
+++ b/verbenadrum/daemon/tests/test_signal_headers.py
@@ -62,6 +62,23 @@
     assert retry_after_ms("Sun, 06 Nov 1994 08:49:37 GMT") == 0.0
 
 
+@pytest.mark.parametrize("ahead_s", [-3_600.0, -5.0, 5.0, 3_600.0])
+def test_rest_until_a_date_does_not_depend_on_the_difference_of_the_clocks(ahead_s):
+    server_s = time.time() + ahead_s
+    dates = {
+        "Date": email.utils.formatdate(server_s, usegmt=True),
+        "Retry-After": email.utils.formatdate(server_s + 2.0, usegmt=True),
+    }
+    assert signal_headers.read_retry_after_ms(urllib3.HTTPHeaderDict(dates), "s") == 2_000.0
+
+
+@pytest.mark.parametrize("text", ["", "soon", "Sun, 99 Nov 1994 08:49:37 GMT"])
+def test_malformed_date_of_an_answer_is_replaced_by_the_time_of_the_host(text):
+    until = email.utils.formatdate(time.time() + 60.0, usegmt=True)
+    headers = urllib3.HTTPHeaderDict({"Date": text, "Retry-After": until})
+    assert 50_000.0 < signal_headers.read_retry_after_ms(headers, "s") <= 60_000.0
+
+
 @pytest.mark.parametrize("text", [*MALFORMED, "soon", "Sun, 99 Nov 1994 08:49:37 GMT"])
 def test_malformed_retry_after_is_ignored_and_logged_once(text, caplog):
     with caplog.at_level(logging.WARNING):
