Signals: the home ends a rest with the process that asked for it

An entry host forgets the rest of a server that has started again. Its home held the server back from it until the time was over, up to an hour.

Measured in the stepped fleet, a server that asked each host for 600 s and then started again: 0 requests in the next 3 s, now served, with a later and with an earlier start time.

--- a/verbenadrum/placement/servers.py
+++ b/verbenadrum/placement/servers.py
@@ -204,6 +204,8 @@
         """Apply a changed pool record or server list."""
         if self._part is part:
             return
+        if self._part is not None and self._rests:
+            self._drop_rests_of_earlier_processes(part)
         self._part = part
         listed = {entry.server for entry in part.servers}
         self._last_used_ms = {name: at for name, at in self._last_used_ms.items() if name in listed}
@@ -248,6 +250,18 @@
         pair = (entry_host, server)
         self._rests[pair] = max(until_ms, self._rests.get(pair, 0.0))
 
+    def _drop_rests_of_earlier_processes(self, part: parts.Part) -> None:
+        started_wall_ms = {entry.server: entry.started_wall_ms for entry in self._part.servers}
+        restarted = {
+            entry.server
+            for entry in part.servers
+            if started_wall_ms.get(entry.server, entry.started_wall_ms) != entry.started_wall_ms
+        }
+        if restarted:
+            self._rests = {
+                pair: until_ms for pair, until_ms in self._rests.items() if pair[1] not in restarted
+            }
+
     def shortest_rest_ms(self, entry_host: ids.HostId, now_ms: float) -> float:
         """Return when the first server takes requests of an entry host again; 0 if one does now."""
         if not self._rests:
--- a/verbenadrum/placement/tests/test_rest.py
+++ b/verbenadrum/placement/tests/test_rest.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import msgspec
 import pytest
 
 from standins import stepped_fleet
@@ -98,3 +99,32 @@
     before = resting.fleet.servers["s0"].received
     resting.fleet.run(2_000.0)
     assert resting.fleet.servers["s0"].received > before
+
+
+@pytest.mark.parametrize("later_ms", [1.0, -1.0])
+def test_rest_of_a_server_ends_with_its_process(later_ms):
+    resting = RestingFleet(resting=0, seed=7)
+    entries = tuple(
+        msgspec.structs.replace(entry, started_wall_ms=1_000.0) for entry in resting.fleet.entries
+    )
+    resting.fleet.publish(entries)
+    resting.fleet.run(1_000.0)
+    server = resting.fleet.servers["s0"]
+    server.rest_ms = 600_000.0
+    resting.fleet.run(3_000.0)
+    server.rest_ms = 0.0
+    before = server.received
+    resting.fleet.run(3_000.0)
+    assert server.received == before
+    resting.fleet.publish(
+        tuple(
+            (
+                msgspec.structs.replace(entry, started_wall_ms=1_000.0 + later_ms)
+                if entry.server == "s0"
+                else entry
+            )
+            for entry in entries
+        )
+    )
+    resting.fleet.run(3_000.0)
+    assert server.received > before
