--- a/verbenadrum/limits/meters.py
+++ b/verbenadrum/limits/meters.py
@@ -7,6 +7,7 @@
 from verbenadrum.decisions import ring
 from verbenadrum.limits import lenders, loans, messages
 from verbenadrum.records import types
+from verbenadrum.utils import asked_times
 
 __all__ = ["SHARE_WAIT_MS", "Meter", "MeterTable", "TokenDecision", "candidate_homes"]
 
@@ -31,7 +32,7 @@
 _FIRST_ASK_INTERVAL_MS = 100.0
 _LAST_ASK_INTERVAL_MS = 400.0
 _IDLE_EXPIRY_MS = 10_000.0
-# The monotonic clock may stand still while the machine is suspended; the wall clock does not.
+# Difference between the two monotonic clocks from which on the machine was suspended.
 _SUSPENSION_MS = 200.0
 
 
@@ -165,8 +166,9 @@
         self._records = records
         self._lenders = lender_list
         self._meters: dict[ids.WorkspaceId, Meter] = {}
+        self._asked = asked_times.AskedTimes(term_ms=loans.LEASE_MS)
         self._closed = False
-        self._wall_offset_ms = context.clock.wall_ms() - context.now_ms()
+        self._suspended_ms = context.clock.boot_ms() - context.now_ms()
 
     def holder(self, workspace: ids.WorkspaceId) -> ids.HostId:
         """Return the other host that has borrowed the shares of a workspace; empty if unknown."""
@@ -281,6 +283,8 @@
                 row.ask_interval_ms = min(_LAST_ASK_INTERVAL_MS, 2.0 * row.ask_interval_ms)
                 wish = messages.ShareWish(workspace, row.until_ms > now_ms, urgent)
                 wishes.setdefault(lender, []).append(wish)
+        if wishes:
+            self._asked.add(now_ms)
         return {
             lender: messages.ShareAsk(now_ms, self._context.incarnation, tuple(each))
             for lender, each in wishes.items()
@@ -291,8 +295,11 @@
     ) -> tuple[ids.WorkspaceId, ...]:
         """Take over the shares that a lender lends, and return their workspaces.
 
-        The loans count from when they were asked for, so a late answer may bring nothing.
+        The loans count from when they were asked for, so a late answer may bring nothing. One to an
+        earlier run of this host brings nothing.
         """
+        if message.asked_ms not in self._asked:
+            return ()
         now_ms = self._context.now_ms()
         until_ms = message.asked_ms + loans.LEASE_MS
         answered = []
@@ -356,13 +363,13 @@
 
     def end_loans_after_suspension(self) -> None:
         """End all loans if the machine was suspended, since their time went on meanwhile."""
-        offset_ms = self._context.clock.wall_ms() - self._context.now_ms()
-        if offset_ms - self._wall_offset_ms > _SUSPENSION_MS:
+        suspended_ms = self._context.clock.boot_ms() - self._context.now_ms()
+        if suspended_ms - self._suspended_ms > _SUSPENSION_MS:
             for meter in self._meters.values():
                 meter.borrowed.clear()
                 meter.extras.clear()
                 meter.level, meter.live = min(0.0, meter.level), 0.0
-        self._wall_offset_ms = offset_ms
+        self._suspended_ms = suspended_ms
 
     def _add_share(self, lender: ids.HostId, row: messages.ShareRow, until_ms: float) -> None:
         workspace = ids.WorkspaceId(row.workspace)
