Status and explain: host lists and older configurations in readable form

Revisions of published host lists hold a generation as well, and status showed them as joined numbers; so did explain for `host-list` and `older-version`. The tests of test_cli.py that name generation pass with the change.

--- a/verbenadrum/cli/explain.py
+++ b/verbenadrum/cli/explain.py
@@ -13,12 +13,14 @@
 __all__ = ["HostDecision", "describe"]
 
 _MS_PER_S = 1000.0
-# Details that hold a revision of a record, of each choice of such decisions.
+# Details that hold a revision, of decisions by kind and choice.
 _REVISION_DETAILS = {
-    "accepted": ("revision",),
-    "generation": ("revision",),
-    "loaded": ("revision",),
-    "rejected": ("revision", "in_force"),
+    (ring.DecisionKind.MEMBERSHIP, "host-list"): ("revision",),
+    (ring.DecisionKind.RECORD, "accepted"): ("revision",),
+    (ring.DecisionKind.RECORD, "generation"): ("revision",),
+    (ring.DecisionKind.RECORD, "ignored"): ("revision",),
+    (ring.DecisionKind.RECORD, "loaded"): ("revision",),
+    (ring.DecisionKind.RECORD, "rejected"): ("revision", "in_force"),
 }
 
 # Description of each kind of decision; ``{subject}`` and ``{request}`` may be empty.
@@ -117,9 +119,7 @@
 
 
 def _detail_texts(decision: ring.Decision) -> Iterator[str]:
-    revision_names = ()
-    if decision.kind is ring.DecisionKind.RECORD:
-        revision_names = _REVISION_DETAILS.get(decision.choice, ())
+    revision_names = _REVISION_DETAILS.get((decision.kind, decision.choice), ())
     for name, value in decision.detail.items():
         is_revision = name in revision_names and isinstance(value, int) and value >= 0
         yield f"{name} {revisions.to_text(value) if is_revision else value}"
--- a/verbenadrum/cli/status.py
+++ b/verbenadrum/cli/status.py
@@ -80,7 +80,7 @@
         ready,
         revisions.to_text(status.held_revision),
         "" if status.configuration_version is None else f"{status.configuration_version:x}",
-        status.host_list_revision,
+        revisions.to_text(status.host_list_revision),
         status.in_flight,
         status.platform_reader,
         ", ".join(_remarks(status, newest_revision)),
--- a/verbenadrum/cli/tests/test_cli.py
+++ b/verbenadrum/cli/tests/test_cli.py
@@ -97,6 +97,7 @@
     older = _STATUS | {
         "host": "h3",
         "record_revision": revisions.join(2, 900),
+        "host_list_revision": revisions.join(2, 41),
         "carried_records": 4,
     }
     with contextlib.ExitStack() as stack:
@@ -107,6 +108,7 @@
     assert " 10 (generation 3) " in rows["h2"]
     assert "2 revisions behind" in rows["h2"]
     assert " 900 (generation 2) " in rows["h3"]
+    assert " 41 (generation 2) " in rows["h3"]
     assert "behind generation 3, 4 records carried over" in rows["h3"]
     assert "'p' revision 8 (generation 3); revision 900 (generation 2) stays in force" in out
     assert str(1 << 40)[:6] not in out
@@ -122,7 +124,11 @@
             "revision 8 (generation 3), in_force 7 (generation 2)",
         ),
         ("generation", {"generation": 3, "carried": 2}, "generation 3, carried 2"),
-        ("ignored", {"version": 11, "in_force": 12}, "version 11, in_force 12"),
+        (
+            "ignored",
+            {"revision": revisions.join(3, 8), "version": 11, "in_force": 12},
+            "revision 8 (generation 3), version 11, in_force 12",
+        ),
         ("accepted", {"revision": 8}, "revision 8"),
     ],
 )
@@ -133,6 +139,16 @@
     assert explain.describe(decision) == f"record p: {choice}, because r; {text}"
 
 
+def test_explain_shows_generation_and_counter_of_host_lists():
+    decision = ring.Decision(
+        kind=ring.DecisionKind.MEMBERSHIP,
+        choice="host-list",
+        reason="newer-revision",
+        detail={"revision": revisions.join(3, 8), "hosts": 2},
+    )
+    assert explain.describe(decision).endswith("; revision 8 (generation 3), hosts 2")
+
+
 @pytest.mark.parametrize("words", [("status",), ("watch", "--count=1")])
 def test_status_and_watch_tell_the_version_in_force_and_what_was_refused(words):
     refused = {
