Membership: a late notice of an earlier run marks a host for 2 s, not 60

A host that stood still may read the notice that another one is leaving after it has heard of that one's next run. Incarnations do not tell which run is the later, since they begin with the time of day, which may go back. The mark stayed until the host happened to exchange a probe with that one, or for 60 s. Each host now probes a newly marked one once within 2 s, and the answer of another run clears the mark.

--- a/verbenadrum/membership/detector.py
+++ b/verbenadrum/membership/detector.py
@@ -43,6 +43,9 @@
 _LEAVING_FAST_INTERVAL_MS = 200.0
 _LEAVING_SLOW_INTERVAL_MS = 20_000.0
 _LEAVING_TTL_MS = 60_000.0
+# A host that is newly marked as leaving is probed within this time, once: the notice may be a late
+# one of its earlier run.
+_LEAVING_CHECK_SPREAD_MS = 2_000.0
 
 
 class _Probe(msgspec.Struct, kw_only=True):
@@ -99,6 +102,7 @@
         self._leaving_sends = 0
         self._next_leaving_ms = 0.0
         self._last_leaving_ms: dict[ids.HostId, float] = {}
+        self._leaving_check_ms: dict[ids.HostId, float] = {}
 
     def suspicions(self) -> tuple[suspicion.SuspicionRow, ...]:
         """Return the hosts that this host suspects, with the reasons."""
@@ -120,6 +124,7 @@
         self._check_probes(now_ms)
         self._expire_relayed_probes(now_ms)
         self._check_suspicions(now_ms)
+        self._check_leaving(now_ms)
         if now_ms >= self._next_probe_ms:
             self._next_probe_ms = now_ms + _PROBE_INTERVAL_MS
             self._expire_leaving(now_ms)
@@ -294,6 +299,10 @@
         if leaving:
             self._last_leaving_ms[sender] = self._context.now_ms()
             if self._membership.mark_leaving(sender, incarnation):
+                self._leaving_check_ms[sender] = (
+                    self._last_leaving_ms[sender]
+                    + _LEAVING_CHECK_SPREAD_MS * self._context.rng.random()
+                )
                 self._record_decision("leaving", "said-so", sender)
         else:
             self._membership.clear_earlier_leaving(sender, incarnation)
@@ -360,6 +369,13 @@
         for row in self._membership.hosts():
             self._context.send(row.host, messages.Leaving(self._context.incarnation))
 
+    def _check_leaving(self, now_ms: float) -> None:
+        """Probe newly marked hosts once; the answer of another run clears the mark."""
+        for host, due_ms in list(self._leaving_check_ms.items()):
+            if now_ms >= due_ms:
+                del self._leaving_check_ms[host]
+                self._begin_probe(host)
+
     def _expire_leaving(self, now_ms: float) -> None:
         """Clear leaving marks that are no longer repeated.
 
--- a/verbenadrum/membership/tests/test_seeded.py
+++ b/verbenadrum/membership/tests/test_seeded.py
@@ -5,6 +5,7 @@
 import pytest
 
 from standins import spreading
+from verbenadrum.membership import messages
 
 SEEDS = ("h0000", "h0101", "h1003")
 
@@ -87,6 +88,41 @@
     assert not marked
 
 
+# A host that stood still may read the notice after it has heard of the next run.
+@pytest.mark.parametrize("seed", range(3))
+def test_late_notice_of_an_earlier_run_marks_a_host_as_leaving_for_3_s_at_most(seed):
+    fleet = make_fleet(seed, hosts=28)
+    assert time_to_agree(fleet) <= 2_000.0
+    notice = messages.Leaving(
+        fleet.hosts["h0105"].engine.host_spread.list_request().row.incarnation
+    )
+    fleet.stop("h0105")
+    fleet.run(1_300.0)
+    fleet.start("h0105")
+    fleet.run(3_000.0)
+    for name in ("h0000", "h0003", "h1001"):
+        fleet.hosts[name].receive("h0105", notice)
+        assert fleet.hosts[name].engine.membership.leaving() == ("h0105",)
+    fleet.run(3_000.0)
+    assert not any(host.engine.membership.leaving() for host in fleet.hosts.values())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_host_whose_time_of_day_went_back_is_listed_again_within_3_s(seed):
+    fleet = make_fleet(seed)
+    assert time_to_agree(fleet) <= 2_000.0
+    row = fleet.hosts["h0105"].engine.host_spread.list_request().row
+    fleet.hosts["h0105"].engine.announce_shutdown()
+    fleet.run(2_500.0)
+    fleet.stop("h0105")
+    fleet.run(1_300.0)
+    fleet.rng.getrandbits = lambda bits: row.incarnation - 1
+    fleet.start("h0105")
+    assert time_to_agree(fleet) <= 3_000.0
+    fleet.run(3_000.0)
+    assert not any(host.engine.membership.leaving() for host in fleet.hosts.values())
+
+
 def seeking(fleet):
     return [name for name, host in fleet.hosts.items() if host.engine.membership.seeking]
 
