Membership: a join is answered at the address that it names

A host that starts at another address with a smaller incarnation, because its time of day went back, is still listed at the old one. Its seeds answered there, and answered a host that they had removed not at all, so it never heard that its row was old and could not raise its incarnation above it. The answer to a join goes to the address in the joining host's row now.

The stepped fleet can start a host at another address.

--- a/standins/spreading.py
+++ b/standins/spreading.py
@@ -182,6 +182,7 @@
         fleet: "Fleet",
         incarnation: int,
         platform_latency_ms: float,
+        address: str = "",
     ) -> None:
         self.row = row
         self.paused = False
@@ -202,7 +203,7 @@
             choices=msgspec.structs.replace(
                 _CHOICES, readers=fleet.readers, host_list=fleet.host_list
             ),
-            address=row.host,
+            address=address or row.host,
             seeds=tuple(fleet.seeds),
         )
         self._polls: dict[duty.Stream, _Poll] = {}
@@ -344,8 +345,11 @@
         for row in rows:
             self.start(row.host)
 
-    def start(self, host: str) -> SteppedHost:
-        """Start a host, or restart it with empty state, and return it."""
+    def start(self, host: str, *, address: str = "") -> SteppedHost:
+        """Start a host, or restart it with empty state, and return it.
+
+        Its address is ``address``, or its name if that is empty.
+        """
         row = self._rows[host]
         latency_ms = _NEAR_PLATFORM_LATENCY_MS if row.region == "r0" else _FAR_PLATFORM_LATENCY_MS
         started = SteppedHost(
@@ -353,6 +357,7 @@
             fleet=self,
             incarnation=self.rng.getrandbits(40),
             platform_latency_ms=latency_ms,
+            address=address,
         )
         self.hosts[host] = started
         self.channel.set_receiver(host, started.receive)
--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -425,8 +425,9 @@
         ]
 
     def _send(self, receiver: ids.HostId, message: base.Message) -> None:
-        # The core also sends to seed peers, by address, before it has their identifiers.
-        if receiver in self._settings.peers.seeds:
+        # The core also sends by address: to seed peers, before it has their identifiers, and to a
+        # host that is listed at another address.
+        if receiver == self._find_address(receiver):
             self._peers.send_to_address(receiver, message)
         else:
             self._peers.send(receiver, message)
--- a/verbenadrum/membership/seeded.py
+++ b/verbenadrum/membership/seeded.py
@@ -127,10 +127,20 @@
 
     @system.handles(messages.Join)
     def on_join(self, sender: ids.HostId, message: messages.Join) -> None:
-        """Merge the sender's row, and answer with the list if the lists differ."""
+        """Merge the sender's row, and answer with the list if the lists differ.
+
+        The answer goes to the address in the sender's row. A host that has started at another
+        address with a smaller incarnation is still listed at the old one, and raises its
+        incarnation once it has the list.
+        """
         self._merge((message.row,), source=sender)
-        if message.digest != self._digest:
-            self._context.send(sender, messages.Roster(self._rows(), reply_wanted=False))
+        if message.digest == self._digest:
+            return
+        receiver = sender
+        if self._membership.address(sender) != message.row.address:
+            receiver = ids.HostId(message.row.address)
+            self._membership.add_unlisted_address(receiver, message.row.address)
+        self._context.send(receiver, messages.Roster(self._rows(), reply_wanted=False))
 
     @system.handles(messages.RosterDigest)
     def on_digest(self, sender: ids.HostId, message: messages.RosterDigest) -> None:
--- a/verbenadrum/membership/table.py
+++ b/verbenadrum/membership/table.py
@@ -103,6 +103,8 @@
     def add_unlisted_address(self, host: ids.HostId, address: str) -> None:
         """Store the address of a host that is not listed yet, so that it can be answered.
 
+        A host that is listed at another address is stored under its address instead of its name.
+
         The oldest addresses are dropped when too many are stored.
         """
         if not address or host in self._rows:
--- a/verbenadrum/membership/tests/test_seeded.py
+++ b/verbenadrum/membership/tests/test_seeded.py
@@ -123,6 +123,36 @@
     assert not any(host.engine.membership.leaving() for host in fleet.hosts.values())
 
 
+# After the longer time the host has been removed from the list.
+@pytest.mark.parametrize("down_ms", [1_300.0, 45_000.0])
+def test_host_at_another_address_whose_time_of_day_went_back_is_listed_there_within_5_s(down_ms):
+    fleet = make_fleet(3)
+    assert time_to_agree(fleet) <= 2_000.0
+    old = fleet.hosts["h0105"].engine.host_spread.list_request().row
+    fleet.stop("h0105")
+    fleet.run(down_ms)
+    # The simulated channel delivers by name, so messages to the old address are lost.
+    fleet.channel.send = deliver_by_address(fleet, "h0105", "moved", fleet.channel.send)
+    fleet.rng.getrandbits = lambda bits: old.incarnation - 1
+    fleet.start("h0105", address="moved")
+    listed = {name: host.engine.membership for name, host in fleet.hosts.items()}
+    elapsed_ms = fleet.run_until(
+        lambda: all(table.address("h0105") == "moved" for table in listed.values()), 90_000.0
+    )
+    assert elapsed_ms <= 5_000.0
+
+
+def deliver_by_address(fleet, host, address, send):
+    """Return a function that sends to a host only where its sender knows its new address."""
+
+    def send_by_address(sender, receiver, message):
+        known = fleet.hosts[sender].engine.membership.address(receiver)
+        if receiver != host or known == address:
+            send(sender, host if receiver == address else receiver, message)
+
+    return send_by_address
+
+
 def seeking(fleet):
     return [name for name, host in fleet.hosts.items() if host.engine.membership.seeking]
 
