Reading the platform: a listing that brings nothing new delays the next poll

Cause: a listing counts as an answer, after which a reader polls again at once.

The new test fails without it.

--- a/verbenadrum/dissemination/duty.py
+++ b/verbenadrum/dissemination/duty.py
@@ -228,6 +228,7 @@
 
     def on_records(self, answer: RecordsAnswer) -> bool:
         """Apply an answer; return False if it is stale, so that the next URL is tried."""
+        previous = self._record_spread.complete_revision
         fresh = self._record_spread.on_platform(
             after=answer.after,
             revision=answer.revision,
@@ -235,7 +236,9 @@
             envelopes=answer.envelopes,
             full_listing=answer.full_listing,
         )
-        self._update_backoff(Stream.RECORDS, fresh)
+        # A history that is dropped again and again must not cause a listing at each poll.
+        listed_again = answer.full_listing and answer.revision <= previous
+        self._update_backoff(Stream.RECORDS, fresh and not listed_again)
         if fresh:
             self._search = _SubstituteSearch()
             for requester in self._requesters:
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -348,6 +348,25 @@
     assert second.engine.record_spread.withdrawals_missing
 
 
+# Guards against a listing every 50 ms from a platform that drops its history again and again.
+def test_listings_that_bring_nothing_new_are_read_ever_less_often():
+    fleet = ready_fleet(19, data_centres=1, hosts=2, regions=1)
+    engine = next(iter(fleet.hosts.values())).engine
+    delays_ms = []
+    for _ in range(4):
+        engine.on_platform_records(
+            duty.RecordsAnswer(
+                after=0,
+                revision=fleet.platform.revision,
+                final=True,
+                envelopes=(),
+                full_listing=True,
+            )
+        )
+        delays_ms.append(engine.platform_read_plan().records.delay_ms)
+    assert delays_ms[-1] > 500.0, delays_ms
+
+
 def test_isolated_host_reads_the_platform_itself():
     fleet = ready_fleet(7)
     isolated = next(
