--- a/standins/spreading.py
+++ b/standins/spreading.py
@@ -6,6 +6,7 @@
 
 import bisect
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -15,10 +16,10 @@
 from verbenadrum.decisions import ring
 from verbenadrum.dissemination import duty
 from verbenadrum.engine import behaviours, engine
-from verbenadrum.records import types
+from verbenadrum.records import envelope, revisions, types
 from verbenadrum.utils import clock
 
-__all__ = ["Fleet", "SteppedPlatform", "SteppedHost", "envelope_of"]
+__all__ = ["Fleet", "PlatformCopy", "SteppedPlatform", "SteppedHost", "envelope_of"]
 
 assert behaviours  # Importing it registers the implementations that are chosen by name.
 
@@ -39,7 +40,13 @@
 )
 
 
-def envelope_of(kind: str, name: str, revision: int, spec: object) -> bytes:
+def envelope_of(
+    kind: str,
+    name: str,
+    revision: int,
+    spec: object,
+    order: tuple[int, int] = types.UNKNOWN_ORDER,
+) -> bytes:
     """Return the JSON envelope of a record with the present schema version."""
     document = {
         "kind": kind,
@@ -48,16 +55,42 @@
         "schema": types.SCHEMA_VERSION,
         "spec": spec,
     }
+    if order != types.UNKNOWN_ORDER:
+        document["order"] = order
     return msgspec.json.encode(document)
 
 
+class _Published(msgspec.Struct, frozen=True, order=True):
+    """The newest envelope of a record, and whether it withdraws the record."""
+
+    revision: int
+    data: bytes
+    withdrawn: bool
+
+
+class PlatformCopy(msgspec.Struct, frozen=True, kw_only=True):
+    """The records that the platform held at a revision."""
+
+    revision: int
+    records: dict[tuple[str, str], _Published]
+
+
 class SteppedPlatform:
     """Simulated platform, which holds the published records and host list.
 
+    It may come back from an older copy of its records. Its counter then goes back, and its
+    generation rises by one.
+
     Attributes
     ----------
     revision, hosts_revision : int
-        Newest revision of the records and of the host list.
+        Newest revision of the records, see `verbenadrum.records.revisions`, and of the host list.
+    states_generation : bool
+        Whether its answers state the generation; if not, every revision is of generation 0.
+    returned_at : int
+        Revision with which the present generation began.
+    page_size : int or None
+        Number of records in one page of a listing; None for all.
     rows : tuple of HostRow
         Published host list.
     down : bool
@@ -72,30 +105,97 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.states_generation = True
+        self.returned_at = 0
+        self.page_size: int | None = None
         self.hosts_revision = 0
         self.rows: tuple[ports.HostRow, ...] = ()
         self.down = False
         self.unreachable: set[str] = set()
         self.stale: dict[str, tuple[int, int]] = {}
         self.calls = 0
-        self._records: dict[tuple[str, str], tuple[int, bytes]] = {}
-        self._sorted_records: list[tuple[int, bytes]] | None = None
-        self._frozen_records: dict[str, list[tuple[int, bytes]]] = {}
+        self._return_count = 0
+        self._records: dict[tuple[str, str], _Published] = {}
+        self._sorted_records: list[_Published] | None = None
+        self._frozen_records: dict[str, list[_Published]] = {}
+
+    @property
+    def return_count(self) -> int:
+        """Number of returns from an older copy."""
+        return self._return_count
 
-    def publish(self, kind: str, name: str, spec: object) -> int:
+    def publish(
+        self,
+        kind: str,
+        name: str,
+        spec: object,
+        order: tuple[int, int] = types.UNKNOWN_ORDER,
+    ) -> int:
         """Publish a record under a new revision, which is returned."""
         self.revision += 1
-        self.publish_envelope(kind, name, envelope_of(kind, name, self.revision, spec))
+        self.publish_envelope(kind, name, envelope_of(kind, name, self.revision, spec, order))
         return self.revision
 
     def publish_envelope(self, kind: str, name: str, data: bytes) -> None:
         """Publish an envelope whose revision is the platform's newest."""
-        self._records[kind, name] = (self.revision, data)
+        withdrawn = msgspec.json.decode(data)["spec"] is None
+        self._records[kind, name] = _Published(self.revision, data, withdrawn)
+        self._sorted_records = None
+
+    def copy(self) -> PlatformCopy:
+        """Return a copy of the present records, from which the platform can come back."""
+        return PlatformCopy(revision=self.revision, records=dict(self._records))
+
+    def come_back(self, copy: PlatformCopy) -> None:
+        """Lose what was written since a copy, and begin a new generation."""
+        self._return_count += 1
+        generation = self._return_count if self.states_generation else 0
+
+        def renewed(revision: int) -> int:
+            return revisions.join(generation, revisions.counter_of(revision))
+
+        self.revision = self.returned_at = renewed(copy.revision)
+        self._records = {
+            key: _Published(
+                renewed(each.revision),
+                _with_revision(each.data, renewed(each.revision)),
+                each.withdrawn,
+            )
+            for key, each in copy.records.items()
+        }
         self._sorted_records = None
 
     def latest(self, kind: str, name: str) -> int:
         """Return the newest revision of a record, or 0 if it was never published."""
-        return self._records.get((kind, name), (0, b""))[0]
+        published = self._records.get((kind, name))
+        return 0 if published is None else published.revision
+
+    def content(self, kind: str, name: str) -> dict | None:
+        """Return the newest envelope of a record, decoded; None if it does not exist."""
+        published = self._records.get((kind, name))
+        if published is None or published.withdrawn:
+            return None
+        return msgspec.json.decode(published.data)
+
+    def listing(self) -> dict[tuple[str, str], bytes]:
+        """Return the envelope of each existing record by its kind and name."""
+        return {key: each.data for key, each in self._records.items() if not each.withdrawn}
+
+    def list_page(self, after: tuple[str, str] | None) -> list[tuple[tuple[str, str], bytes]]:
+        """Return the next existing records in a listing, the configuration last."""
+        found = [
+            (key, data)
+            for key, data in sorted(self.listing().items(), key=_listing_place)
+            if after is None or _place(key) > _place(after)
+        ]
+        return found[: self.page_size]
+
+    def can_watch(self, host: str, after: int) -> bool:
+        """Return whether a host can watch for changes after a revision, without a listing."""
+        if host in self.stale:
+            return True
+        same = revisions.generation_of(after) == revisions.generation_of(self.revision)
+        return bool(after) and same and after <= self.revision
 
     def list_hosts(self, rows: tuple[ports.HostRow, ...]) -> None:
         """Publish a host list."""
@@ -122,15 +222,15 @@
             return None
         records = self._visible_records(host)
         if after < visible_revision:
-            start = bisect.bisect_right(records, after, key=lambda entry: entry[0])
+            start = bisect.bisect_right(records, after, key=lambda entry: entry.revision)
             records = records[start:]
         size = 0
         envelopes = []
-        for _, data in records:
-            size += len(data)
+        for each in records:
+            size += len(each.data)
             if size > _MAX_ANSWER_BYTES and envelopes:
                 break
-            envelopes.append(data)
+            envelopes.append(each.data)
         return duty.RecordsAnswer(
             after=after,
             revision=visible_revision,
@@ -138,7 +238,7 @@
             envelopes=tuple(envelopes),
         )
 
-    def _visible_records(self, host: str) -> list[tuple[int, bytes]]:
+    def _visible_records(self, host: str) -> list[_Published]:
         if host in self.stale:
             return self._frozen_records[host]
         if self._sorted_records is None:
@@ -158,13 +258,44 @@
         return duty.HostsAnswer(after=after, revision=visible_revision, rows=rows)
 
 
+def _with_revision(data: bytes, revision: int) -> bytes:
+    document = msgspec.json.decode(data)
+    document["revision"] = revision
+    return msgspec.json.encode(document)
+
+
+def _place(key: tuple[str, str]) -> tuple[bool, str, str]:
+    """Return what a listing is sorted by."""
+    kind, name = key
+    return (kind == types.RecordKind.CONFIGURATION.value, kind, name)
+
+
+def _listing_place(item: tuple[tuple[str, str], bytes]) -> tuple[bool, str, str]:
+    return _place(item[0])
+
+
+class _Listing(msgspec.Struct):
+    """The pages of a listing that have been read; it begins again at another generation."""
+
+    next_ms: float
+    first_revision: int = 0
+    generation: int = 0
+    envelopes: list[bytes] = msgspec.field(default_factory=list)
+    last_key: tuple[str, str] | None = None
+
+
 class _Poll(msgspec.Struct):
-    """A long poll that is open at the platform; times are simulated monotonic times."""
+    """A long poll that is open at the platform; times are simulated monotonic times.
+
+    ``return_count`` is that of the platform when the poll arrived, or -1 before.
+    """
 
     after: int
     arrives_ms: float
     until_ms: float
     latency_ms: float
+    return_count: int = -1
+    listing: _Listing | None = None
     answer: duty.RecordsAnswer | duty.HostsAnswer | None = None
     answer_ms: float = 0.0
 
@@ -269,10 +400,12 @@
     def _answer_poll(self, stream: duty.Stream, poll: _Poll, now_ms: float) -> None:
         platform = self._fleet.platform
         if stream is duty.Stream.RECORDS:
-            answer = platform.records_after(self.row.host, poll.after)
+            answer = self._records_answer(poll, now_ms)
             no_change = duty.RecordsAnswer(
                 after=poll.after, revision=poll.after, final=True, envelopes=()
             )
+            if poll.listing is not None and answer is None:
+                return
         else:
             answer = platform.hosts_after(self.row.host, poll.after)
             no_change = duty.HostsAnswer(after=poll.after, revision=poll.after, rows=())
@@ -282,6 +415,54 @@
             poll.answer = answer
             poll.answer_ms = now_ms + poll.latency_ms / 2
 
+    def _records_answer(self, poll: _Poll, now_ms: float) -> duty.RecordsAnswer | None:
+        """Return the answer of a watch, or of a listing if the platform cannot be watched."""
+        platform = self._fleet.platform
+        if poll.return_count < 0:
+            poll.return_count = platform.return_count
+        if poll.listing is None and not platform.can_watch(self.row.host, poll.after):
+            returned = poll.return_count != platform.return_count
+            unchanged = platform.revision == platform.returned_at
+            if returned and unchanged and now_ms < poll.until_ms:
+                return None
+            # The answer of the watch, which is discarded, and the request of the first page.
+            poll.listing = _Listing(next_ms=now_ms + (poll.latency_ms if poll.after else 0.0))
+            platform.calls += bool(poll.after)
+        if poll.listing is not None:
+            return self._read_page(poll, poll.listing, now_ms)
+        return platform.records_after(self.row.host, poll.after)
+
+    def _read_page(
+        self, poll: _Poll, listing: _Listing, now_ms: float
+    ) -> duty.RecordsAnswer | None:
+        """Read the next page of a listing if it is due; return the listing after the last one."""
+        platform = self._fleet.platform
+        if now_ms < listing.next_ms:
+            return None
+        generation = revisions.generation_of(platform.revision)
+        if listing.first_revision and generation != listing.generation:
+            platform.calls += 1
+            poll.listing = _Listing(next_ms=now_ms + poll.latency_ms)
+            return None
+        if not listing.first_revision:
+            listing.first_revision = platform.revision
+            listing.generation = generation
+        page = platform.list_page(listing.last_key)
+        listing.envelopes += [data for _, data in page]
+        if page and len(page) == platform.page_size:
+            platform.calls += 1
+            listing.last_key = page[-1][0]
+            listing.next_ms = now_ms + poll.latency_ms
+            return None
+        # The pages are no snapshot: changes since the first one are read by the next watch.
+        return duty.RecordsAnswer(
+            after=0,
+            revision=min(listing.first_revision, platform.revision),
+            final=True,
+            envelopes=tuple(sorted(listing.envelopes, key=envelope.revision_of)),
+            full_listing=True,
+        )
+
     def _apply_answer(self, answer: duty.RecordsAnswer | duty.HostsAnswer) -> None:
         if isinstance(answer, duty.RecordsAnswer):
             self.engine.on_platform_records(answer)
@@ -323,6 +504,8 @@
         self.rng = random.Random(seed)
         self.time = clock.SteppedClock()
         self.platform = SteppedPlatform()
+        # Called after each step.
+        self.observers: list[Callable[[], None]] = []
         self.seeds: list[str] = list(seeds)
         self.channel = channel.PeerChannel(
             time=self.time, rng=random.Random(self.rng.random()), region_of=self._region_of
@@ -344,6 +527,10 @@
         for row in rows:
             self.start(row.host)
 
+    def host_names(self) -> tuple[str, ...]:
+        """Return the names of all listed hosts, including stopped ones."""
+        return tuple(self._rows)
+
     def start(self, host: str) -> SteppedHost:
         """Start a host, or restart it with empty state, and return it."""
         row = self._rows[host]
@@ -375,6 +562,8 @@
         self.channel.deliver()
         for host in list(self.hosts.values()):
             host.step()
+        for observe in self.observers:
+            observe()
 
     def run_until(self, condition, limit_ms: float) -> float:
         """Advance the time until a condition holds, and return how long it took.
