--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -17,13 +17,14 @@
     placement,
     retry_budget,
     signals,
+    store_return,
 )
 
 __all__ = ["table"]
 
 # Importing the modules registers their experiments.
 assert claims and dissemination and end_to_end and health and limits and placement
-assert retry_budget and signals
+assert retry_budget and signals and store_return
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of every experiment.")
 _ONLY = flags.DEFINE_list("only", [], "Names of the experiments to run; all if empty.")
