--- a/standins/store_returns.py
+++ b/standins/store_returns.py
@@ -204,6 +204,9 @@
                 seen.departed[server] = max(departed, order_of(entry))
             elif entry.state is types.ServerState.LIVE and order_of(entry) <= departed:
                 self._report(f"live {name} {server}", f"{server} that left is live at {name}")
+            elif entry.state is types.ServerState.LIVE:
+                # Its writer has said so since, and a host may lose that with a later return.
+                seen.departed.pop(server, None)
             if entry.state is not types.ServerState.LAPSED:
                 seen.generations[server] = generation
         for server, last_generation in list(seen.generations.items()):
--- a/verbenadrum/dissemination/tests/test_store_returns.py
+++ b/verbenadrum/dissemination/tests/test_store_returns.py
@@ -448,6 +448,16 @@
         assert store_returns.play_calm(seed).faults == (), f"seed {seed}"
 
 
+@pytest.mark.parametrize("seed", [279, 304])
+def test_departed_server_that_a_schedule_brought_back_is_not_live_again(seed):
+    assert store_returns.play(seed).faults == ()
+
+
+@pytest.mark.parametrize("seed", [28, 87])
+def test_departed_server_that_a_calm_schedule_left_at_a_lagging_host_is_gone(seed):
+    assert store_returns.play_calm(seed).faults == ()
+
+
 # Contents of a record whose writers' orders only rise, in any order of arrival.
 
 SERVER_SPEC = {"service": writers.SERVICE, "address": "127.0.0.1:1"}
