Records: a withdrawal that is carried over has its place in its writer's order

What callers could see after a return: a server that had started again got nothing at hosts that learned of its earlier withdrawal first, until it wrote again; the contents of hosts depended on the order of arrival.

Cause: a carried withdrawal has the revision of what the copy lists, and was taken for one that the newer generation had published, which no older content follows.

--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -392,7 +392,12 @@
             return None
         held = row.record
         newer = header.revision > held.revision
-        later = _compare_in_writers_order(header, held)
+        later = _compare_in_writers_order(
+            header,
+            held,
+            # A row that is carried over has its revision from what the platform lists instead.
+            published_withdrawal=not carried if newer else key not in self._carried,
+        )
         if later > 0 or (later == 0 and newer and not _renews_server(header, held)):
             return None
         if not newer:
@@ -612,12 +617,15 @@
     return (f"{type(error).__name__}: {error}",)
 
 
-def _compare_in_writers_order(header: envelope.EnvelopeHeader, held: types.Record) -> int:
+def _compare_in_writers_order(
+    header: envelope.EnvelopeHeader, held: types.Record, *, published_withdrawal: bool
+) -> int:
     """Return 1 if the offered content is later in its writer's order, -1 if it is earlier.
 
     0 leaves it to the revisions: both are from one generation, or the order is unknown. A
     configuration's version counts within a generation too. A withdrawal follows the content that
-    was withdrawn, and a server that was withdrawn in a newer generation has no place in it.
+    was withdrawn. A server that was withdrawn in a newer generation has no place in the order, if
+    the withdrawal is published there (``published_withdrawal``) and not carried over.
     """
     decides = (
         header.kind == _CONFIGURATION_KIND
@@ -625,7 +633,8 @@
         or revisions.generation_of(header.revision) != revisions.generation_of(held.revision)
     )
     newer_is_withdrawn = header.withdrawn if header.revision > held.revision else held.spec is None
-    if header.kind == _SERVER_KIND and header.revision != held.revision and newer_is_withdrawn:
+    published_withdrawal = published_withdrawal and newer_is_withdrawn
+    if header.kind == _SERVER_KIND and header.revision != held.revision and published_withdrawal:
         return 0
     if not decides or types.UNKNOWN_ORDER in (header.order, held.order):
         return 0
