Dissemination: a host that loads from one that lacks withdrawals reads a listing

What callers could see, without any return: requests sent to a server that had left, for good, at a host that started while the peer it loaded from had itself just lagged behind.

Cause: the peer's records may hold servers that were withdrawn, and its known_from told the new host only that it would learn of later ones. Change: changes state up to which revision withdrawals may be missing among the sender's records; a host that loads them reads a listing.

--- a/verbenadrum/dissemination/messages.py
+++ b/verbenadrum/dissemination/messages.py
@@ -50,7 +50,8 @@
     ``final`` means that the sender has no further changes after ``to``; otherwise the next chunk
     is pulled from the same sender with ``after`` set to this ``to``. The sender knows every
     withdrawal after revision ``known_from``, but may lack earlier ones. If the receiver accepts
-    it, the envelopes are in ``packed``, see `pack`, instead of ``envelopes``.
+    it, the envelopes are in ``packed``, see `pack`, instead of ``envelopes``. Records that were
+    withdrawn up to revision ``missing_to`` may be among those that the sender holds; 0 if none are.
     """
 
     after: int
@@ -59,6 +60,7 @@
     envelopes: tuple[bytes, ...]
     known_from: int = 0
     packed: bytes = b""
+    missing_to: int = 0
 
 
 @base.register
@@ -80,7 +82,7 @@
 class RecordPart(base.Message, tag="rt"):
     """Part ``index`` of ``count`` of packed `RecordChanges` that are too large for one message.
 
-    ``after``, ``to``, ``final`` and ``known_from`` are those of the whole.
+    ``after``, ``to``, ``final``, ``known_from`` and ``missing_to`` are those of the whole.
     """
 
     after: int
@@ -90,6 +92,7 @@
     index: int
     count: int
     data: bytes
+    missing_to: int = 0
 
 
 @base.register
--- a/verbenadrum/dissemination/parts.py
+++ b/verbenadrum/dissemination/parts.py
@@ -76,4 +76,5 @@
         index=index,
         count=count,
         data=changes.packed[index * MAX_PART_BYTES : (index + 1) * MAX_PART_BYTES],
+        missing_to=changes.missing_to,
     )
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -266,7 +266,13 @@
             self.on_changes(
                 sender,
                 messages.RecordChanges(
-                    message.after, message.to, message.final, (), message.known_from, packed
+                    message.after,
+                    message.to,
+                    message.final,
+                    (),
+                    message.known_from,
+                    packed,
+                    message.missing_to,
                 ),
             )
         elif assembly.next_index != expected or message.index == 0:
@@ -302,15 +308,18 @@
         """Detect whether withdrawals are missing here that the sender does not have either."""
         if not self.complete_revision:
             self._known_from = max(self._known_from, message.known_from)
+            self._set_missing(message.missing_to)
         elif _generation(message.known_from) > _generation(self.complete_revision):
             return  # Servers that the newer generation lacks are withdrawn as it begins here.
         elif message.known_from > max(self.complete_revision, self._missing_to):
-            if not self._missing_to:
-                self._report_missing(message.known_from)
-            self._missing_to = message.known_from
+            self._set_missing(message.known_from)
 
-    def _report_missing(self, known_from: int) -> None:
-        detail = {"complete_to": self.complete_revision, "known_from": known_from}
+    def _set_missing(self, to: int) -> None:
+        """Register that withdrawals up to a revision may be missing; 0 for none."""
+        known_before, self._missing_to = self._missing_to, max(self._missing_to, to)
+        if known_before or not to:
+            return
+        detail = {"complete_to": self.complete_revision, "known_from": to}
         self._context.record_decision(
             ring.DecisionKind.RECORD, "read-whole", "withdrawals-unknown", detail=detail
         )
@@ -464,12 +473,24 @@
         last = after
         for revision, raw in self._store.envelopes_after(after):
             if size + len(raw) > _MAX_CHUNK_BYTES and revision != last and envelopes:
-                return messages.RecordChanges(after, last, False, tuple(envelopes), known_from)
+                return messages.RecordChanges(
+                    after,
+                    last,
+                    False,
+                    tuple(envelopes),
+                    known_from,
+                    missing_to=self._missing_to,
+                )
             envelopes.append(raw)
             size += len(raw)
             last = revision
         return messages.RecordChanges(
-            after, self.complete_revision, True, tuple(envelopes), known_from
+            after,
+            self.complete_revision,
+            True,
+            tuple(envelopes),
+            known_from,
+            missing_to=self._missing_to,
         )
 
     def _stated_known_from(self) -> int:
