Tests: hosts beside the store's process are always asked for a route that stays

Cause: while a host refuses the newest route and key, no request of it reaches the pool, so that requests at servers that had left were not seen.

Change: one more request a round, on a route and key that never change.

--- a/verbenadrum/platform/tests/store_fleet.py
+++ b/verbenadrum/platform/tests/store_fleet.py
@@ -577,6 +577,8 @@
         """Yield kind, subject, path, key and the expected statuses of the requests due now."""
         due_s = time.monotonic() - APPLY_S
         served = (200,)
+        # Of a route and key that never change, so that each host sends requests to the pool.
+        yield "route-missing", "base", "/base/x", FIRST_KEY, served
         newest = max((n for n, at_s in enumerate(self.versions) if at_s < due_s), default=0)
         if newest > 0:
             yield "route-missing", f"v{newest}", f"/v{newest}/x", FIRST_KEY, served
