--- a/verbenadrum/daemon/host.py
+++ b/verbenadrum/daemon/host.py
@@ -550,6 +550,12 @@
                 "Records carried over from an older generation of the platform's store.",
                 lambda: self._engine.store.carried_count,
             ),
+            (
+                "verbenadrum.records.complete_revision",
+                "",
+                "Revision up to which this host holds every record; 0 before the first set.",
+                lambda: self._engine.record_spread.complete_revision,
+            ),
             (
                 "verbenadrum.records.rejected",
                 "",
