Project interface: a listing withdraws what it lacks only as a generation begins

Cause: each listing from revision 0 counted as all that exists, so that a host which started raised the revision from which it knows withdrawals, and hosts that had lagged further and caught up from it read the service once more each. The service lists withdrawals within a generation, so nothing is missing there.

Change: a listing is full only for a reader of an older generation.

Measured: the tests of the reader pass, four of them new; by the code called all four listings full.

--- a/verbenadrum/daemon/platform_reader.py
+++ b/verbenadrum/daemon/platform_reader.py
@@ -95,7 +95,7 @@
         body, size = self._get(base_url, stream, order.after, order.wait_ms, _RecordsBody)
         generation = self._update_generation(base_url, body)
         if not order.after or generation != revisions.generation_of(order.after):
-            return self._list_records(base_url, body, size)
+            return self._list_records(base_url, order, body, size)
         return duty.RecordsAnswer(
             after=order.after,
             revision=_join(base_url, generation, body.revision),
@@ -103,7 +103,9 @@
             envelopes=_renumbered(base_url, body, generation),
         )
 
-    def _list_records(self, base_url: str, body: _RecordsBody, size: int) -> duty.RecordsAnswer:
+    def _list_records(
+        self, base_url: str, order: duty.PollOrder, body: _RecordsBody, size: int
+    ) -> duty.RecordsAnswer:
         """Read the pages that follow the first one of a listing, and return all as one answer.
 
         The listing begins again if the service comes back from a copy meanwhile.
@@ -127,12 +129,15 @@
                     f"the listing of {base_url} does not go on after revision {body.revision}"
                 )
             envelopes += _renumbered(base_url, body, generation)
+        # Within a generation the service lists withdrawals as well, so nothing else is withdrawn.
+        known_revision = order.after or order.known_revision
+        begins_generation = known_revision and generation > revisions.generation_of(known_revision)
         return duty.RecordsAnswer(
             after=0,
             revision=_join(base_url, generation, body.revision),
             final=True,
             envelopes=tuple(raw for raw in envelopes if _has_header(raw, base_url)),
-            full_listing=True,
+            full_listing=bool(begins_generation),
         )
 
     def _update_generation(self, base_url: str, body: _RecordsBody | _HostsBody) -> int:
--- a/verbenadrum/daemon/tests/test_platform_reader.py
+++ b/verbenadrum/daemon/tests/test_platform_reader.py
@@ -183,6 +183,25 @@
     assert answer.revision == revisions.join(2, 6)
 
 
+@pytest.mark.parametrize(
+    ("after", "known_revision", "full_listing"),
+    [
+        (0, 0, False),
+        (0, revisions.join(2, 9), False),
+        (0, revisions.join(1, 9), True),
+        (revisions.join(1, 9), revisions.join(2, 9), True),
+    ],
+)
+def test_listing_withdraws_what_it_lacks_only_as_a_generation_begins(
+    after, known_revision, full_listing
+):
+    with answering(page(6, "b", generation=2)) as server:
+        source = make_source(server.url)
+        order = order_after(after, known_revision)
+        answer = source.poll(server.url, duty.Stream.RECORDS, order)
+    assert (answer.after, answer.final, answer.full_listing) == (0, True, full_listing)
+
+
 def test_listing_that_makes_no_progress_is_an_error():
     with answering(page(8, "a", complete=False)) as server:
         source = make_source(server.url)
