Records: every host knows which rows are carried over, and what the platform lists instead

The envelope of such a row says so now, with what the platform lists. - a listed server that does not parse made each later tick raise. - a restored server lost to the withdrawal of a host that had not restored it yet, at all hosts for good. - two returns within two seconds: a server missing from both lapsed from the first, and its record written as before was taken for old. - the withdrawal of a missing server learnt from a peer was not confirmed. - a configuration that a new generation refuses was carried over by some. - a host that stood still took what it heard on waking for news. - a server's older write, written again in order after a return, revived one that was leaving: within one start the sequence decides.

--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -628,7 +628,7 @@
         )
         if packed is not None:
             for raw in self._unpacked(sender, packed):
-                self._store.offer(raw, carried=True)
+                self._store.offer(raw)
         elif pull.assembly.next_index != expected or message.index == 0:
             self._send_carried_pull()
 
--- a/verbenadrum/records/envelope.py
+++ b/verbenadrum/records/envelope.py
@@ -16,6 +16,8 @@
     "render_refusal",
     "revision_of",
     "equals_rendered",
+    "mark_carried",
+    "unmark_carried",
 ]
 
 # The platform stores values of up to 1 MiB. A short API key takes 6 bytes there and 190 in the
@@ -69,7 +71,9 @@
     """The part of an envelope that is the same in every schema version.
 
     ``kind`` is text rather than a `RecordKind`, since a newer version may have further kinds.
-    ``order`` is that of `types.Record`, and ``spec`` the content, not decoded.
+    ``order`` is that of `types.Record`, and ``spec`` the content, not decoded. ``carried`` tells
+    that the content is carried over from an older generation of the platform's store, and
+    ``listed`` is the envelope that the newer one has instead, if it is a server's.
     """
 
     kind: str
@@ -77,6 +81,8 @@
     revision: int
     order: tuple[int, int] = types.UNKNOWN_ORDER
     spec: msgspec.Raw = _NO_SPEC
+    carried: bool = False
+    listed: msgspec.Raw = _NO_SPEC
 
     @property
     def withdrawn(self) -> bool:
@@ -219,6 +225,36 @@
     return msgspec.json.encode(document)
 
 
+def mark_carried(raw: bytes, listed: bytes) -> bytes:
+    """Return an envelope whose content is carried over.
+
+    Parameters
+    ----------
+    raw : bytes
+        The envelope.
+    listed : bytes
+        Envelope that the newer generation has instead; empty for none.
+
+    Examples
+    --------
+    >>> unmark_carried(mark_carried(b'{"spec":null}', b'{"spec":{}}'))
+    b'{"spec":null}'
+    """
+    fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+    fields["carried"] = msgspec.Raw(b"true")
+    if listed:
+        fields["listed"] = msgspec.Raw(listed)
+    return msgspec.json.encode(fields)
+
+
+def unmark_carried(raw: bytes) -> bytes:
+    """Return an envelope without what `mark_carried` has added."""
+    fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+    fields.pop("carried", None)
+    fields.pop("listed", None)
+    return msgspec.json.encode(fields)
+
+
 def equals_rendered(raw: bytes, record: types.Record) -> bool:
     """Return whether `render` of the record gives the same JSON document as the envelope.
 
--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -29,6 +29,8 @@
 # The platform removes the entry of a server that has left, or lost its connection, within this time
 # of its own return. One that it still lists is alive.
 _LISTED_TTL_MS = 10_000.0
+_MAX_TICK_GAP_MS = 1_000.0
+_NOT_LISTED = msgspec.Raw(b"null")
 # Second number of an order that precedes all others of the first number.
 _BEFORE_FIRST = -1
 _SERVER_KIND = types.RecordKind.SERVER.value
@@ -79,9 +81,9 @@
 
 
 class _Listed(msgspec.Struct, frozen=True):
-    """Envelope of a server that a newer generation lists with an older content than is in force."""
+    """A server that the platform lists with an older content than is in force, and since when."""
 
-    raw: bytes
+    record: types.Record
     since_ms: float
 
 
@@ -90,7 +92,8 @@
 
     ``original`` is the accepted envelope as received, kept only if `envelope.render` would give
     another document. Keeping all of them would take a third of the memory of a large set of
-    records.
+    records. ``carried`` is set for a content that is carried over from an older generation, and
+    ``listed`` for a server that the newer one lists with an older content.
     """
 
     accepted_revision: int = 0
@@ -98,6 +101,8 @@
     original: bytes = b""
     rejected_revision: int = 0
     rejected: bytes = b""
+    carried: bool = False
+    listed: _Listed | None = None
 
 
 class RecordStore:
@@ -140,11 +145,11 @@
         # Hash of the content of each row that is carried over, and the exclusive or of all.
         self._carried: dict[tuple[str, str], int] = {}
         self._carried_checksum = 0
-        # Generation of which every record is held, and the order of each live server that it lacks.
+        # Generation of which every record is held, and the order that each live server had which a
+        # generation lacks.
         self._generation = 0
         self._missing: dict[tuple[str, str], tuple[int, int]] = {}
-        # For each server that is carried over, what the newer generation lists instead.
-        self._listed: dict[tuple[str, str], _Listed] = {}
+        self._restored_ms = context.now_ms()
         self._reported_older_revision = 0
 
     @property
@@ -165,9 +170,7 @@
     def __len__(self) -> int:
         return len(self._rows)
 
-    def offer(
-        self, raw: bytes, *, quiet: bool = False, listed_to: int = 0, carried: bool = False
-    ) -> Verdict:
+    def offer(self, raw: bytes, *, quiet: bool = False, listed_to: int = 0) -> Verdict:
         """Validate one envelope and keep it; never raises, so that no record blocks the others.
 
         Parameters
@@ -180,8 +183,6 @@
         quiet : bool
             Whether to accept it without recording a decision, as in the first load of a complete
             set of records.
-        carried : bool
-            Whether a peer carries the content over from an older generation.
 
         Returns
         -------
@@ -201,12 +202,13 @@
             return Verdict.OLD
         if row is not None and header.revision == row.rejected_revision:
             return Verdict.OLD
-        verdict = self._settle(key, header, raw, carried)
-        if verdict is not None:
-            return verdict
-        verdict = self._take(key, header, raw, carried)
+        if header.carried:
+            raw = envelope.unmark_carried(raw)
+        verdict = self._settle(key, header, raw) or self._take(key, header, raw)
         if verdict is Verdict.ACCEPTED and not quiet:
             self._report_accepted(self._rows[key].record)
+        if header.carried:
+            self._mark_carried(key, header)
         return verdict
 
     def envelopes_after(
@@ -279,12 +281,17 @@
             held = row.record
             if held is None:
                 continue
-            newest_revision = max(held.revision, row.rejected_revision)
-            if revisions.generation_of(newest_revision) >= generation:
+            if revisions.generation_of(held.revision) >= generation:
                 continue
             if held.spec is None:
-                self._listed.pop(key, None)
-                self._set_carried(key, 0)
+                self._set_carried(key, row, False)
+                if key in self._missing:
+                    self._renew(key, revision, (held.order[0], _BEFORE_FIRST), carried=False)
+                    self._lapsed_since_ms.pop(ids.ServerId(held.name), None)
+                continue
+            if revisions.generation_of(row.rejected_revision) >= generation:
+                # The generation has the record, with a content that is refused here.
+                self._renew(key, row.rejected_revision - 1, held.order, carried=True)
                 continue
             if held.kind is not types.RecordKind.SERVER:
                 self._renew(key, revision, held.order, carried=True)
@@ -298,7 +305,6 @@
                 order=(held.order[0], _BEFORE_FIRST),
             )
             self._accept(key, withdrawal, envelope.render(withdrawal))
-            self._missing[key] = held.order
         return Transition(lapsed=lapsed, carried=len(self._carried))
 
     def carried(self) -> tuple[bytes, ...]:
@@ -317,13 +323,24 @@
         confirmed_ms : float
             Monotonic time at which the platform had nothing newer.
         """
-        oldest_ms = confirmed_ms - _LISTED_TTL_MS
-        for key, listed in list(self._listed.items()):
-            if listed.since_ms > oldest_ms:
+        now_ms = self._context.now_ms()
+        stood_still = now_ms - self._restored_ms > _MAX_TICK_GAP_MS
+        self._restored_ms = now_ms
+        for key in list(self._carried):
+            row = self._rows[key]
+            if row.listed is None:
+                continue
+            if stood_still:
+                # What this host hears now may be as old as its last tick.
+                row.listed = msgspec.structs.replace(row.listed, since_ms=now_ms)
+            if row.listed.since_ms > confirmed_ms - _LISTED_TTL_MS:
                 continue
-            raw = revisions.with_revision(listed.raw, revision)
-            record = envelope.parse(raw)
-            self._accept(key, record, raw, carried=True)
+            # Peers that have not restored it yet carry the later content under the same revision.
+            start, sequence = row.record.order
+            record = msgspec.structs.replace(
+                row.listed.record, revision=revision, order=(start, sequence + 1)
+            )
+            self._accept(key, record, envelope.render(record), carried=True)
             self._record_decision(
                 Verdict.ACCEPTED,
                 "still-listed",
@@ -384,7 +401,7 @@
         return tuple(sorted(self._rejections.values(), key=lambda entry: entry.revision))
 
     def _settle(
-        self, key: tuple[str, str], header: envelope.EnvelopeHeader, raw: bytes, carried: bool
+        self, key: tuple[str, str], header: envelope.EnvelopeHeader, raw: bytes
     ) -> Verdict | None:
         """Return the verdict on an envelope that changes no content, or None if it may do so."""
         row = self._rows.get(key)
@@ -396,29 +413,56 @@
             header,
             held,
             # A row that is carried over has its revision from what the platform lists instead.
-            published_withdrawal=not carried if newer else key not in self._carried,
+            published_withdrawal=not (header.carried if newer else row.carried),
         )
         if later > 0 or (later == 0 and newer and not _renews_server(header, held)):
             return None
         if not newer:
             return Verdict.OLD
         if later == 0:
-            self._renew(key, header.revision, held.order, carried=carried)
+            self._renew(key, header.revision, held.order, carried=header.carried)
             return Verdict.RENEWED
         self._report_older(header, held)
         self._renew(key, header.revision, held.order, carried=True)
-        if header.kind == _SERVER_KIND:
-            self._listed[key] = _Listed(raw, self._context.now_ms())
+        if header.kind == _SERVER_KIND and not header.carried:
+            self._keep_listed(row, header, raw)
         return Verdict.RENEWED
 
-    def _take(
-        self, key: tuple[str, str], header: envelope.EnvelopeHeader, raw: bytes, carried: bool
-    ) -> Verdict:
+    def _keep_listed(self, row: _Row, header: envelope.EnvelopeHeader, raw: bytes) -> None:
+        """Keep what the platform lists in place of a row that is carried over."""
+        try:
+            record = envelope.parse(raw, header)
+        except Exception as error:
+            detail = {"kind": header.kind, "faults": "; ".join(_faults_of(error))}
+            self._record_decision(Verdict.REJECTED, "bad-record", header.name, detail)
+        else:
+            row.listed = _Listed(record, self._context.now_ms())
+
+    def _mark_carried(self, key: tuple[str, str], header: envelope.EnvelopeHeader) -> None:
+        """Take over from a peer that the content in force is carried over."""
+        row = self._rows.get(key)
+        if row is None or row.record is None or row.record.order != header.order:
+            return
+        withdrawn = row.record.spec is None
+        if row.accepted_revision != header.revision or withdrawn != header.withdrawn:
+            return
+        self._set_carried(key, row, True)
+        if row.listed is None and header.listed != _NOT_LISTED:
+            raw = bytes(header.listed)
+            try:
+                listed_header = envelope.read_header(raw)
+            except envelope.UnreadableEnvelopeError as error:
+                detail = {"kind": header.kind, "faults": error.message}
+                self._record_decision(Verdict.UNREADABLE, error.code, header.name, detail)
+            else:
+                self._keep_listed(row, listed_header, raw)
+
+    def _take(self, key: tuple[str, str], header: envelope.EnvelopeHeader, raw: bytes) -> Verdict:
         """Put the content of an envelope in force, or reject it."""
         row = self._rows.get(key)
         held = None if row is None else row.record
         outdated = held is not None and header.revision <= held.revision
-        carried = carried or revisions.generation_of(header.revision) < self._generation
+        carried = header.carried or revisions.generation_of(header.revision) < self._generation
         try:
             # An upgrade step may raise any exception on unexpected content.
             record = envelope.parse(raw, header)
@@ -453,7 +497,7 @@
         order = self._missing.get(key)
         if order is not None:
             row = self._rows[key]
-            self._renew(key, row.accepted_revision, order, carried=key in self._carried)
+            self._renew(key, row.accepted_revision, order, carried=row.carried)
 
     def _accept(
         self,
@@ -464,13 +508,14 @@
         carried: bool = False,
     ) -> None:
         row = self._rows.setdefault(key, _Row())
-        self._listed.pop(key, None)
-        self._missing.pop(key, None)
+        missing_order = self._missing.pop(key, None)
         if record.spec is None:
             self._withdrawn_since_ms.setdefault(key, self._context.now_ms())
             if row.record is not None:
                 order = _order_of_withdrawal(record.order, row.record)
                 record = msgspec.structs.replace(record, order=order)
+                if order[1] == _BEFORE_FIRST:
+                    self._missing[key] = missing_order or row.record.order
         else:
             self._withdrawn_since_ms.pop(key, None)
         row.original = b"" if envelope.equals_rendered(raw, record) else raw
@@ -482,8 +527,8 @@
     ) -> None:
         """Put the content in force under another revision."""
         row = self._rows[key]
-        self._missing.pop(key, None)
-        self._listed.pop(key, None)
+        if order[1] != _BEFORE_FIRST:
+            self._missing.pop(key, None)
         record = msgspec.structs.replace(row.record, revision=revision, order=order)
         if row.original:
             row.original = revisions.with_revision(row.original, revision)
@@ -494,11 +539,12 @@
         self, key: tuple[str, str], row: _Row, record: types.Record, carried: bool
     ) -> None:
         moved = record.revision != row.accepted_revision
+        row.listed = None
         if row.accepted_revision and moved:
             self._outdated_count += 1
         row.accepted_revision = record.revision
         row.record = record
-        self._set_carried(key, _content_hash(row) if carried else 0)
+        self._set_carried(key, row, carried)
         if row.rejected_revision and row.rejected_revision < record.revision:
             self._outdated_count += 1
             row.rejected_revision = 0
@@ -511,11 +557,13 @@
         if moved:
             self._insert_revision(record.revision, row)
 
-    def _set_carried(self, key: tuple[str, str], content_hash: int) -> None:
-        """Set the hash of a row that is carried over; 0 for a row that is not."""
-        self._carried_checksum ^= self._carried.pop(key, 0) ^ content_hash
-        if content_hash:
-            self._carried[key] = content_hash
+    def _set_carried(self, key: tuple[str, str], row: _Row, carried: bool) -> None:
+        """Set whether a row is carried over, and update the checksum of all that are."""
+        self._carried_checksum ^= self._carried.pop(key, 0)
+        row.carried = carried
+        if carried:
+            self._carried[key] = _content_hash(row)
+            self._carried_checksum ^= self._carried[key]
 
     def _drop_row(self, key: tuple[str, str]) -> int:
         """Forget a withdrawn record; return its revision, or 0 if it has to stay."""
@@ -524,8 +572,7 @@
             self._withdrawn_since_ms[key] = self._context.now_ms()
             return 0
         revision = row.accepted_revision
-        self._set_carried(key, 0)
-        self._listed.pop(key, None)
+        self._set_carried(key, row, False)
         self._records.drop_withdrawn(row.record.kind, row.record.name)
         del self._rows[key]
         row.accepted_revision = 0
@@ -623,14 +670,20 @@
     """Return 1 if the offered content is later in its writer's order, -1 if it is earlier.
 
     0 leaves it to the revisions: both are from one generation, or the order is unknown. A
-    configuration's version counts within a generation too. A withdrawal follows the content that
+    configuration's version and a server's sequence since its start count within a generation too,
+    as a writer may write again what was lost, in order. A withdrawal follows the content that
     was withdrawn. A server that was withdrawn in a newer generation has no place in the order, if
     the withdrawal is published there (``published_withdrawal``) and not carried over.
     """
+    same_generation = revisions.generation_of(header.revision) == revisions.generation_of(
+        held.revision
+    )
+    if same_generation and header.revision != held.revision and header.kind == _SERVER_KIND:
+        return _compare_sequences(header, held)
     decides = (
         header.kind == _CONFIGURATION_KIND
         or header.revision == held.revision
-        or revisions.generation_of(header.revision) != revisions.generation_of(held.revision)
+        or not same_generation
     )
     newer_is_withdrawn = header.withdrawn if header.revision > held.revision else held.spec is None
     published_withdrawal = published_withdrawal and newer_is_withdrawn
@@ -643,6 +696,14 @@
     return (offered_place > held_place) - (offered_place < held_place)
 
 
+def _compare_sequences(header: envelope.EnvelopeHeader, held: types.Record) -> int:
+    """Return -1 if a server has published the offered content before the one held, else 0."""
+    known = types.UNKNOWN_ORDER not in (header.order, held.order)
+    same_start = header.order[0] == held.order[0]
+    earlier = known and same_start and header.order[1] < held.order[1]
+    return -1 if earlier and not header.withdrawn else 0
+
+
 def _renews_server(header: envelope.EnvelopeHeader, held: types.Record) -> bool:
     """Return whether a newer generation lists a server with the order of the content in force."""
     same_order = header.order == held.order != types.UNKNOWN_ORDER
@@ -671,6 +732,8 @@
     """
     if types.UNKNOWN_ORDER in (order, held.order):
         return held.order
+    if held.spec is None:
+        return max(order, held.order)
     leaving = (
         isinstance(held.spec, types.ServerSpec) and held.spec.state is types.ServerState.LEAVING
     )
@@ -686,4 +749,8 @@
 
 
 def _accepted_envelope(row: _Row) -> bytes:
-    return row.original or envelope.render(row.record)
+    raw = row.original or envelope.render(row.record)
+    if not row.carried:
+        return raw
+    listed = b"" if row.listed is None else envelope.render(row.listed.record)
+    return envelope.mark_carried(raw, listed)
