Tests: flags of the drills have names of their own

Cause: the drills defined the flags seed, seconds, hosts and logs, as modules of standins do. In one process with these, as in the whole test run, absl raises DuplicateFlagError: 21 failed and 6 errors in a run of verbenadrum/platform with standins.

Change: they begin with drill_.

Measured: the whole test collection has no error; standins alone passed before.

--- a/verbenadrum/platform/tests/drills.py
+++ b/verbenadrum/platform/tests/drills.py
@@ -25,13 +25,21 @@
 
 __all__ = ["Drills"]
 
-_SEED = flags.DEFINE_integer("seed", 1, "Seed of the drills.")
-_SECONDS = flags.DEFINE_float("seconds", 120.0, "Time after which no drill begins, in seconds.")
-_HOSTS = flags.DEFINE_integer("hosts", 12, "Number of hosts.")
-_WRITES_PER_S = flags.DEFINE_float("writes_per_s", 20.0, "Writes of backend servers a second.")
-_RETURNS = flags.DEFINE_bool("returns", True, "Whether anything is lost; otherwise a control.")
-_TROUBLES = flags.DEFINE_bool("troubles", True, "Whether hosts stand still, end or are cut off.")
-_LOGS = flags.DEFINE_string("logs", "", "Directory that keeps the logs; empty for none.")
+_SEED = flags.DEFINE_integer("drill_seed", 1, "Seed of the drills.")
+_SECONDS = flags.DEFINE_float(
+    "drill_seconds", 120.0, "Time after which no drill begins, in seconds."
+)
+_HOSTS = flags.DEFINE_integer("drill_hosts", 12, "Number of hosts.")
+_WRITES_PER_S = flags.DEFINE_float(
+    "drill_writes_per_s", 20.0, "Writes of backend servers a second."
+)
+_RETURNS = flags.DEFINE_bool(
+    "drill_returns", True, "Whether anything is lost; otherwise a control."
+)
+_TROUBLES = flags.DEFINE_bool(
+    "drill_troubles", True, "Whether hosts stand still, end or are cut off."
+)
+_LOGS = flags.DEFINE_string("drill_logs", "", "Directory that keeps the logs; empty for none.")
 _MIN_POOL = 4
 _MAX_ALONE = 6
 _SHOWN_FAULTS = 20
