--- a/standins/store_returns.py
+++ b/standins/store_returns.py
@@ -108,9 +108,10 @@
 
     host: spreading.SteppedHost
     version: int = 0
-    # Generation in which each server was last in the pool, and the order of the write by which the
-    # host knows it as leaving or left.
+    # Generation in which each server was last in the pool, the order of that entry, and the order
+    # of the write by which the host knows the server as leaving or left.
     generations: dict[str, int] = msgspec.field(default_factory=dict)
+    orders: dict[str, tuple[int, int]] = msgspec.field(default_factory=dict)
     departed: dict[str, tuple[int, int]] = msgspec.field(default_factory=dict)
 
 
@@ -209,6 +210,7 @@
                 seen.departed.pop(server, None)
             if entry.state is not types.ServerState.LAPSED:
                 seen.generations[server] = generation
+                seen.orders[server] = order_of(entry)
         for server, last_generation in list(seen.generations.items()):
             entry = present.get(server)
             if entry is not None and entry.state is not types.ServerState.LAPSED:
@@ -219,7 +221,10 @@
             # has left or is missing from the copy.
             if write.state is None and self._generation(write.return_count) == last_generation:
                 departed = seen.departed.get(server, types.UNKNOWN_ORDER)
-                seen.departed[server] = max(departed, write.order)
+                # The withdrawal states no order, so a start that the host has missed may be later.
+                held = seen.orders[server]
+                left = write.order if write.order[0] == held[0] else held
+                seen.departed[server] = max(departed, left)
 
     def _generation(self, return_count: int) -> int:
         return return_count if self._fleet.platform.states_generation else 0
--- a/verbenadrum/dissemination/tests/test_store_returns.py
+++ b/verbenadrum/dissemination/tests/test_store_returns.py
@@ -448,6 +448,63 @@
         assert store_returns.play_calm(seed).faults == (), f"seed {seed}"
 
 
+def test_departed_server_is_not_live_again_at_a_host_that_lacks_its_second_withdrawal():
+    """The host catches up from one that has started with a listing."""
+    drill = Drill(15, regions=1)
+    copy = drill.platform.copy()
+    drill.writers.withdraw("s1")
+    drill.run(3_000)
+    drill.cut_off("h0000")
+    drill.lose(copy, 0.0)
+    drill.fleet.step()
+    drill.writers.servers["s1"].rewrite_ms = None
+    drill.writers.join("s4")
+    drill.run(1_000)
+    drill.platform.unreachable.add("h0000")
+    drill.writers.withdraw("s1")
+    drill.run(12_000)
+    drill.fleet.stop("h0001")
+    drill.cut_off("h0001")
+    drill.fleet.start("h0001")
+    drill.run(9_000)
+    drill.platform.unreachable.clear()
+    drill.fleet.channel.conditions.cuts -= {("h0000", "h0001"), ("h0001", "h0000")}
+    for _ in range(100):
+        drill.run(20)
+        assert LIVE not in drill.states("s1")
+    drill.heal()
+    drill.run(6_000)
+    assert drill.states("s1") == {None}
+    drill.assert_equal_to_the_platform()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_departed_server_is_not_live_again_at_a_host_that_stood_still(seed):
+    """What its peers sent meanwhile comes first, as old as it is."""
+    drill = Drill(seed, regions=1)
+    copy = drill.platform.copy()
+    drill.writers.withdraw("s1")
+    drill.run(3_000)
+    drill.cut_off("h0000")
+    drill.lose(copy, 0.0)
+    drill.fleet.step()
+    drill.writers.servers["s1"].rewrite_ms = None
+    drill.writers.join("s4")
+    drill.run(1_000)
+    drill.heal()
+    drill.run(5)
+    drill.pause("h0000")
+    drill.run(1_000)
+    drill.writers.withdraw("s1")
+    drill.run(12_000)
+    drill.resume("h0000")
+    for _ in range(400):
+        drill.fleet.step()
+        assert LIVE not in drill.states("s1")
+    drill.run(6_000)
+    drill.assert_equal_to_the_platform()
+
+
 @pytest.mark.parametrize("seed", [279, 304])
 def test_departed_server_that_a_schedule_brought_back_is_not_live_again(seed):
     assert store_returns.play(seed).faults == ()
