--- a/verbenadrum/dissemination/tests/test_store_returns.py
+++ b/verbenadrum/dissemination/tests/test_store_returns.py
@@ -505,7 +505,7 @@
     drill.assert_equal_to_the_platform()
 
 
-@pytest.mark.parametrize("seed", [279, 304])
+@pytest.mark.parametrize("seed", [279, 304, 3016])
 def test_departed_server_that_a_schedule_brought_back_is_not_live_again(seed):
     assert store_returns.play(seed).faults == ()
 
