Platform: an empty list of tenants opens no route

Seen by callers: after a configuration with an empty list of `tenants`, requests with the dropped key, with a made-up one and with none were run on all hosts, unsafe ones too.

Cause: `wire._configuration` asked whether `tenants` is empty, not whether the configuration contains it, so that an empty list and null counted as missing, which means that no route needs a key.

Evidence: the new cases `[]` and null of `test_routes_stay_closed_if_tenants_hold_no_key` failed before.

Change: only a missing field leaves the routes without keys.

Tests of platform, records and entry pass.

--- a/verbenadrum/platform/tests/test_wire.py
+++ b/verbenadrum/platform/tests/test_wire.py
@@ -175,6 +175,47 @@
     assert spec.routes[0].spec.public
 
 
+# A configuration whose tenants were an empty list opened every route to callers without a key.
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [],
+        None,
+        [None],
+        [{}],
+        ["t1"],
+        [{"name": "t1"}],
+        [{"name": "", "api_keys": ["key"]}],
+        [{"name": "t1", "api_keys": None}],
+        [{"name": "t1", "api_keys": []}],
+        [{"name": "t1", "api_keys": "key"}],
+        [{"name": "t1", "api_keys": ["key"], "rate_per_s": None}],
+    ],
+)
+def test_routes_stay_closed_if_tenants_hold_no_key(tenants):
+    document = {**CONFIGURATION, "tenants": tenants}
+    document["routes"] = [ROUTE, {**ROUTE, "name": "r2", "prefix": "/b/", "public": True}]
+    spec = decode(wire.CONFIGURATION_KEY, document).spec
+    assert [route.spec.public for route in spec.routes] == [False, True]
+    assert spec.keys == ()
+
+
+# The last configuration stays in force, which opens nothing.
+@pytest.mark.parametrize("tenants", ["", "t1", 0, False, {}, {"name": "t1"}])
+def test_configuration_whose_tenants_are_no_list_is_malformed(tenants):
+    with pytest.raises(wire.MalformedValueError):
+        decode(wire.CONFIGURATION_KEY, {**CONFIGURATION, "tenants": tenants})
+
+
+# A route is public only if its configuration says so.
+@pytest.mark.parametrize("public", [None, "true", "", 1, 0, [], {}])
+def test_route_with_an_odd_public_field_is_left_out(public):
+    document = {**CONFIGURATION, "routes": [{**ROUTE, "public": public}]}
+    spec = decode(wire.CONFIGURATION_KEY, document).spec
+    assert spec.routes == ()
+    assert len(spec.faults) == 1
+
+
 def test_weighted_backends_and_missing_rate_limit():
     split = [{"service": "svc", "weight": 90}, {"service": "other", "weight": 10}]
     document = with_field(
--- a/verbenadrum/platform/wire.py
+++ b/verbenadrum/platform/wire.py
@@ -153,12 +153,13 @@
 
 
 class _Configuration(msgspec.Struct, frozen=True, kw_only=True):
-    # ``config_version`` has eight hexadecimal digits. Without ``tenants`` no route needs a key.
-    # The entries are decoded one by one, so that a faulty one costs no other.
+    # ``config_version`` has eight hexadecimal digits. If ``tenants`` is missing, no route needs a
+    # key; if it is an empty list or null, no key is valid. The entries are decoded one by one, so
+    # that a faulty one costs no other.
     config_version: str
     routes: tuple[msgspec.Raw, ...]
     services: tuple[msgspec.Raw, ...]
-    tenants: tuple[msgspec.Raw, ...] | None = None
+    tenants: tuple[msgspec.Raw, ...] | msgspec.UnsetType | None = msgspec.UNSET
     limits: msgspec.Raw = msgspec.Raw(b"null")
 
 
@@ -320,7 +321,7 @@
         raise MalformedValueError(
             f"config_version {configuration.config_version!r} is not hexadecimal"
         ) from error
-    keyless = not configuration.tenants
+    keyless = configuration.tenants is msgspec.UNSET
     faults: list[str] = []
     tenants = _entries("tenants", configuration.tenants or (), _Tenant, faults)
     spec = types.ConfigurationSpec(
