Callers: a caller that leaves a download ends its server's work

Seen by callers and servers: callers close in the middle of a slow download, and 6 to 8 of 8 servers work on for over half a second.

Cause: once an answer is passed on as it comes, the greenlet waits for the server's next bytes or for room in the caller's connection, and nothing asks for the end of the caller's connection; the close shows in the second write after it, or, where the caller has closed its sending side only and does not read, when the write times out.

Evidence: of the new tests of downloads, those of a server that pauses failed for every way to leave and every framing, and those of a caller that does not read for a closed sending side.

Change: a timer of the event loop looks every 0.1 s while an answer is passed on, and raises the abort in the waiting greenlet. A closed sending side is treated as before the answer: 0.15 s from the close.

--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -1,12 +1,13 @@
 """The callers' port: passes HTTP requests to the decision core and returns its results."""
 
+import contextlib
 import http.client
 import itertools
 import json
 import math
 import socket
 import uuid
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import bottle
 import gevent
@@ -49,6 +50,60 @@
 _SERVED_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
 
+class _CallerWatch:
+    """Notices that a caller has left while its request waits for the result or is answered.
+
+    A caller that only closes its sending side still reads its answer, but until something is sent
+    TCP shows it like one that has left. It gets an answer that comes within a short time.
+
+    Parameters
+    ----------
+    sock : socket
+        The caller's connection.
+    clock : Clock
+        Monotonic clock.
+    """
+
+    def __init__(self, *, sock: socket.socket, clock: clock.Clock) -> None:
+        self._sock = sock
+        self._clock = clock
+        self._closed_ms = math.inf
+
+    def has_left(self) -> bool:
+        """Return whether the connection was reset, or closed by the caller some time ago."""
+        if not _caller_disconnected(self._sock):
+            return False
+        if sockets.is_reset_by_peer(self._sock):
+            return True
+        now_ms = self._clock.now_ms()
+        self._closed_ms = min(self._closed_ms, now_ms)
+        return now_ms - self._closed_ms >= _HALF_CLOSE_GRACE_MS
+
+    @contextlib.contextmanager
+    def aborting(self) -> Iterator[None]:
+        """Raise `http_server.AbortResponse` in the block if the caller leaves.
+
+        It interrupts whatever the greenlet waits for, and is raised while it waits only.
+        """
+        # The timer calls from the event loop, as that of `gevent.Timeout` does. Another greenlet
+        # could only schedule the exception, which might come after the end of the block.
+        timer = gevent.get_hub().loop.timer(
+            _DISCONNECT_CHECK_INTERVAL_S, _DISCONNECT_CHECK_INTERVAL_S
+        )
+        with contextlib.closing(timer):
+            timer.start(self._abort_if_left, gevent.getcurrent().throw, timer)
+            yield
+
+    def _abort_if_left(self, throw: Callable[..., None], timer: object) -> None:
+        if self.has_left():
+            timer.stop()
+            throw(_caller_left())
+
+
+def _caller_left() -> http_server.AbortResponse:
+    return http_server.AbortResponse("the caller closed its connection", _DISCONNECT_REASON)
+
+
 class CallersPort:
     """WSGI application of the callers' port.
 
@@ -135,9 +190,10 @@
             names=self._names,
             budget=self._budget,
         )
+        watch = _CallerWatch(sock=environ[http_server.SOCKET_KEY], clock=self._clock)
         try:
             self._engine.begin(head, sink)
-            result = self._wait_for_result(sink, environ)
+            result = self._wait_for_result(sink, watch)
         except http_server.AbortResponse as error:
             self._engine.abandon(request, error.reason)
             sink.stop_body_reads()
@@ -149,7 +205,7 @@
             sink.drop_result()
             raise
         if isinstance(result, exchange.CommittedAnswer) and not result.answer.fully_prefetched:
-            return self._start_stream(sink, head, result, started_ms)
+            return self._start_stream(sink, head, result, started_ms, watch)
         self._request_metrics.record_duration(started_ms)
         if isinstance(result, ports.Refusal):
             sink.stop_body_reads()
@@ -285,10 +341,9 @@
             raise targets.BadRequestError(f"{name} must be greater than 0")
         return remaining_ms
 
-    def _wait_for_result(self, sink: exchange.Exchange, environ: dict) -> exchange.Result:
+    def _wait_for_result(self, sink: exchange.Exchange, watch: _CallerWatch) -> exchange.Result:
         """Wait for the result, and abort if the caller disconnects or its body breaks off."""
         timeout_s = _DISCONNECT_CHECK_DELAY_S
-        watch = _CallerWatch(sock=environ[http_server.SOCKET_KEY], clock=self._clock)
         while True:
             try:
                 return sink.wait(timeout_s)
@@ -299,9 +354,7 @@
                     "the caller's request body broke off", _BODY_ERROR_REASON
                 ) from error
             if watch.has_left():
-                raise http_server.AbortResponse(
-                    "the caller closed its connection", _DISCONNECT_REASON
-                )
+                raise _caller_left()
 
     def _start_stream(
         self,
@@ -309,9 +362,10 @@
         head: ports.RequestHead,
         committed: exchange.CommittedAnswer,
         started_ms: float,
+        watch: _CallerWatch,
     ) -> Iterator[bytes]:
         _set_head(committed.answer.status, committed.answer.forwarded_headers(), head.request)
-        return self._stream_answer(sink, head, committed, started_ms)
+        return self._stream_answer(sink, head, committed, started_ms, watch)
 
     def _stream_answer(
         self,
@@ -319,14 +373,16 @@
         head: ports.RequestHead,
         committed: exchange.CommittedAnswer,
         started_ms: float,
+        watch: _CallerWatch,
     ) -> Iterator[bytes]:
         answer = committed.answer
         outcome = answer.outcome(ports.OutcomeKind.CANCELLED)
         try:
-            if answer.prefetched:
-                yield answer.prefetched
-            answer.release_buffer()
-            yield from answer.iter_remaining()
+            with watch.aborting():
+                if answer.prefetched:
+                    yield answer.prefetched
+                answer.release_buffer()
+                yield from answer.iter_remaining()
             outcome = answer.outcome(answer.outcome_kind())
         except upstream.AttemptError as error:
             outcome = error.outcome
@@ -363,36 +419,6 @@
         return f"{seconds:.3f}" if self._headers.fractional_retry_after else str(math.ceil(seconds))
 
 
-class _CallerWatch:
-    """Notices that a caller has left while its request waits for the result.
-
-    A caller that only closes its sending side still reads its answer, but until something is sent
-    TCP shows it like one that has left. It gets an answer that comes within a short time.
-
-    Parameters
-    ----------
-    sock : socket
-        The caller's connection.
-    clock : Clock
-        Monotonic clock.
-    """
-
-    def __init__(self, *, sock: socket.socket, clock: clock.Clock) -> None:
-        self._sock = sock
-        self._clock = clock
-        self._closed_ms = math.inf
-
-    def has_left(self) -> bool:
-        """Return whether the connection was reset, or closed by the caller some time ago."""
-        if not _caller_disconnected(self._sock):
-            return False
-        if sockets.is_reset_by_peer(self._sock):
-            return True
-        now_ms = self._clock.now_ms()
-        self._closed_ms = min(self._closed_ms, now_ms)
-        return now_ms - self._closed_ms >= _HALF_CLOSE_GRACE_MS
-
-
 def _passed_on(answer: upstream.Answer) -> Iterator[bytes]:
     """Yield the whole body of an answer, and return its buffer when it was written."""
     try:
--- a/verbenadrum/daemon/tests/test_leaving_callers.py
+++ b/verbenadrum/daemon/tests/test_leaving_callers.py
@@ -2,15 +2,17 @@
 
 import contextlib
 import socket
+import ssl
 import types as python_types
 
 import gevent
 import pytest
-from gevent import server
+from gevent import event, server
 
 from verbenadrum.core import ports
 from verbenadrum.daemon import callers, connection_pools, http_server, sockets
-from verbenadrum.daemon.tests import test_callers
+from verbenadrum.daemon.tests import certificates, test_callers
+from verbenadrum.settings import types as settings_types
 from verbenadrum.utils import clock
 
 # Users' requirement: no request reaches a server this long after its caller has closed.
@@ -107,23 +109,30 @@
         self.closed += 1
 
 
-@pytest.fixture
-def host():
+@contextlib.contextmanager
+def started_host(tls=None):
     core = HeldEngine()
     port = callers.CallersPort(
         engine=core,
         pools=connection_pools.ConnectionPools(max_idle_per_server=2),
         clock=clock.SystemClock(),
         request_metrics=test_callers.FakeRequestMetrics(),
+        headers=settings_types.HeadersTable(unframed_answers=True),
     )
     made = http_server.HttpServer(
-        listener=sockets.listen("127.0.0.1:0"), application=port.application
+        listener=sockets.listen("127.0.0.1:0"), application=port.application, tls=tls
     )
     made.start()
     yield python_types.SimpleNamespace(core=core, port=made.server_port, server=made)
     made.stop(timeout=0)
 
 
+@pytest.fixture
+def host():
+    with started_host() as started:
+        yield started
+
+
 def head_of(framing, target="/x"):
     lines = [f"POST {target} HTTP/1.1", "Host: a", f"X-Deadline-Ms: {DEADLINE_MS:.0f}", framing]
     return "\r\n".join([*filter(None, lines), "", ""]).encode()
@@ -266,3 +275,216 @@
     assert not host.core.abandoned
     sock.close()
     backend.server.stop(timeout=0)
+
+
+PIECE = b"d" * 393_216
+DOWNLOADS = {
+    "length": ("Content-Length: {}", b"", b""),
+    "chunks": ("Transfer-Encoding: chunked", b"%x\r\n" % len(PIECE), b"\r\n"),
+    "unframed": ("Connection: close", b"", b""),
+}
+
+
+class DownloadServer:
+    """Backend server that sends a long answer in pieces, and records when its connections end.
+
+    ``pauses_s`` has the pause before each piece; None waits until `released` is set.
+    """
+
+    def __init__(self, framing, pauses_s):
+        self._framing = framing
+        self._pauses_s = pauses_s
+        self.released = event.Event()
+        self.sent = 0
+        self.completed = 0
+        self.broken_off = 0
+        self.listener = sockets.listen("127.0.0.1:0")
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.server = server.StreamServer(self.listener, self._handle)
+        self.server.start()
+
+    def _handle(self, sock, address):
+        watcher = None
+        try:
+            while sock.recv(65_536):
+                watcher = gevent.spawn(self._watch, sock, gevent.getcurrent())
+                self._answer(sock)
+                watcher.kill()
+                self.completed += 1
+                if self._framing == "unframed":
+                    break
+        except OSError:
+            self.broken_off += 1
+        finally:
+            gevent.killall([watcher] if watcher else [])
+
+    def _watch(self, sock, serving):
+        """End the answer when its connection ends."""
+        while not sockets.is_closed_by_peer(sock):
+            gevent.sleep(0.01)
+        gevent.kill(serving, ConnectionAbortedError("the host closed its connection"))
+
+    def _answer(self, sock):
+        field, before, after = DOWNLOADS[self._framing]
+        field = field.format(len(PIECE) * len(self._pauses_s))
+        sock.sendall(f"HTTP/1.1 200 OK\r\n{field}\r\n\r\n".encode())
+        for pause_s in self._pauses_s:
+            if pause_s is None:
+                self.released.wait()
+            else:
+                gevent.sleep(pause_s)
+            sock.sendall(before + PIECE + after)
+            self.sent += 1
+        if self._framing == "chunks":
+            sock.sendall(b"0\r\n\r\n")
+
+
+@pytest.fixture
+def download(host):
+    """Return a function that starts a download, and returns its server and its connection."""
+    running = []
+
+    def start(framing, pauses_s, version=b"HTTP/1.1"):
+        backend = DownloadServer(framing, pauses_s)
+        running.append(backend.server)
+        sock = connect(host)
+        sock.sendall(head_of("").replace(b"HTTP/1.1", version))
+        wait_until(lambda: host.core.waiting)
+        host.core.give_slot(backend.address)
+        host.core.waiting.clear()
+        sock.settimeout(5.0)
+        return backend, sock
+
+    yield start
+    for each in running:
+        each.stop(timeout=0)
+
+
+def receive(sock, length):
+    """Read at least ``length`` bytes, or up to the end; return all that came."""
+    received = bytearray()
+    while len(received) < length and (data := sock.recv(65_536)):
+        received += data
+    return received
+
+
+def receive_pieces(sock, number):
+    """Read an answer until it has ``number`` pieces; return whether they came."""
+    received, body = bytearray(), b""
+    while body.count(b"d") < number * len(PIECE) and (data := sock.recv(65_536)):
+        received += data
+        body = received.partition(b"\r\n\r\n")[2]
+    return body.count(b"d") == number * len(PIECE)
+
+
+# Servers worked on for a second after callers had left in the middle of a slow download: the host
+# looked at the server's connection alone.
+@pytest.mark.parametrize("leave", WAYS_TO_LEAVE)
+@pytest.mark.parametrize("framing", DOWNLOADS)
+def test_server_that_pauses_in_a_download_is_cut_off_from_a_caller_that_left(
+    host, download, framing, leave
+):
+    backend, sock = download(framing, [0.0, 0.0, 0.0, None])
+    receive(sock, 2 * len(PIECE))
+    gevent.sleep(0.3)
+    assert (backend.broken_off, host.core.outcomes) == (0, [])
+    leave(sock)
+    wait_until(lambda: backend.broken_off, LEAVE_TIMEOUT_S)
+    wait_until(lambda: host.core.outcomes, LEAVE_TIMEOUT_S)
+    assert [outcome.kind for outcome in host.core.outcomes] == [ports.OutcomeKind.CANCELLED]
+
+
+# The host waited for room in the connection of a caller that did not read, and saw nothing else.
+@pytest.mark.parametrize("leave", WAYS_TO_LEAVE)
+@pytest.mark.parametrize("framing", DOWNLOADS)
+def test_server_is_cut_off_from_a_caller_that_did_not_read_and_left(host, download, framing, leave):
+    backend, sock = download(framing, [0.0] * 200)
+    gevent.sleep(0.5)
+    sent = backend.sent
+    gevent.sleep(0.3)
+    assert backend.sent == sent < 200
+    assert not backend.broken_off
+    leave(sock)
+    wait_until(lambda: backend.broken_off, LEAVE_TIMEOUT_S)
+    wait_until(lambda: not host.server.connections, 1.0)
+
+
+# A close shows below TLS only.
+@pytest.mark.parametrize("leave", WAYS_TO_LEAVE)
+def test_server_is_cut_off_from_a_caller_over_tls_that_left(tmp_path, leave):
+    authority = certificates.Authority(folder=tmp_path)
+    tls = sockets.server_context(*map(str, authority.issue("host")))
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    context.load_verify_locations(authority.ca_file)
+    backend = DownloadServer("length", [0.0, 0.0, 0.0, None])
+    with started_host(tls) as host:
+        sock = context.wrap_socket(connect(host))
+        sock.sendall(head_of(""))
+        wait_until(lambda: host.core.waiting)
+        host.core.give_slot(backend.address)
+        receive(sock, 2 * len(PIECE))
+        gevent.sleep(0.3)
+        assert not backend.broken_off
+        leave(sock)
+        wait_until(lambda: backend.broken_off, LEAVE_TIMEOUT_S)
+    backend.server.stop(timeout=0)
+
+
+@pytest.mark.parametrize("leave", WAYS_TO_LEAVE)
+def test_server_is_cut_off_from_a_caller_that_left_with_a_pipelined_request(host, download, leave):
+    backend, sock = download("length", [0.0, 0.0, 0.0, None])
+    sock.sendall(head_of("", "/second"))
+    receive(sock, 2 * len(PIECE))
+    leave(sock)
+    wait_until(lambda: backend.broken_off, LEAVE_TIMEOUT_S)
+    wait_until(lambda: not host.server.connections, 1.0)
+    assert not host.core.waiting
+
+
+# An answer without a length that just ends looks complete.
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+@pytest.mark.parametrize("framing", DOWNLOADS)
+def test_caller_that_closes_its_sending_side_sees_that_its_answer_is_cut(
+    host, download, framing, version
+):
+    backend, sock = download(framing, [0.0, 0.0, 0.0, None], version)
+    receive(sock, 2 * len(PIECE))
+    sock.shutdown(socket.SHUT_WR)
+    ends_with_connection = version == b"HTTP/1.0" and framing != "length"
+    with pytest.raises(ConnectionResetError) if ends_with_connection else contextlib.nullcontext():
+        received = receive(sock, 4 * len(PIECE))
+        assert len(received) < 2 * len(PIECE)
+        assert not received.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("framing", DOWNLOADS)
+def test_caller_that_closes_its_sending_side_gets_a_download_that_ends_soon(
+    host, download, framing
+):
+    backend, sock = download(framing, [0.0, 0.0, 0.0, None])
+    wait_until(lambda: backend.sent == 3)
+    gevent.sleep(0.2)
+    sock.shutdown(socket.SHUT_WR)
+    gevent.sleep(0.02)
+    backend.released.set()
+    assert receive_pieces(sock, 4)
+    assert (backend.broken_off, backend.completed) == (0, 1)
+
+
+@pytest.mark.parametrize("framing", DOWNLOADS)
+def test_caller_that_stays_gets_a_slow_download_and_its_next_answer(host, download, framing):
+    backend, sock = download(framing, [0.3] * 4)
+    assert receive_pieces(sock, 4)
+    wait_until(lambda: host.core.outcomes)
+    assert backend.broken_off == 0
+    if framing == "unframed":
+        return
+    # The watch ends with the answer, not with the connection.
+    gevent.sleep(0.4)
+    sock.sendall(head_of("", "/second"))
+    wait_until(lambda: host.core.waiting)
+    host.core.give_slot(backend.address)
+    receive(sock, 4 * len(PIECE))
+    wait_until(lambda: len(host.core.outcomes) == 2)
+    assert {outcome.kind for outcome in host.core.outcomes} == {ports.OutcomeKind.OK}
