HTTP server: an offer to change the protocol is ignored

Seen by callers: a request with `Connection: Upgrade`, or with `Upgrade: websocket`, gets no answer; its channel ends at once.

Cause: gevent hands the raw connection to the application in place of a body then, and `_Handler.get_environ` took the fields of a body from it.

Evidence: 12 of 15 cases of `test_offer_of_another_protocol_is_ignored` failed.

Change: the body is taken from the handler, where it always is one.

Measured: test_http_server passes.

--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -266,7 +266,10 @@
     def get_environ(self) -> dict:
         """Return the WSGI environment with a bounded body, the raw target and the socket."""
         environ = super().get_environ()
-        base_input = environ["wsgi.input"]
+        # An offer to change the protocol is ignored; the base class would leave the body to the
+        # application then.
+        base_input = self.wsgi_input
+        environ["wsgi.input_terminated"] = True
         self.wsgi_input = environ["wsgi.input"] = _RequestBody(
             base_input.rfile,
             base_input.content_length,
--- a/verbenadrum/daemon/tests/test_http_server.py
+++ b/verbenadrum/daemon/tests/test_http_server.py
@@ -450,3 +450,29 @@
     with socket.create_connection(address, TIMEOUT_S) as sock:
         assert sock.recv(1) == b""
     assert not encrypted.server.connections
+
+
+# The channel of a request that offered another protocol ended without an answer.
+@pytest.mark.parametrize(
+    "offer",
+    [
+        (b"Connection: Upgrade", b"Upgrade: h2c"),
+        (b"Connection: upgrade",),
+        (b"Upgrade: websocket",),
+        (b"Connection: Upgrade", b"Upgrade: WebSocket", b"Sec-WebSocket-Version: 13"),
+        (b"Connection: keep-alive, Upgrade", b"Upgrade: TLS/1.0"),
+    ],
+)
+@pytest.mark.parametrize(
+    ("framing", "data"),
+    [
+        (b"Content-Length: 3", b"abc"),
+        (b"Transfer-Encoding: chunked", b"3\r\nabc\r\n0\r\n\r\n"),
+        (b"Accept: */*", b""),
+    ],
+)
+def test_offer_of_another_protocol_is_ignored(server, offer, framing, data):
+    server.bodies.clear()
+    received = server.send(post(*offer, framing, body=data) + GOOD)
+    assert server.bodies == [("/guarded", b"abc" if data else b""), ("/good", b"")]
+    assert received.count(b"HTTP/1.1 200 ") == 2
