HTTP server: a request line may be as long as the configured head

Seen by callers: a request line of 8,192 bytes and more gets 414 or 400, though `max_header_bytes` is 16,384.

Cause: gevent reads 8,192 bytes of a request line at most and refuses longer ones before the configured limit is asked.

Change: the handler reads the line itself, up to the configured size of the head. Longer lines get 414, longer heads 431, as before.

--- a/verbenadrum/daemon/http_server.py
+++ b/verbenadrum/daemon/http_server.py
@@ -82,6 +82,10 @@
     """A request head exceeds the configured size."""
 
 
+class _RequestLineTooLongError(ValueError):
+    """A request line exceeds the configured size of a head."""
+
+
 class _HeadTimeoutError(ValueError):
     """A request head did not arrive within the configured time."""
 
@@ -208,7 +212,11 @@
         self.socket.settimeout(_BODY_TIMEOUT_S)
         # A timer would cost more than reading a head that is completely buffered.
         self._head_buffered = b"\r\n\r\n" in self.rfile.peek(1)
-        line = self._read_within_head_timeout(super().read_requestline)
+        max_bytes = self.server.limits().max_head_bytes
+        read = self._read_within_head_timeout(lambda: self.rfile.readline(max_bytes + 1))
+        line = read.decode("latin-1")
+        if len(line) > max_bytes:
+            raise _RequestLineTooLongError("the request line exceeds the configured size of a head")
         if line and not line.endswith("\r\n"):
             raise _FramingError("the request line does not end with CR LF")
         return line
@@ -219,11 +227,30 @@
         return self._read_within_head_timeout(lambda: read(raw_requestline))
 
     def handle_one_request(self) -> object:
-        """Serve a request; respond with 400 or 408 if its request line cannot be read."""
+        """Serve a request; respond with an error status if its head cannot be read.
+
+        Unlike the base class, which refuses request lines of more than 8,191 bytes, it leaves their
+        limit to `read_requestline`.
+        """
+        if self.rfile.closed:
+            return None
+        try:
+            self.requestline = self.read_requestline()
+        except OSError:
+            return None
+        except ValueError as error:
+            return self._handle_client_error(error)
+        if not self.requestline:
+            return None
+        self.response_length = 0
         try:
-            return super().handle_one_request()
-        except (_FramingError, _HeadTimeoutError) as error:
+            self.read_request(self.requestline)
+        except Exception as error:  # noqa: BLE001
             return self._handle_client_error(error)
+        self.environ = self.get_environ()
+        self.application = self.server.application
+        self.handle_one_response()
+        return None if self.close_connection or self.rfile.closed else True
 
     def _wait_for_request(self) -> bool:
         """Wait for the first byte of a request; False if the connection is to be closed.
@@ -357,6 +384,7 @@
 _STATUS_BY_ERROR = (
     (http.client.HTTPException, "431 Request Header Fields Too Large"),
     (_BodyTooLongError, "413 Content Too Large"),
+    (_RequestLineTooLongError, "414 URI Too Long"),
     (_HeadTimeoutError, "408 Request Timeout"),
     (TimeoutError, "408 Request Timeout"),
 )
