Entry: a request without the identifier that servers expect is refused

Seen by callers: a request without an attempt id is sent on under an identifier that no caller sent, and run.

Cause: the host's own identifier stands in for every one of a caller that is empty, also where callers' identifiers go to servers.

Change: with `keep_request_id` such a request gets 400 (`request-id-missing`), after its route and key were looked up.

--- a/verbenadrum/core/ports.py
+++ b/verbenadrum/core/ports.py
@@ -584,6 +584,8 @@
         Hash of the body if it is held completely; otherwise empty.
     caller_request : str
         The caller's own identifier of the request, for the log; empty for none.
+    lacks_request_id : bool
+        Whether backend servers expect the caller's own identifier, and the request has none.
     """
 
     request: ids.RequestId
@@ -598,6 +600,7 @@
     body_buffered: bool = True
     body_digest: str = ""
     caller_request: str = ""
+    lacks_request_id: bool = False
 
 
 class DispatchOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/verbenadrum/daemon/callers.py
+++ b/verbenadrum/daemon/callers.py
@@ -235,6 +235,7 @@
         )
         if length >= 0 and not isinstance(body, bytes) and body is not None:
             headers.append(("Content-Length", str(length)))
+        own_id = environ.get(self._request_id_key, "")
         head = ports.RequestHead(
             request=request,
             method=method,
@@ -247,7 +248,8 @@
             body_length=length,
             body_buffered=body is None or isinstance(body, bytes),
             body_digest=xxhash.xxh3_64_hexdigest(body) if isinstance(body, bytes) else "",
-            caller_request=environ.get(self._request_id_key, "")[:_MAX_LOGGED_ID_LENGTH],
+            caller_request=own_id[:_MAX_LOGGED_ID_LENGTH],
+            lacks_request_id=self._headers.keep_request_id and not own_id,
         )
         headers.append(("Host", authority))
         outgoing = upstream.OutgoingRequest(
@@ -255,9 +257,7 @@
             target=target.forward,
             headers=tuple(headers),
             body=body,
-            caller_request_id=(
-                environ.get(self._request_id_key, "") if self._headers.keep_request_id else ""
-            ),
+            caller_request_id=own_id if self._headers.keep_request_id else "",
         )
         return head, outgoing
 
--- a/verbenadrum/daemon/tests/test_callers.py
+++ b/verbenadrum/daemon/tests/test_callers.py
@@ -20,6 +20,7 @@
 from verbenadrum.engine import behaviours, engine
 from verbenadrum.entry import keys
 from verbenadrum.records import types
+from verbenadrum.settings import types as settings_types
 from verbenadrum.utils import clock
 
 assert behaviours  # Importing it registers the implementations that are chosen by name.
@@ -112,7 +113,7 @@
 def serve():
     running: list[server.BaseServer] = []
 
-    def start(tls=None, backend=None):
+    def start(tls=None, backend=None, headers=settings_types.DEFAULT_HEADERS):
         backend = backend or Backend()
         core, time = make_engine(backend.address)
         port = callers.CallersPort(
@@ -120,6 +121,7 @@
             pools=connection_pools.ConnectionPools(max_idle_per_server=2),
             clock=time,
             request_metrics=FakeRequestMetrics(),
+            headers=headers,
         )
         made = http_server.HttpServer(
             listener=sockets.listen("127.0.0.1:0"), application=port.application, tls=tls
@@ -177,6 +179,23 @@
     assert b"HTTP_X_WORKSPACE" in answer.data
 
 
+# Where callers' identifiers go to servers, a request without one got one of the host's own.
+@pytest.mark.parametrize("own_id", [{}, {"X-Request-Id": ""}])
+def test_request_without_the_identifier_that_servers_expect_is_not_sent(serve, own_id):
+    http = urllib3.PoolManager(retries=False)
+    backend = DeadlineBackend()
+    address = serve(backend=backend, headers=settings_types.HeadersTable(keep_request_id=True))
+    url = f"http://{address}/x"
+    refusal = http.request("GET", url, headers={**KEY, **own_id})
+    assert (refusal.status, refusal.json()["code"]) == (400, "request-id-missing")
+    assert refusal.json()["not_run"] == "true"
+    assert http.request("GET", url, headers=own_id).status == 401
+    assert backend.requests == 0
+    answer = http.request("GET", url, headers={**KEY, "X-Request-Id": "caller-1"})
+    assert (answer.status, answer.headers["X-Request-Id"]) == (200, "caller-1")
+    assert backend.requests == 1
+
+
 class DeadlineBackend(Backend):
     """Backend server that responds with the deadline it was given; ``requests`` counts its runs."""
 
--- a/verbenadrum/engine/tests/test_engine.py
+++ b/verbenadrum/engine/tests/test_engine.py
@@ -110,6 +110,24 @@
         assert sink.refusals[0].status == 401
 
 
+# A request without its caller's identifier ran under one that no caller had sent.
+def test_request_that_lacks_its_callers_identifier_is_refused_if_it_is_allowed():
+    core, _ = make_engine()
+    cases = [
+        (head(lacks_request_id=True), 400, "request-id-missing"),
+        (head(key="wrong", lacks_request_id=True), 401, "key-refused"),
+        (head(key="", lacks_request_id=True), 401, "key-missing"),
+    ]
+    for refused, status, code in cases:
+        sink = RecordingSink()
+        core.begin(refused, sink)
+        (refusal,) = sink.refusals
+        assert (refusal.status, refusal.code) == (status, code)
+        assert refusal.not_run is ports.NotRun.TRUE
+        assert not sink.orders
+    assert core.pipeline.in_flight == 0
+
+
 def test_withdrawn_key_is_refused_on_the_next_request():
     core, _ = make_engine()
     withdrawn = types.Record(kind=types.RecordKind.KEY, name="k", revision=9, spec=None)
--- a/verbenadrum/entry/pipeline.py
+++ b/verbenadrum/entry/pipeline.py
@@ -83,6 +83,9 @@
         if workspace is None and not route.public:
             self._refuse_by_records(head, sink, refusals.not_authenticated(head))
             return
+        if head.lacks_request_id:
+            self._refuse_head(head, sink, refusals.no_request_id(head))
+            return
         service = self._choose_service(route)
         self._context.record_decision(
             ring.DecisionKind.ROUTE,
--- a/verbenadrum/entry/refusals.py
+++ b/verbenadrum/entry/refusals.py
@@ -16,6 +16,7 @@
     "no_route",
     "not_configured",
     "not_admitted",
+    "no_request_id",
     "not_authenticated",
     "not_placed",
 ]
@@ -77,6 +78,17 @@
     )
 
 
+def no_request_id(head: ports.RequestHead) -> ports.Refusal:
+    """Return the refusal of a request without the identifier that its caller has to set."""
+    return ports.Refusal(
+        request=head.request,
+        status=400,
+        code="request-id-missing",
+        detail="a request carries its caller's identifier",
+        not_run=ports.NotRun.TRUE,
+    )
+
+
 def not_admitted(head: ports.RequestHead, admission: ports.Admission) -> ports.Refusal:
     """Return the refusal of a request that the limiter did not admit.
 
--- a/verbenadrum/settings/types.py
+++ b/verbenadrum/settings/types.py
@@ -121,7 +121,8 @@
         X-Api-Key header), ``query`` (the parameter ``api_key``) or ``cookie`` (of the same name).
         What is not listed here is passed on as it came.
     keep_request_id : bool
-        Whether a request identifier set by the caller is passed on to backend servers.
+        Whether a request identifier set by the caller is passed on to backend servers. A request
+        without one is refused then.
     fractional_retry_after : bool
         Whether Retry-After may contain fractions of a second.
     unframed_answers : bool
