Records: a listing that lacks a server ends what an earlier one had of it

A host that had missed the server's second withdrawal read a listing without the server, but went on to hold what the generation had listed first, and put that in force.

--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -251,7 +251,10 @@
             names.add((header.kind, header.name))
         withdrawn = []
         for (kind, name), row in self._rows.items():
-            in_force = row.record is not None and row.record.spec is not None
+            # A withdrawn server that is carried over may have been listed until now.
+            in_force = row.listed is not None or (
+                row.record is not None and row.record.spec is not None
+            )
             is_listed = (kind, name) in names
             if kind != _SERVER_KIND or not in_force or is_listed:
                 continue
