Dissemination: a starting host hears a peer before it uses a listing that may be a copy's

Cause: a starting host lists the platform before it has loaded the records of a peer, and for some 0.3 s went by the older copy, also as home of a pool. Change: on a platform that has come back from a copy before, it keeps the listing until it has a peer's records, for 1 s at most.

--- a/verbenadrum/dissemination/duty.py
+++ b/verbenadrum/dissemination/duty.py
@@ -210,7 +210,9 @@
             )
         reads = reason is not ReadReason.NONE
         wants_hosts = reads and self._host_list.from_platform
-        wants_records = reads and bool(self._membership.revision)
+        wants_records = (
+            reads and bool(self._membership.revision) and not self._record_spread.holds_listing
+        )
         records_order = self._poll_order(
             Stream.RECORDS,
             self._record_spread.platform_cursor(),
--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -37,6 +37,9 @@
 _MAX_PULL_ATTEMPTS = 3
 _INITIAL_LOAD_TIMEOUT_MS = 4_000.0
 _INITIAL_LOAD_RETRY_MS = 500.0
+# A starting host does not use a listing of a store that once came back from a copy for this long,
+# unless it loads the records of a peer before.
+_HELD_LISTING_MS = 1_000.0
 _MAX_WANTED_RECORDS = 8
 _CARRIED_PULL_INTERVAL_MS = 1_000.0
 # Interval of pulls of the same records that are carried over, which made no difference before.
@@ -52,6 +55,14 @@
     assembly: parts.PartAssembly = msgspec.field(default_factory=parts.PartAssembly)
 
 
+class _Listing(msgspec.Struct, frozen=True, kw_only=True):
+    """A complete listing that is used once a peer's records are loaded, or at ``use_ms``."""
+
+    revision: int
+    envelopes: tuple[bytes, ...]
+    use_ms: float
+
+
 class _CarriedPull(msgspec.Struct):
     """The newest pull of records that a peer carries over from an older generation."""
 
@@ -109,6 +120,7 @@
         # Withdrawals up to this revision may be missing here; 0 if none are.
         self._missing_to = 0
         self._last_packed: tuple[tuple[int, int, int], bytes] | None = None
+        self._held_listing: _Listing | None = None
         self._carried_pull: _CarriedPull | None = None
         self._next_carried_pull_ms = 0.0
         self._packed_carried: tuple[int, bytes] = (0, b"")
@@ -142,6 +154,11 @@
         """
         return self._missing_to > 0
 
+    @property
+    def holds_listing(self) -> bool:
+        """Whether a listing has been read that waits for the records of a peer."""
+        return self._held_listing is not None
+
     @property
     def load_stalled(self) -> bool:
         """Whether the initial load of records from peers has timed out."""
@@ -178,6 +195,8 @@
         bool
             False if the answer is older than the requested revision or makes no progress.
         """
+        if full_listing and not self.complete_revision and _generation(revision):
+            return self._hold_listing(revision, envelopes)
         to = revision if final else max(map(envelope.revision_of, envelopes), default=0)
         if full_listing or not after:
             self._known_from = max(self._known_from, self._missing_to)
@@ -191,6 +210,25 @@
             self._confirmed_ms = self._context.now_ms()
         return to >= after if final else to > after
 
+    def _hold_listing(self, revision: int, envelopes: tuple[bytes, ...]) -> bool:
+        """Keep a starting host's listing, which may be of a copy that the peers are ahead of."""
+        use_ms = self._context.now_ms() + _HELD_LISTING_MS
+        self._held_listing = _Listing(revision=revision, envelopes=envelopes, use_ms=use_ms)
+        self._next_load_ms = 0.0
+        return True
+
+    def _use_held_listing(self, now_ms: float) -> None:
+        held = self._held_listing
+        if held is None or (now_ms < held.use_ms and not self.complete_revision):
+            return
+        self._held_listing = None
+        if not self.complete_revision:
+            self._known_from = held.revision
+        envelopes = held.envelopes + self._store.withdrawals(held.envelopes, held.revision)
+        self._apply_changes(PLATFORM, 0, held.revision, True, envelopes)
+        if held.revision >= self.complete_revision:
+            self._confirmed_ms = held.use_ms - _HELD_LISTING_MS
+
     def on_tick(self) -> None:
         """Send a digest when it is due, time out the pending pull, and drop lapsed servers."""
         now_ms = self._context.now_ms()
@@ -201,6 +239,7 @@
         self._store.report_rejections()
         self._check_pull(now_ms)
         self._load_initial(now_ms)
+        self._use_held_listing(now_ms)
         if now_ms >= self._next_digest_ms:
             self._next_digest_ms = now_ms + self._digest_interval_ms(now_ms)
             self._send_digests()
--- a/verbenadrum/dissemination/tests/test_store_returns_carried.py
+++ b/verbenadrum/dissemination/tests/test_store_returns_carried.py
@@ -87,6 +87,32 @@
     assert counts[messages.CarriedPull] == 0
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_host_that_starts_after_a_return_never_uses_the_older_copy(seed):
+    drill = returns.Drill(seed, hosts=8)
+    copy = drill.platform.copy()
+    drill.writers.withdraw("s1")
+    drill.writers.operator_rewrites = False
+    version = drill.writers.publish_configuration()
+    drill.run(3_000)
+    drill.lose(copy)
+    drill.writers.servers["s1"].rewrite_ms = None
+    drill.run(500)
+    name = store_returns.readers(drill.fleet)[seed % 2]
+    drill.restart(name)
+    cuts = {pair for other in drill.fleet.hosts for pair in ((name, other), (other, name))}
+    drill.fleet.channel.conditions.cuts |= cuts
+    for step in range(400):
+        if step == 80:
+            drill.fleet.channel.conditions.cuts -= cuts
+        drill.fleet.step()
+        host = drill.fleet.hosts[name]
+        assert host.engine.records.configuration_version in (None, version)
+        entry = store_returns.entries(host).get("s1")
+        assert entry is None or entry.state is not returns.LIVE
+    assert host.engine.ready
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_server_that_the_platform_lists_is_live_though_the_hosts_that_listed_it_restarted(seed):
     drill = returns.Drill(seed, hosts=8)
