Records: what the platform lists of a server survives a merge of two later contents

What callers could see after a return: a living server that stayed leaving or withdrawn for good, depending on the order in which hosts heard of each other. Cause: a host that held a later content than the one that a peer carried over dropped what the peer said the platform lists, and the peer lost it when it took the later content.

--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -427,7 +427,9 @@
             return Verdict.RENEWED
         self._report_older(header, held)
         self._renew(key, header.revision, held.order, carried=True)
-        if header.kind == _SERVER_KIND and not header.carried:
+        if header.carried:
+            self._keep_listed_by_peer(row, header)
+        elif header.kind == _SERVER_KIND:
             self._keep_listed(row, header, raw)
         return Verdict.RENEWED
 
@@ -450,15 +452,20 @@
         if row.accepted_revision != header.revision or withdrawn != header.withdrawn:
             return
         self._set_carried(key, row, True)
-        if row.listed is None and header.listed != _NOT_LISTED:
-            raw = bytes(header.listed)
-            try:
-                listed_header = envelope.read_header(raw)
-            except envelope.UnreadableEnvelopeError as error:
-                detail = {"kind": header.kind, "faults": error.message}
-                self._record_decision(Verdict.UNREADABLE, error.code, header.name, detail)
-            else:
-                self._keep_listed(row, listed_header, raw)
+        self._keep_listed_by_peer(row, header)
+
+    def _keep_listed_by_peer(self, row: _Row, header: envelope.EnvelopeHeader) -> None:
+        """Keep what the platform lists in place of a row, as a peer that carries it over says."""
+        if row.listed is not None or header.listed == _NOT_LISTED:
+            return
+        raw = bytes(header.listed)
+        try:
+            listed_header = envelope.read_header(raw)
+        except envelope.UnreadableEnvelopeError as error:
+            detail = {"kind": header.kind, "faults": error.message}
+            self._record_decision(Verdict.UNREADABLE, error.code, header.name, detail)
+        else:
+            self._keep_listed(row, listed_header, raw)
 
     def _take(self, key: tuple[str, str], header: envelope.EnvelopeHeader, raw: bytes) -> Verdict:
         """Put the content of an envelope in force, or reject it."""
@@ -542,7 +549,8 @@
         self, key: tuple[str, str], row: _Row, record: types.Record, carried: bool
     ) -> None:
         moved = record.revision != row.accepted_revision
-        row.listed = None
+        if moved:
+            row.listed = None
         if row.accepted_revision and moved:
             self._outdated_count += 1
         row.accepted_revision = record.revision
--- a/verbenadrum/records/tests/test_returns.py
+++ b/verbenadrum/records/tests/test_returns.py
@@ -195,3 +195,31 @@
     host.store.begin_generation(revisions.join(2, 320))
     host.offer(server(2, 330, 5, 6))
     assert host.state() is not LIVE
+
+
+@pytest.mark.parametrize("listing_first", [True, False])
+def test_listed_server_whose_withdrawal_only_another_host_knew_is_live_again(listing_first):
+    time = clock.SteppedClock()
+    first, second = Host(time), Host(time)
+    for host in (first, second):
+        host.offer(server(1, 390, 5, 7))
+    first.offer(server(1, 400, 5, 8, LEAVING))
+    second.offer(withdrawal(1, 410))
+    lister, other = (first, second) if listing_first else (second, first)
+    lister.offer(server(2, 300, 5, 7))
+    lister.store.begin_generation(revisions.join(2, 320))
+    for _, raw in lister.store.envelopes_after(revisions.join(1, 410)):
+        other.offer(raw)
+    other.store.begin_generation(revisions.join(2, 320))
+    for _ in range(3):
+        first.pull_carried(second)
+        second.pull_carried(first)
+    first.run(500, complete=revisions.join(2, 330))
+    for _ in range(200):
+        time.advance(100.0)
+        for host in (first, second):
+            host.store.drop_lapsed_servers()
+            host.store.restore_listed_servers(revisions.join(2, 330), time.now_ms())
+        first.pull_carried(second)
+        second.pull_carried(first)
+    assert (first.state(), second.state()) == (LIVE, LIVE)
