--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -195,7 +195,8 @@
         """Send a digest when it is due, time out the pending pull, and drop lapsed servers."""
         now_ms = self._context.now_ms()
         self._store.drop_lapsed_servers()
-        self._store.restore_listed_servers(self.complete_revision, self._confirmed_ms)
+        if not self._missing_to:
+            self._store.restore_listed_servers(self.complete_revision, self._confirmed_ms)
         self._known_from = max(self._known_from, self._store.drop_withdrawn())
         self._store.report_rejections()
         self._check_pull(now_ms)
@@ -628,7 +629,7 @@
         )
         if packed is not None:
             for raw in self._unpacked(sender, packed):
-                self._store.offer(raw, carried=True)
+                self._store.offer(raw)
         elif pull.assembly.next_index != expected or message.index == 0:
             self._send_carried_pull()
 
