--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -290,7 +290,6 @@
                 self._set_carried(key, row, False)
                 if key in self._missing:
                     self._renew(key, revision, (held.order[0], _BEFORE_FIRST), carried=False)
-                    self._lapsed_since_ms.pop(ids.ServerId(held.name), None)
                 continue
             if revisions.generation_of(row.rejected_revision) >= generation:
                 # The generation has the record, with a content that is refused here.
@@ -343,6 +342,7 @@
             record = msgspec.structs.replace(
                 row.listed.record, revision=revision, order=(start, sequence + 1)
             )
+            row.listed = None
             self._accept(key, record, envelope.render(record), carried=True)
             self._record_decision(
                 Verdict.ACCEPTED,
@@ -539,6 +539,8 @@
         row = self._rows[key]
         if order[1] != _BEFORE_FIRST:
             self._missing.pop(key, None)
+        if order[1] == _BEFORE_FIRST and revision > row.accepted_revision:
+            self._lapsed_since_ms.pop(ids.ServerId(key[1]), None)
         record = msgspec.structs.replace(row.record, revision=revision, order=order)
         if row.original:
             row.original = revisions.with_revision(row.original, revision)
@@ -549,7 +551,7 @@
         self, key: tuple[str, str], row: _Row, record: types.Record, carried: bool
     ) -> None:
         moved = record.revision != row.accepted_revision
-        if moved:
+        if moved or (row.listed is not None and row.listed.record.spec == record.spec):
             row.listed = None
         if row.accepted_revision and moved:
             self._outdated_count += 1
