Limits: lenders hand out the tolerance in parts, and only while a home has none

Callers saw 503 limit-unavailable from hosts whose requests to a home were answered late, although home and lenders were well.

Cause: an entry host that got no answer within 250 ms asks a substitute, which asks the lenders for tokens of the tolerance. Each lender handed out all that it had left for the window at the first such request, and was asked again although the substitute had tokens. One late answer so used up the tolerance of a workspace for six seconds; the next ones in that time were refused.

Change: a lender hands out a quarter of its part at a time, and a substitute asks only while it has less than one token. The sum that a lender hands out in a window is bounded as before, so the bound does not change.

--- a/benchmarks/limits_restarts.py
+++ b/benchmarks/limits_restarts.py
@@ -44,6 +44,9 @@
 _SUSPECT_MS = (300.0, 2_000.0)
 _CLEAR_MS = (100.0, 1_000.0)
 _DOWN_MS = (300.0, 1_300.0)
+# Fraction of the messages that a busy link delays, and by how much at most.
+_LATE_FRACTION = 0.05
+_LATE_MS = 1_000.0
 
 
 class Result(msgspec.Struct, frozen=True, kw_only=True):
@@ -236,6 +239,22 @@
     run.wait(20_000.0)
 
 
+def _late(run: Run, factor: float) -> None:
+    run.load(1.0)
+    run.wait(3_000.0)
+    run.fleet.faults.late, run.fleet.faults.late_ms = _LATE_FRACTION, _LATE_MS
+    run.load(factor)
+    run.wait(17_000.0)
+
+
+def _late_calm(run: Run) -> None:
+    _late(run, 1.0)
+
+
+def _late_hot(run: Run) -> None:
+    _late(run, _HOT_FACTOR)
+
+
 def _roll(run: Run) -> None:
     run.load(1.0)
     run.wait(3_000.0)
@@ -357,6 +376,8 @@
 
 SCENARIOS = {
     "calm": _calm,
+    "late messages": _late_calm,
+    "late messages, hot": _late_hot,
     "all hosts in turn": _roll,
     "all hosts at once": _cold,
     "two views": _two_views,
--- a/verbenadrum/limits/loans.py
+++ b/verbenadrum/limits/loans.py
@@ -24,6 +24,9 @@
 _CLOCK_MARGIN = 1.001
 _MS_PER_S = 1000.0
 _IDLE_EXPIRY_MS = 30_000.0
+# Fraction of a lender's part of the tolerance that it hands out at a time. What a home doesn't use
+# is lost for the window.
+_EXTRA_FRACTION = 0.25
 
 
 class _Loan(msgspec.Struct, kw_only=True):
@@ -206,11 +209,13 @@
         extras = self._extras.setdefault(workspace, collections.deque())
         while extras and now_ms - extras[0][0] > self._extra_window_ms:
             extras.popleft()
-        left = self._tolerance.lender_part(spec, share) - sum(count for _, count in extras)
+        part = self._tolerance.lender_part(spec, share)
+        left = part - sum(count for _, count in extras)
         if left <= 0.0:
             return 0.0
-        extras.append((now_ms, left))
-        return round(left, 3)
+        count = min(left, max(_EXTRA_FRACTION * part, share))
+        extras.append((now_ms, count))
+        return round(count, 3)
 
 
 def ranks_before(workspace: ids.WorkspaceId, host: ids.HostId, other: ids.HostId) -> bool:
--- a/verbenadrum/limits/meters.py
+++ b/verbenadrum/limits/meters.py
@@ -270,7 +270,7 @@
             meter = self._meters.get(workspace)
             if meter is None or now_ms - meter.last_used_ms > _USED_RECENTLY_MS:
                 continue
-            urgent = now_ms < meter.urgent_until_ms
+            urgent = now_ms < meter.urgent_until_ms and _extra_tokens(meter) < 1.0
             if meter.live <= 0.0 and self.holder(workspace) and not urgent:
                 continue
             for lender in self._lenders.shares(workspace):
@@ -469,9 +469,13 @@
             )
 
 
+def _extra_tokens(meter: Meter) -> float:
+    return sum(count for count, _ in meter.extras)
+
+
 def _take_extra(meter: Meter) -> bool:
     """Take one token of the tolerance from what several lenders handed out."""
-    if sum(count for count, _ in meter.extras) < 1.0:
+    if _extra_tokens(meter) < 1.0:
         return False
     wanted = 1.0
     for index, (count, until_ms) in enumerate(meter.extras):
--- a/verbenadrum/limits/tests/test_loans.py
+++ b/verbenadrum/limits/tests/test_loans.py
@@ -1,5 +1,7 @@
 """Tests of the loans of shares between the lenders and the homes of a workspace."""
 
+import functools
+
 import pytest
 
 from benchmarks import limits_fleet
@@ -10,8 +12,8 @@
 SETTLED_MS = 5_000.0
 
 
-def make_fleet(hosts=8, regions=1):
-    fleet = limits_fleet.Fleet(seed=1, limiter=metered.MeteredLimiter)
+def make_fleet(hosts=8, regions=1, limiter=metered.MeteredLimiter):
+    fleet = limits_fleet.Fleet(seed=1, limiter=limiter)
     spec = types.WorkspaceSpec(rate_per_s=RATE_PER_S, burst=BURST)
     fleet.publish(types.RecordKind.WORKSPACE, "w", spec)
     for row in limits_fleet.layout(regions, 1, hosts):
@@ -161,6 +163,24 @@
     assert [each.share > 0.0 for each in answer.rows] == [True]
 
 
+# One late answer of the home used up the tolerance of the workspace for a window.
+def test_late_answers_of_a_home_cost_the_tolerance_no_more_than_they_need():
+    made = functools.partial(
+        metered.MeteredLimiter, tolerance=tolerance.Tolerance(overshoot=0.25, slack=20.0)
+    )
+    fleet = make_fleet(hosts=20, limiter=made)
+    fleet.run(fleet.now_ms + 3_000.0)
+    home, *_, other, last = ranked(fleet)
+    fleet.faults.cut.update({(last, home), (home, last)})
+    rows = []
+    for _ in range(4):
+        rows.append(fleet.request(last, "w"))
+        for _ in range(7):
+            fleet.request(other, "w")
+            fleet.run(fleet.now_ms + 200.0)
+    assert [bool(row.granted) for row in rows] == [True] * 4
+
+
 @pytest.mark.parametrize("hosts", [1, 3, 37])
 def test_shares_of_a_workspace_add_up_to_the_whole(hosts):
     fleet = make_fleet(hosts, regions=2)
