Peers: the first connects to a peer are given up after 0.4 s

After a power failure of all hosts, callers' requests waited for a second and were then refused with 503 limit-unavailable.

Cause: the seeds were started 0.3 s after the other hosts. Until then their machines dropped the first packet of each connection, which the kernel sends again after 1 s; the attempt was given up after 1 s, and the next one followed 50 ms later. So a host met its first peer 1.05 s after its start, while the limiter holds requests of a host without a peer for 1 s.

Change: the first three attempts are given up after 0.4 s each, later ones after 1 s as before.

--- a/verbenadrum/daemon/peers.py
+++ b/verbenadrum/daemon/peers.py
@@ -25,6 +25,10 @@
 _READ_SIZE_BYTES = 65_536
 _MAX_QUEUED_BYTES = 4_194_304
 _CONNECT_TIMEOUT_S = 1.0
+# A machine that is still starting drops the first packet, which is sent again only after 1 s. The
+# first attempts are given up earlier, so that a new one meets it once it has started.
+_SHORT_CONNECT_TIMEOUT_S = 0.4
+_SHORT_ATTEMPTS = 3
 _SEND_TIMEOUT_S = 5.0
 # A connection whose messages are not acknowledged for this long is replaced. A live peer behind a
 # lossy link acknowledges after a few retransmissions, the third of which is sent within 1 s.
@@ -281,6 +285,7 @@
         self._wake = event.Event()
         self._sock: socket.socket | None = None
         self._peer_address = ""
+        self._failed_attempts = 0
         self._greenlet = gevent.spawn(self._run)
 
     def send(self, data: bytes) -> None:
@@ -321,10 +326,12 @@
         address = self._find_address()
         if address is None:
             return False
+        is_short = self._failed_attempts < _SHORT_ATTEMPTS
+        timeout_s = _SHORT_CONNECT_TIMEOUT_S if is_short else _CONNECT_TIMEOUT_S
+        self._failed_attempts += 1
         try:
-            sock = socket.create_connection(
-                sockets.split_address(address), timeout=_CONNECT_TIMEOUT_S
-            )
+            sock = socket.create_connection(sockets.split_address(address), timeout=timeout_s)
+            sock.settimeout(_CONNECT_TIMEOUT_S)
             sockets.disable_nagle(sock)
             sockets.limit_unacknowledged(sock, _UNACKNOWLEDGED_TIMEOUT_MS)
             if self._tls is not None:
@@ -336,6 +343,7 @@
         except (OSError, ValueError):
             return False
         self._sock = sock
+        self._failed_attempts = 0
         self._peer_address = address
         return True
 
--- a/verbenadrum/daemon/tests/test_peers.py
+++ b/verbenadrum/daemon/tests/test_peers.py
@@ -28,7 +28,7 @@
     def __init__(self, *, host, table=PLAIN_TCP, addresses):
         self.received = []
         self.arrived = event.Event()
-        listener = sockets.listen(table.listen)
+        self.listener = listener = sockets.listen(table.listen)
         self.address = f"127.0.0.1:{listener.getsockname()[1]}"
         self.streams = peers.PeerStreams(
             host=host,
@@ -203,6 +203,20 @@
             sock.close()
 
 
+# A host that started 0.3 s before its seeds met them 1.05 s after its start.
+def test_peer_whose_machine_starts_0_3_s_later_is_reached_within_0_9_s(nodes):
+    addresses = {}
+    nodes += [Node(host="a", addresses=addresses), Node(host="b", addresses=addresses)]
+    silence.drop_incoming(nodes[1].listener)
+    for sent in range(18):
+        nodes[0].streams.send("b", messages.HostsPull(sent))
+        if sent == 6:
+            silence.accept_incoming(nodes[1].listener)
+        if nodes[1].arrived.wait(timeout=0.05):
+            break
+    assert nodes[1].received
+
+
 def test_half_a_frame_does_not_hold_its_connection(nodes, monkeypatch):
     monkeypatch.setattr(peers, "_FRAME_TIMEOUT_S", 0.05)
     node = Node(host="h1", addresses={})
