Limits: a lender that handed out tolerance may be asked for more at once

Since lenders hand out a quarter of their part at a time, a substitute of a silent home under heavy load had to wait for the next turn of its requests to them, up to 400 ms, although they had more.

Change: an answer with tokens of the tolerance ends the wait, so that the lender is asked again as soon as the tokens are used.

--- a/verbenadrum/limits/meters.py
+++ b/verbenadrum/limits/meters.py
@@ -311,9 +311,12 @@
                 continue
             answered.append(workspace)
             self._refill(meter, spec)
-            meter.borrowed.setdefault(lender, _Borrowed()).awaited_until_ms = _NOT_AWAITED_MS
+            borrowed = meter.borrowed.setdefault(lender, _Borrowed())
+            borrowed.awaited_until_ms = _NOT_AWAITED_MS
             if row.extra > 0.0:
                 meter.extras.append((row.extra, until_ms))
+                # The lender may have more, which is asked for once these are used.
+                borrowed.next_ask_ms, borrowed.ask_interval_ms = now_ms, _FIRST_ASK_INTERVAL_MS
             if row.share <= 0.0:
                 self.set_holder(workspace, ids.HostId(row.holder))
                 continue
