--- a/verbenadrum/dissemination/tests/test_store_returns_carried.py
+++ b/verbenadrum/dissemination/tests/test_store_returns_carried.py
@@ -146,3 +146,20 @@
     drill.writers.join("s6")
     drill.run(40_000)
     assert drill.states("s4") == {returns.LIVE}
+
+
+def test_living_server_that_two_returns_in_series_hide_stays_in_its_pool():
+    drill = returns.Drill(5)
+    copy = drill.platform.copy()
+    server = drill.writers.join("s4")
+    drill.run(1_000)
+    for duration_ms in (1_500, 0):
+        drill.lose(copy, 200.0)
+        drill.run(5)
+        server.rewrite_ms = None
+        drill.run(duration_ms)
+    seen = set()
+    for _ in range(30):
+        drill.run(50)
+        seen |= drill.states("s4")
+    assert seen <= {returns.LIVE, returns.LAPSED}
