Dissemination: a host that is the whole fleet uses its first listing at once

Cause: since a starting host keeps a listing of a later generation for up to a second, also where its settings name no other host.

--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -195,7 +195,8 @@
         bool
             False if the answer is older than the requested revision or makes no progress.
         """
-        if full_listing and not self.complete_revision and _generation(revision):
+        is_first = full_listing and not self.complete_revision
+        if is_first and _generation(revision) and self._may_have_peers():
             return self._hold_listing(revision, envelopes)
         to = revision if final else max(map(envelope.revision_of, envelopes), default=0)
         if full_listing or not after:
@@ -217,6 +218,9 @@
         self._next_load_ms = 0.0
         return True
 
+    def _may_have_peers(self) -> bool:
+        return self._membership.seeking or len(self._membership.listed()) > 1
+
     def _use_held_listing(self, now_ms: float) -> None:
         held = self._held_listing
         if held is None or (now_ms < held.use_ms and not self.complete_revision):
