--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -650,6 +650,7 @@
             return
         if self._packed_carried[0] != checksum:
             self._packed_carried = (checksum, packing.pack(self._store.carried()))
+        # The checksum stands for the revision by which the parts of a set are known.
         changes = messages.RecordChanges(0, checksum, True, (), packed=self._packed_carried[1])
         part = parts.cut(changes, message.index if message.checksum == checksum else 0)
         if part is not None:
--- a/verbenadrum/records/store.py
+++ b/verbenadrum/records/store.py
@@ -12,7 +12,7 @@
 from verbenadrum import ids
 from verbenadrum.core import context
 from verbenadrum.decisions import ring
-from verbenadrum.records import envelope, revisions, table, types
+from verbenadrum.records import envelope, revisions, table, types, writers_order
 
 __all__ = ["RecordStore", "Rejection", "Transition", "Verdict"]
 
@@ -29,10 +29,9 @@
 # The platform removes the entry of a server that has left, or lost its connection, within this time
 # of its own return. One that it still lists is alive.
 _LISTED_TTL_MS = 10_000.0
+# A host has stood still if its ticks are further apart; what it then receives may be as old.
 _MAX_TICK_GAP_MS = 1_000.0
 _NOT_LISTED = msgspec.Raw(b"null")
-# Second number of an order that precedes all others of the first number.
-_BEFORE_FIRST = -1
 _SERVER_KIND = types.RecordKind.SERVER.value
 _CONFIGURATION_KIND = types.RecordKind.CONFIGURATION.value
 
@@ -289,7 +288,9 @@
             if held.spec is None:
                 self._set_carried(key, row, False)
                 if key in self._missing:
-                    self._renew(key, revision, (held.order[0], _BEFORE_FIRST), carried=False)
+                    self._renew(
+                        key, revision, (held.order[0], writers_order.BEFORE_FIRST), carried=False
+                    )
                 continue
             if revisions.generation_of(row.rejected_revision) >= generation:
                 # The generation has the record, with a content that is refused here.
@@ -304,7 +305,7 @@
                 name=held.name,
                 revision=revision,
                 spec=None,
-                order=(held.order[0], _BEFORE_FIRST),
+                order=(held.order[0], writers_order.BEFORE_FIRST),
             )
             self._accept(key, withdrawal, envelope.render(withdrawal))
         return Transition(lapsed=lapsed, carried=len(self._carried))
@@ -412,13 +413,13 @@
             return None
         held = row.record
         newer = header.revision > held.revision
-        later = _compare_in_writers_order(
+        later = writers_order.compare(
             header,
             held,
             # A row that is carried over has its revision from what the platform lists instead.
             published_withdrawal=not (header.carried if newer else row.carried),
         )
-        if later > 0 or (later == 0 and newer and not _renews_server(header, held)):
+        if later > 0 or (later == 0 and newer and not writers_order.is_listed_again(header, held)):
             return None
         if not newer:
             return Verdict.OLD
@@ -482,7 +483,7 @@
             carried = True
             raw = revisions.with_revision(raw, held.revision)
             record = msgspec.structs.replace(record, revision=held.revision)
-        if held is not None and _is_same_content(record, held, carried):
+        if held is not None and writers_order.is_renewal(record, held, carried=carried):
             order = max(record.order, held.order)
             self._renew(key, record.revision, order, carried=carried)
             return Verdict.RENEWED
@@ -522,9 +523,9 @@
         if record.spec is None:
             self._withdrawn_since_ms.setdefault(key, self._context.now_ms())
             if row.record is not None:
-                order = _order_of_withdrawal(record.order, row.record)
+                order = writers_order.of_withdrawal(record.order, row.record)
                 record = msgspec.structs.replace(record, order=order)
-                if order[1] == _BEFORE_FIRST:
+                if order[1] == writers_order.BEFORE_FIRST:
                     self._missing[key] = missing_order or row.record.order
         else:
             self._withdrawn_since_ms.pop(key, None)
@@ -537,9 +538,9 @@
     ) -> None:
         """Put the content in force under another revision."""
         row = self._rows[key]
-        if order[1] != _BEFORE_FIRST:
+        if order[1] != writers_order.BEFORE_FIRST:
             self._missing.pop(key, None)
-        if order[1] == _BEFORE_FIRST and revision > row.accepted_revision:
+        if order[1] == writers_order.BEFORE_FIRST and revision > row.accepted_revision:
             self._lapsed_since_ms.pop(ids.ServerId(key[1]), None)
         record = msgspec.structs.replace(row.record, revision=revision, order=order)
         if row.original:
@@ -677,84 +678,6 @@
     return (f"{type(error).__name__}: {error}",)
 
 
-def _compare_in_writers_order(
-    header: envelope.EnvelopeHeader, held: types.Record, *, published_withdrawal: bool
-) -> int:
-    """Return 1 if the offered content is later in its writer's order, -1 if it is earlier.
-
-    0 leaves it to the revisions: both are from one generation, or the order is unknown. A
-    configuration's version and a server's sequence since its start count within a generation too,
-    as a writer may write again what was lost, in order. A withdrawal follows the content that
-    was withdrawn. A server that was withdrawn in a newer generation has no place in the order, if
-    the withdrawal is published there (``published_withdrawal``) and not carried over.
-    """
-    same_generation = revisions.generation_of(header.revision) == revisions.generation_of(
-        held.revision
-    )
-    if same_generation and header.revision != held.revision and header.kind == _SERVER_KIND:
-        return _compare_sequences(header, held)
-    decides = (
-        header.kind == _CONFIGURATION_KIND
-        or header.revision == held.revision
-        or not same_generation
-    )
-    newer_is_withdrawn = header.withdrawn if header.revision > held.revision else held.spec is None
-    published_withdrawal = published_withdrawal and newer_is_withdrawn
-    if header.kind == _SERVER_KIND and header.revision != held.revision and published_withdrawal:
-        return 0
-    if not decides or types.UNKNOWN_ORDER in (header.order, held.order):
-        return 0
-    offered_place = (*header.order, header.withdrawn)
-    held_place = (*held.order, held.spec is None)
-    return (offered_place > held_place) - (offered_place < held_place)
-
-
-def _compare_sequences(header: envelope.EnvelopeHeader, held: types.Record) -> int:
-    """Return -1 if a server has published the offered content before the one held, else 0."""
-    known = types.UNKNOWN_ORDER not in (header.order, held.order)
-    same_start = header.order[0] == held.order[0]
-    earlier = known and same_start and header.order[1] < held.order[1]
-    return -1 if earlier and not header.withdrawn else 0
-
-
-def _renews_server(header: envelope.EnvelopeHeader, held: types.Record) -> bool:
-    """Return whether a newer generation lists a server with the order of the content in force."""
-    same_order = header.order == held.order != types.UNKNOWN_ORDER
-    generation = revisions.generation_of(header.revision)
-    return (
-        header.kind == _SERVER_KIND
-        and same_order
-        and header.withdrawn == (held.spec is None)
-        and generation > revisions.generation_of(held.revision)
-    )
-
-
-def _is_same_content(record: types.Record, held: types.Record, carried: bool) -> bool:
-    """Return whether the content in force gets a revision of a newer generation."""
-    generation = revisions.generation_of(record.revision)
-    renews = carried or generation > revisions.generation_of(held.revision)
-    return renews and record.spec == held.spec
-
-
-def _order_of_withdrawal(order: tuple[int, int], held: types.Record) -> tuple[int, int]:
-    """Return the order of a withdrawal, which may state none, of the content held.
-
-    A live server that a new generation lacks may only be unknown to the older copy. Its withdrawal
-    precedes every record of its present start, until it is confirmed. One that was leaving has
-    left.
-    """
-    if types.UNKNOWN_ORDER in (order, held.order):
-        return held.order
-    if held.spec is None:
-        return max(order, held.order)
-    leaving = (
-        isinstance(held.spec, types.ServerSpec) and held.spec.state is types.ServerState.LEAVING
-    )
-    if order[1] == _BEFORE_FIRST and not leaving:
-        return max(order[0], held.order[0]), _BEFORE_FIRST
-    return max(order, held.order) if order[0] == held.order[0] else order
-
-
 def _content_hash(row: _Row) -> int:
     """Return a hash of a row's content, without its revision; never 0."""
     record = msgspec.structs.replace(row.record, revision=1)
