--- a/verbenadrum/dissemination/records.py
+++ b/verbenadrum/dissemination/records.py
@@ -56,10 +56,11 @@
 
 
 class _Listing(msgspec.Struct, frozen=True, kw_only=True):
-    """A complete listing that is used once a peer's records are loaded, or at ``use_ms``."""
+    """A listing that is used once a peer's records are loaded, or at ``use_ms``."""
 
     revision: int
     envelopes: tuple[bytes, ...]
+    full_listing: bool
     use_ms: float
 
 
@@ -195,9 +196,9 @@
         bool
             False if the answer is older than the requested revision or makes no progress.
         """
-        is_first = full_listing and not self.complete_revision
+        is_first = final and not after and not self.complete_revision
         if is_first and _generation(revision) and self._may_have_peers():
-            return self._hold_listing(revision, envelopes)
+            return self._hold_listing(revision, envelopes, full_listing)
         to = revision if final else max(map(envelope.revision_of, envelopes), default=0)
         if full_listing or not after:
             self._known_from = max(self._known_from, self._missing_to)
@@ -211,10 +212,14 @@
             self._confirmed_ms = self._context.now_ms()
         return to >= after if final else to > after
 
-    def _hold_listing(self, revision: int, envelopes: tuple[bytes, ...]) -> bool:
+    def _hold_listing(
+        self, revision: int, envelopes: tuple[bytes, ...], full_listing: bool
+    ) -> bool:
         """Keep a starting host's listing, which may be of a copy that the peers are ahead of."""
         use_ms = self._context.now_ms() + _HELD_LISTING_MS
-        self._held_listing = _Listing(revision=revision, envelopes=envelopes, use_ms=use_ms)
+        self._held_listing = _Listing(
+            revision=revision, envelopes=envelopes, full_listing=full_listing, use_ms=use_ms
+        )
         self._next_load_ms = 0.0
         return True
 
@@ -226,9 +231,11 @@
         if held is None or (now_ms < held.use_ms and not self.complete_revision):
             return
         self._held_listing = None
-        if not self.complete_revision:
-            self._known_from = held.revision
-        envelopes = held.envelopes + self._store.withdrawals(held.envelopes, held.revision)
+        envelopes = held.envelopes
+        if held.full_listing:
+            if not self.complete_revision:
+                self._known_from = held.revision
+            envelopes += self._store.withdrawals(envelopes, held.revision)
         self._apply_changes(PLATFORM, 0, held.revision, True, envelopes)
         if held.revision >= self.complete_revision:
             self._confirmed_ms = held.use_ms - _HELD_LISTING_MS
--- a/verbenadrum/dissemination/tests/test_spread.py
+++ b/verbenadrum/dissemination/tests/test_spread.py
@@ -9,7 +9,7 @@
 from verbenadrum import ids
 from verbenadrum.core import ports
 from verbenadrum.dissemination import duty, messages, packing, progress, sampler
-from verbenadrum.records import envelope, store, table, types
+from verbenadrum.records import envelope, revisions, store, table, types
 
 _SETTINGS = hypothesis.settings(
     derandomize=True,
@@ -348,6 +348,25 @@
     assert second.engine.record_spread.withdrawals_missing
 
 
+# Guards against an older copy in force at a host that reads it from a platform of either kind.
+@pytest.mark.parametrize("full_listing", [False, True])
+def test_starting_host_keeps_the_listing_of_a_copy_until_a_peer_answers(full_listing):
+    fleet = ready_fleet(20, data_centres=1, hosts=2, regions=1)
+    name = next(iter(fleet.hosts))
+    fleet.stop(name)
+    started = fleet.start(name)
+    started.engine.apply_hosts(fleet.platform.hosts_revision, fleet.platform.rows)
+    revision = revisions.join(1, 1)
+    raw = spreading.envelope_of("workspace", "w", revision, good_spec(9))
+    started.engine.on_platform_records(
+        duty.RecordsAnswer(
+            after=0, revision=revision, final=True, envelopes=(raw,), full_listing=full_listing
+        )
+    )
+    assert started.engine.records.workspace(ids.WorkspaceId("w")) is None
+    assert fleet.run_until(lambda: started.engine.ready, 1_500) < 1_500
+
+
 # Guards against a listing every 50 ms from a platform that drops its history again and again.
 def test_listings_that_bring_nothing_new_are_read_ever_less_often():
     fleet = ready_fleet(19, data_centres=1, hosts=2, regions=1)
